--- /dev/null
+++ b/cmd/fireflypin/main.go
@@ -0,0 +1,4 @@
+// Command fireflypin has no function yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/fireflypind/main.go
@@ -0,0 +1,4 @@
+// Command fireflypind has no function yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/errkind/table_test.go
@@ -0,0 +1,30 @@
+package errkind
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestEveryKindHasARow(t *testing.T) {
+	Convey("Every kind has one row with its own name and a meaning", t, func() {
+		seen := make(map[string]bool)
+		for i, row := range All() {
+			So(row.Kind, ShouldEqual, Kind(i))
+			So(row.Name, ShouldNotBeBlank)
+			So(row.Meaning, ShouldNotBeBlank)
+			So(seen[row.Name], ShouldBeFalse)
+			seen[row.Name] = true
+		}
+	})
+}
+
+func TestNotRunIsSaidOnlyWithAnAnswer(t *testing.T) {
+	Convey("A kind that says not run always answers the caller", t, func() {
+		for _, row := range All() {
+			if row.NotRun {
+				So(row.Answer, ShouldEqual, AnswerReset)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/model/snapshot.go
@@ -0,0 +1,96 @@
+package model
+
+import "net/netip"
+
+// Revisions names the revision of each published list that a Snapshot was built from. A revision
+// only grows.
+type Revisions struct {
+	Customers uint64
+	Plans     uint64
+	Machines  uint64
+}
+
+// Covers reports whether r is at least as new as o in every list.
+func (r Revisions) Covers(o Revisions) bool {
+	return r.Customers >= o.Customers && r.Plans >= o.Plans && r.Machines >= o.Machines
+}
+
+// Generation names the revisions that decide default targets. Two daemons that use the same
+// Generation derive the same default target for a flow.
+type Generation struct {
+	Plans    uint64
+	Machines uint64
+}
+
+// Snapshot is one consistent set of published lists.
+type Snapshot struct {
+	Revisions Revisions
+	Customers []*Customer
+	Plans     []*Plan
+	Services  []*Service
+	Entries   []*EntryVM
+	Endpoints []*EndpointVM
+
+	serviceByAddress map[netip.AddrPort]*Service
+	targetByID       map[TargetID]*Target
+	targetByData     map[netip.AddrPort]*Target
+	entryByID        map[MachineID]*EntryVM
+}
+
+// NewSnapshot indexes validated lists. The caller gives up the slices: nobody may change them after.
+func NewSnapshot(rev Revisions, customers []*Customer, plans []*Plan, services []*Service, entries []*EntryVM, endpoints []*EndpointVM) *Snapshot {
+	s := &Snapshot{
+		Revisions:        rev,
+		Customers:        customers,
+		Plans:            plans,
+		Services:         services,
+		Entries:          entries,
+		Endpoints:        endpoints,
+		serviceByAddress: make(map[netip.AddrPort]*Service),
+		targetByID:       make(map[TargetID]*Target),
+		targetByData:     make(map[netip.AddrPort]*Target),
+		entryByID:        make(map[MachineID]*EntryVM),
+	}
+	for _, svc := range services {
+		s.indexService(svc)
+	}
+	for _, e := range entries {
+		s.entryByID[e.ID] = e
+	}
+	return s
+}
+
+func (s *Snapshot) indexService(svc *Service) {
+	for _, a := range svc.Addresses {
+		s.serviceByAddress[a] = svc
+	}
+	for _, t := range svc.Targets {
+		s.targetByID[t.ID] = t
+		s.targetByData[t.Data] = t
+	}
+}
+
+// Generation returns the part of the revisions that decides default targets.
+func (s *Snapshot) Generation() Generation {
+	return Generation{Plans: s.Revisions.Plans, Machines: s.Revisions.Machines}
+}
+
+// ServiceAt returns the service behind a destination, or nil.
+func (s *Snapshot) ServiceAt(a netip.AddrPort) *Service {
+	return s.serviceByAddress[a]
+}
+
+// Target returns the target with an id, or nil.
+func (s *Snapshot) Target(id TargetID) *Target {
+	return s.targetByID[id]
+}
+
+// TargetAt returns the target that receives packets at a data address, or nil.
+func (s *Snapshot) TargetAt(a netip.AddrPort) *Target {
+	return s.targetByData[a]
+}
+
+// Entry returns the entry VM with an id, or nil.
+func (s *Snapshot) Entry(id MachineID) *EntryVM {
+	return s.entryByID[id]
+}
--- /dev/null
+++ b/scripts/knownred/judge.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+)
+
+// entry is one known failure: a top-level test of one package.
+type entry struct {
+	pkg  string
+	test string
+	line string
+}
+
+// outcome is what one test run reported.
+type outcome struct {
+	failedTests    map[string][]string // package -> top-level tests that failed
+	failedPackages []string
+	failedBuild    bool
+}
+
+// verdict compares a list with an outcome.
+type verdict struct {
+	passedOver []entry
+	unexpected []string
+}
+
+// parseList reads lines of the form "package TestName | command and seed | what was seen | issue".
+func parseList(text string) []entry {
+	var list []entry
+	for _, line := range strings.Split(text, "\n") {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		head, _, _ := strings.Cut(line, "|")
+		words := strings.Fields(head)
+		if len(words) != 2 {
+			continue
+		}
+		list = append(list, entry{pkg: words[0], test: words[1], line: line})
+	}
+	return list
+}
+
+// parseLog reads the plain output of go test. A package's failed tests stand before its own FAIL line.
+func parseLog(text string) outcome {
+	out := outcome{failedTests: make(map[string][]string)}
+	var pending []string
+	for _, line := range strings.Split(text, "\n") {
+		words := strings.Fields(line)
+		switch {
+		case strings.HasPrefix(line, "--- FAIL: "):
+			pending = append(pending, words[2])
+		case strings.HasPrefix(line, "ok "):
+			pending = nil
+		case strings.HasPrefix(line, "FAIL\t"):
+			out.addPackage(words, pending)
+			pending = nil
+		case strings.HasPrefix(line, "panic:"), strings.Contains(line, "DATA RACE"):
+			out.failedBuild = true
+		}
+	}
+	return out
+}
+
+func (o *outcome) addPackage(words, tests []string) {
+	if strings.Contains(strings.Join(words, " "), "[") {
+		o.failedBuild = true
+	}
+	o.failedPackages = append(o.failedPackages, words[1])
+	o.failedTests[words[1]] = tests
+}
+
+// judge passes over a failed test only where the list names it.
+func judge(list []entry, out outcome) verdict {
+	var v verdict
+	if out.failedBuild {
+		v.unexpected = append(v.unexpected, "a build failure, a panic or a data race")
+	}
+	if len(out.failedPackages) == 0 {
+		v.unexpected = append(v.unexpected, "the run failed without naming a package")
+	}
+	for _, pkg := range out.failedPackages {
+		tests := out.failedTests[pkg]
+		if len(tests) == 0 {
+			v.unexpected = append(v.unexpected, pkg+": failed without naming a test")
+		}
+		for _, test := range tests {
+			v.place(list, pkg, test)
+		}
+	}
+	return v
+}
+
+func (v *verdict) place(list []entry, pkg, test string) {
+	for _, e := range list {
+		if e.pkg == pkg && e.test == test {
+			v.passedOver = append(v.passedOver, e)
+			return
+		}
+	}
+	v.unexpected = append(v.unexpected, pkg+" "+test)
+}
+
+func (v *verdict) passes() bool {
+	return len(v.unexpected) == 0
+}
+
+func (v *verdict) report() string {
+	var b strings.Builder
+	for _, e := range v.passedOver {
+		fmt.Fprintf(&b, "known red, passed over: %s\n", e.line)
+	}
+	for _, u := range v.unexpected {
+		fmt.Fprintf(&b, "failed: %s\n", u)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/scripts/knownred/main.go
@@ -0,0 +1,34 @@
+// Command knownred judges a failed test run against the list of known failures.
+//
+// Usage: knownred KNOWN-RED.txt TESTLOG. It exits 0 only where every failed test and package is
+// explained by the list, and prints the passed-over entries.
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+const usageExitCode = 2
+
+func main() {
+	if len(os.Args) != 3 {
+		fmt.Fprintln(os.Stderr, "usage: knownred KNOWN-RED.txt TESTLOG")
+		os.Exit(usageExitCode)
+	}
+	list, err := os.ReadFile(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, fmt.Errorf("read the list of known failures: %w", err))
+		os.Exit(usageExitCode)
+	}
+	log, err := os.ReadFile(os.Args[2])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, fmt.Errorf("read the test log: %w", err))
+		os.Exit(usageExitCode)
+	}
+	verdict := judge(parseList(string(list)), parseLog(string(log)))
+	fmt.Print(verdict.report())
+	if !verdict.passes() {
+		os.Exit(1)
+	}
+}
