Name the flow hash in the model

Cause: packages that route by flow need one common type for its hash. Ruled out: a bare uint64, which mixes with other hashes unseen.

--- a/model/id.go
+++ b/model/id.go
@@ -28,3 +28,6 @@
 	}
 	return h
 }
+
+// FlowHash identifies a flow: the 64-bit hash of its caller's and its service's address and port.
+type FlowHash uint64
