--- /dev/null
+++ b/internal/wire/header.go
@@ -0,0 +1,99 @@
+package wire
+
+import (
+	"encoding/binary"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Kind names what a datagram or a bundled message carries.
+type Kind uint8
+
+// The kinds of datagrams.
+const (
+	// KindHop carries a caller's or a target's packet to its owner: a HopMeta, then the packet.
+	KindHop Kind = 1
+	// KindHeartbeat carries a Heartbeat.
+	KindHeartbeat Kind = 2
+	// KindLogBatch carries a LogBatch.
+	KindLogBatch Kind = 3
+	// KindLogAck carries a LogAck.
+	KindLogAck Kind = 4
+	// KindBundle carries several messages; see AppendBundled.
+	KindBundle Kind = 5
+
+	kindEnd Kind = 6
+)
+
+// Anyone is the receiver of a datagram that is sealed once and sent to many.
+const Anyone model.MachineID = 0
+
+const (
+	version = 1
+
+	keyIDOffset       = 1
+	kindOffset        = 2
+	senderOffset      = 3
+	incarnationOffset = 7
+	counterOffset     = 15
+
+	directedBit = 0x80
+
+	// HeaderBytes is the length of the header of a datagram.
+	HeaderBytes = 23
+	// MACBytes is the length of the authentication code of a datagram.
+	MACBytes = 16
+	// Overhead is the number of bytes that sealing adds to a body.
+	Overhead = HeaderBytes + MACBytes
+)
+
+// Envelope is an authenticated datagram.
+type Envelope struct {
+	Kind   Kind
+	Sender model.MachineID
+	// Incarnation tells the processes that ran on the sender one after the other apart; it grows.
+	Incarnation uint64
+	// Counter grows with each datagram of one incarnation.
+	Counter uint64
+	// Body aliases the datagram.
+	Body []byte
+}
+
+// Counter numbers the datagrams of one process. All sealers of a process share one.
+type Counter struct {
+	last atomic.Uint64
+}
+
+// Next returns a number greater than all before.
+func (c *Counter) Next() uint64 {
+	return c.last.Add(1)
+}
+
+// NewIncarnation returns the incarnation of a process that starts now: milliseconds since 1970.
+func NewIncarnation(now time.Time) uint64 {
+	return uint64(now.UnixMilli())
+}
+
+// mustBeDirected reports whether a kind is only valid when it is sealed for one receiver.
+func (k Kind) mustBeDirected() bool {
+	return k != KindHeartbeat
+}
+
+func appendHeader(dst []byte, keyID, kind byte, sender model.MachineID, incarnation, counter uint64) []byte {
+	dst = append(dst, version, keyID, kind)
+	dst = binary.BigEndian.AppendUint32(dst, uint32(sender))
+	dst = binary.BigEndian.AppendUint64(dst, incarnation)
+	return binary.BigEndian.AppendUint64(dst, counter)
+}
+
+func decodeHeader(b []byte) Envelope {
+	return Envelope{
+		Kind:        Kind(b[kindOffset] &^ directedBit),
+		Sender:      model.MachineID(binary.BigEndian.Uint32(b[senderOffset:])),
+		Incarnation: binary.BigEndian.Uint64(b[incarnationOffset:]),
+		Counter:     binary.BigEndian.Uint64(b[counterOffset:]),
+		Body:        b[HeaderBytes : len(b)-MACBytes],
+	}
+}
--- /dev/null
+++ b/internal/wire/keyring.go
@@ -0,0 +1,147 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"os"
+	"sync/atomic"
+
+	"github.com/goccy/go-yaml"
+)
+
+// MinSecretBytes is the shortest secret that a key may have.
+const MinSecretBytes = 32
+
+// MaxKeys is the number of keys that may be valid at a time.
+const MaxKeys = 2
+
+// Key is a secret that all daemons share.
+type Key struct {
+	// ID names the key in datagrams; two keys that are valid at the same time differ in it.
+	ID uint8
+	// Secret holds MinSecretBytes or more.
+	Secret []byte
+}
+
+// Keyring is the set of keys in force. It is immutable.
+type Keyring struct {
+	keys   []Key
+	active int
+}
+
+// NewKeyring returns a keyring that seals with the key named active and opens with every key. The
+// error joins every fault found.
+func NewKeyring(active uint8, keys ...Key) (*Keyring, error) {
+	var faults []error
+	if len(keys) == 0 || len(keys) > MaxKeys {
+		faults = append(faults, fmt.Errorf("keyring holds %d keys, want 1 to %d", len(keys), MaxKeys))
+	}
+	index := -1
+	for i, k := range keys {
+		if len(k.Secret) < MinSecretBytes {
+			faults = append(faults, fmt.Errorf("secret of key %d holds %d bytes, want %d or more", k.ID, len(k.Secret), MinSecretBytes))
+		}
+		if k.ID == active {
+			index = i
+		}
+	}
+	if index < 0 {
+		faults = append(faults, fmt.Errorf("active key %d is not among the keys", active))
+	}
+	faults = append(faults, duplicateKeys(keys)...)
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
+	}
+	return &Keyring{keys: keys, active: index}, nil
+}
+
+func duplicateKeys(keys []Key) []error {
+	var faults []error
+	for i, a := range keys {
+		for _, b := range keys[:i] {
+			if a.ID == b.ID {
+				faults = append(faults, fmt.Errorf("two keys have the id %d", a.ID))
+			}
+			if bytes.Equal(a.Secret, b.Secret) {
+				faults = append(faults, fmt.Errorf("keys %d and %d have the same secret", b.ID, a.ID))
+			}
+		}
+	}
+	return faults
+}
+
+// Active returns the id of the key that seals.
+func (r *Keyring) Active() uint8 {
+	return r.keys[r.active].ID
+}
+
+// keyFile is the form of a key file.
+type keyFile struct {
+	Active uint8          `yaml:"active"`
+	Keys   []keyFileEntry `yaml:"keys"`
+}
+
+type keyFileEntry struct {
+	ID     uint8  `yaml:"id"`
+	Secret string `yaml:"secret"`
+}
+
+// LoadKeyring reads a key file: YAML with the id of the active key and one or two keys, each with an
+// id and a secret in standard base64.
+func LoadKeyring(path string) (*Keyring, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read key file: %w", err)
+	}
+	ring, err := ParseKeyring(data)
+	if err != nil {
+		return nil, fmt.Errorf("key file %s: %w", path, err)
+	}
+	return ring, nil
+}
+
+// ParseKeyring decodes the content of a key file. No error names a secret.
+func ParseKeyring(data []byte) (*Keyring, error) {
+	var file keyFile
+	if err := yaml.UnmarshalWithOptions(data, &file, yaml.Strict()); err != nil {
+		return nil, errors.New("parse keys: " + yaml.FormatError(err, false, false))
+	}
+	keys := make([]Key, 0, len(file.Keys))
+	for _, entry := range file.Keys {
+		secret, err := base64.StdEncoding.DecodeString(entry.Secret)
+		if err != nil {
+			return nil, fmt.Errorf("decode secret of key %d: not standard base64", entry.ID)
+		}
+		keys = append(keys, Key{ID: entry.ID, Secret: secret})
+	}
+	return NewKeyring(file.Active, keys...)
+}
+
+// KeyringProvider gives the keyring in force. It is safe for concurrent use.
+type KeyringProvider interface {
+	Keyring() *Keyring
+}
+
+// KeyStore is a KeyringProvider whose keyring can be replaced while sealers and openers use it.
+type KeyStore struct {
+	ring atomic.Pointer[Keyring]
+}
+
+// NewKeyStore returns a store that holds a keyring.
+func NewKeyStore(ring *Keyring) *KeyStore {
+	s := new(KeyStore)
+	s.ring.Store(ring)
+	return s
+}
+
+// Keyring returns the keyring in force.
+func (s *KeyStore) Keyring() *Keyring {
+	return s.ring.Load()
+}
+
+// Replace puts another keyring in force for the next datagram.
+func (s *KeyStore) Replace(ring *Keyring) {
+	s.ring.Store(ring)
+}
--- /dev/null
+++ b/internal/wire/seal.go
@@ -0,0 +1,143 @@
+package wire
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/binary"
+	"hash"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// authenticator computes authentication codes with one key. It is not safe for concurrent use.
+type authenticator struct {
+	keyID    uint8
+	hash     hash.Hash
+	receiver [4]byte
+	sum      [sha256.Size]byte
+}
+
+func newAuthenticator(k Key) *authenticator {
+	return &authenticator{keyID: k.ID, hash: hmac.New(sha256.New, k.Secret)}
+}
+
+// code returns the authentication code of a header and body; it is valid until the next call.
+func (a *authenticator) code(to model.MachineID, headerAndBody []byte) []byte {
+	a.hash.Reset()
+	if to != Anyone {
+		binary.BigEndian.PutUint32(a.receiver[:], uint32(to))
+		a.hash.Write(a.receiver[:])
+	}
+	a.hash.Write(headerAndBody)
+	return a.hash.Sum(a.sum[:0])[:MACBytes]
+}
+
+// Sealer builds authenticated datagrams. Each goroutine has its own; all of a process share one
+// Counter.
+type Sealer struct {
+	keys        KeyringProvider
+	self        model.MachineID
+	incarnation uint64
+	counter     *Counter
+
+	ring *Keyring
+	auth *authenticator
+}
+
+// NewSealer returns a sealer for datagrams of self.
+func NewSealer(keys KeyringProvider, self model.MachineID, incarnation uint64, counter *Counter) *Sealer {
+	return &Sealer{keys: keys, self: self, incarnation: incarnation, counter: counter}
+}
+
+// AppendSealed appends a datagram to dst. The receiver to may be Anyone for a heartbeat; the other
+// kinds are refused by Open unless they were sealed for their receiver. The body must not overlap
+// the free space of dst.
+func (s *Sealer) AppendSealed(dst []byte, to model.MachineID, kind Kind, body []byte) []byte {
+	s.adoptKeyring()
+	kindByte := byte(kind)
+	if to != Anyone {
+		kindByte |= directedBit
+	}
+	start := len(dst)
+	dst = appendHeader(dst, s.auth.keyID, kindByte, s.self, s.incarnation, s.counter.Next())
+	dst = append(dst, body...)
+	return append(dst, s.auth.code(to, dst[start:])...)
+}
+
+func (s *Sealer) adoptKeyring() {
+	ring := s.keys.Keyring()
+	if ring == s.ring {
+		return
+	}
+	s.ring = ring
+	s.auth = newAuthenticator(ring.keys[ring.active])
+}
+
+// Opener checks and decodes datagrams. Each goroutine has its own; all of a process share one
+// Replay.
+type Opener struct {
+	keys   KeyringProvider
+	self   model.MachineID
+	replay *Replay
+
+	ring  *Keyring
+	auths []*authenticator
+}
+
+// NewOpener returns an opener for datagrams that reach self.
+func NewOpener(keys KeyringProvider, self model.MachineID, replay *Replay) *Opener {
+	return &Opener{keys: keys, self: self, replay: replay}
+}
+
+// Open checks a datagram. It returns errkind.None, or
+//   - PeerMalformed: not a datagram of this version, or a kind that must be sealed for one receiver
+//     and was not;
+//   - PeerForged: no valid key made its code, or it was sealed for another receiver;
+//   - PeerReplayed: seen before, older than the replay window, or of an older incarnation; the
+//     envelope is filled in and authentic;
+//   - PeerUnknown: from a new sender while the replay windows of Config.MaxSenders are in use.
+//
+// The envelope's body aliases the datagram.
+func (o *Opener) Open(datagram []byte) (Envelope, errkind.Kind) {
+	if len(datagram) < Overhead || datagram[0] != version {
+		return Envelope{}, errkind.PeerMalformed
+	}
+	env := decodeHeader(datagram)
+	to := Anyone
+	if datagram[kindOffset]&directedBit != 0 {
+		to = o.self
+	}
+	if env.Kind == 0 || env.Kind >= kindEnd || (to == Anyone && env.Kind.mustBeDirected()) {
+		return Envelope{}, errkind.PeerMalformed
+	}
+	if env.Sender == o.self || !o.authentic(datagram, to) {
+		return Envelope{}, errkind.PeerForged
+	}
+	return env, o.replay.Admit(env.Sender, env.Incarnation, env.Counter)
+}
+
+func (o *Opener) authentic(datagram []byte, to model.MachineID) bool {
+	o.adoptKeyring()
+	signed := datagram[:len(datagram)-MACBytes]
+	code := datagram[len(datagram)-MACBytes:]
+	for _, a := range o.auths {
+		if a.keyID == datagram[keyIDOffset] {
+			return subtle.ConstantTimeCompare(a.code(to, signed), code) == 1
+		}
+	}
+	return false
+}
+
+func (o *Opener) adoptKeyring() {
+	ring := o.keys.Keyring()
+	if ring == o.ring {
+		return
+	}
+	o.ring = ring
+	o.auths = o.auths[:0]
+	for _, k := range ring.keys {
+		o.auths = append(o.auths, newAuthenticator(k))
+	}
+}
