--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -43,7 +43,9 @@
 	RumourReady
 	// RumourLeaving is a machine in a planned stop.
 	RumourLeaving
-	// RumourSuspect asks the receiver whether it heard of the machine; the machine itself refutes.
+	// RumourHeard vouches for a suspected machine: the sender heard from it itself a moment ago.
+	RumourHeard
+	// RumourSuspect asks the receiver whether it has heard from the machine; the machine itself answers.
 	RumourSuspect
 	// RumourDead is a machine of which its zone heard nothing for too long.
 	RumourDead
