Test datagrams between daemons: messages, replay window, sealing

Cause: package wire had no tests yet. Conclusion: messages round-trip, changed and replayed datagrams are refused.

--- /dev/null
+++ b/internal/wire/seal_test.go
@@ -0,0 +1,224 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/base64"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+const (
+	alice model.MachineID = 11
+	bob   model.MachineID = 12
+	carol model.MachineID = 13
+)
+
+func testKey(id uint8) Key {
+	return Key{ID: id, Secret: bytes.Repeat([]byte{id}, MinSecretBytes)}
+}
+
+func testRing(tb testing.TB, active uint8, keys ...Key) *Keyring {
+	tb.Helper()
+	ring, err := NewKeyring(active, keys...)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return ring
+}
+
+func testPair(tb testing.TB) (*Sealer, *Opener) {
+	tb.Helper()
+	keys := NewKeyStore(testRing(tb, 1, testKey(1)))
+	return NewSealer(keys, alice, 100, new(Counter)), NewOpener(keys, bob, NewReplay(ReplayConfig{}))
+}
+
+func TestOpenReturnsWhatWasSealed(t *testing.T) {
+	Convey("A datagram opens once, at its receiver", t, func() {
+		sealer, opener := testPair(t)
+		d := sealer.AppendSealed([]byte("prefix"), bob, KindHop, []byte("packet"))[len("prefix"):]
+		So(len(d), ShouldEqual, Overhead+len("packet"))
+		env, kind := opener.Open(d)
+		So(kind, ShouldEqual, errkind.None)
+		So(env, ShouldResemble, Envelope{Kind: KindHop, Sender: alice, Incarnation: 100, Counter: 1, Body: []byte("packet")})
+
+		_, kind = opener.Open(d)
+		So(kind, ShouldEqual, errkind.PeerReplayed)
+	})
+}
+
+func TestOpenRefusesChangedDatagrams(t *testing.T) {
+	Convey("Any changed bit and any other length is refused", t, func() {
+		sealer, opener := testPair(t)
+		d := sealer.AppendSealed(nil, bob, KindLogAck, []byte("body"))
+		for i := range d {
+			for bit := range 8 {
+				changed := bytes.Clone(d)
+				changed[i] ^= 1 << bit
+				_, kind := opener.Open(changed)
+				So(kind, ShouldBeIn, errkind.PeerForged, errkind.PeerMalformed)
+			}
+		}
+		for n := range d {
+			_, kind := opener.Open(d[:n])
+			So(kind, ShouldBeIn, errkind.PeerForged, errkind.PeerMalformed)
+		}
+		_, kind := opener.Open(append(bytes.Clone(d), 0))
+		So(kind, ShouldEqual, errkind.PeerForged)
+		_, kind = opener.Open(d)
+		So(kind, ShouldEqual, errkind.None)
+	})
+}
+
+func TestOpenChecksTheReceiver(t *testing.T) {
+	Convey("Who may open what", t, func() {
+		cases := []struct {
+			name   string
+			to     model.MachineID
+			kind   Kind
+			opener model.MachineID
+			want   errkind.Kind
+		}{
+			{"a hop at its receiver", bob, KindHop, bob, errkind.None},
+			{"a hop at another receiver", bob, KindHop, carol, errkind.PeerForged},
+			{"a hop for anyone", Anyone, KindHop, bob, errkind.PeerMalformed},
+			{"a log batch for anyone", Anyone, KindLogBatch, bob, errkind.PeerMalformed},
+			{"a bundle for anyone", Anyone, KindBundle, bob, errkind.PeerMalformed},
+			{"a heartbeat for anyone", Anyone, KindHeartbeat, carol, errkind.None},
+			{"a heartbeat for another receiver", bob, KindHeartbeat, carol, errkind.PeerForged},
+			{"the own heartbeat, reflected", Anyone, KindHeartbeat, alice, errkind.PeerForged},
+			{"an unknown kind", bob, kindEnd, bob, errkind.PeerMalformed},
+			{"no kind", bob, 0, bob, errkind.PeerMalformed},
+		}
+		for _, c := range cases {
+			Convey(c.name, func() {
+				keys := NewKeyStore(testRing(t, 1, testKey(1)))
+				d := NewSealer(keys, alice, 1, new(Counter)).AppendSealed(nil, c.to, c.kind, []byte("x"))
+				_, kind := NewOpener(keys, c.opener, NewReplay(ReplayConfig{})).Open(d)
+				So(kind, ShouldEqual, c.want)
+			})
+		}
+	})
+}
+
+func TestKeysRotateWithoutACut(t *testing.T) {
+	Convey("Machines that go through the steps one by one understand each other all the time", t, func() {
+		steps := []*Keyring{
+			testRing(t, 1, testKey(1)),
+			testRing(t, 1, testKey(1), testKey(2)),
+			testRing(t, 2, testKey(1), testKey(2)),
+			testRing(t, 2, testKey(2)),
+		}
+		stores := []*KeyStore{NewKeyStore(steps[0]), NewKeyStore(steps[0])}
+		sealers := []*Sealer{NewSealer(stores[0], alice, 1, new(Counter)), NewSealer(stores[1], bob, 1, new(Counter))}
+		openers := []*Opener{
+			NewOpener(stores[0], alice, NewReplay(ReplayConfig{})),
+			NewOpener(stores[1], bob, NewReplay(ReplayConfig{})),
+		}
+		bothUnderstand := func() {
+			_, kind := openers[1].Open(sealers[0].AppendSealed(nil, bob, KindHop, nil))
+			So(kind, ShouldEqual, errkind.None)
+			_, kind = openers[0].Open(sealers[1].AppendSealed(nil, alice, KindHop, nil))
+			So(kind, ShouldEqual, errkind.None)
+		}
+		bothUnderstand()
+		for _, ring := range steps[1:] {
+			for _, store := range stores {
+				store.Replace(ring)
+				bothUnderstand()
+			}
+		}
+	})
+
+	Convey("A skipped step is noticed", t, func() {
+		old, fresh := NewKeyStore(testRing(t, 1, testKey(1))), NewKeyStore(testRing(t, 2, testKey(1), testKey(2)))
+		d := NewSealer(fresh, alice, 1, new(Counter)).AppendSealed(nil, bob, KindHop, nil)
+		_, kind := NewOpener(old, bob, NewReplay(ReplayConfig{})).Open(d)
+		So(kind, ShouldEqual, errkind.PeerForged)
+	})
+}
+
+func TestKeyFiles(t *testing.T) {
+	secret := func(b byte, n int) string {
+		return base64.StdEncoding.EncodeToString(bytes.Repeat([]byte{b}, n))
+	}
+	Convey("A key file is taken or refused with every fault", t, func() {
+		cases := []struct {
+			name, file string
+			want       []string
+		}{
+			{"one key", fmt.Sprintf("active: 7\nkeys: [{id: 7, secret: %s}]", secret(1, 32)), nil},
+			{"two keys", fmt.Sprintf("active: 8\nkeys: [{id: 7, secret: %s}, {id: 8, secret: %s}]", secret(1, 32), secret(2, 40)), nil},
+			{"no key", "active: 1\nkeys: []", []string{"0 keys", "active key 1"}},
+			{"a short secret", fmt.Sprintf("active: 1\nkeys: [{id: 1, secret: %s}]", secret(1, 31)), []string{"31 bytes"}},
+			{"no base64", "active: 1\nkeys: [{id: 1, secret: \"???\"}]", []string{"not standard base64"}},
+			{"an id twice", fmt.Sprintf("active: 1\nkeys: [{id: 1, secret: %s}, {id: 1, secret: %s}]", secret(1, 32), secret(2, 32)), []string{"two keys have the id 1"}},
+			{"a secret twice", fmt.Sprintf("active: 1\nkeys: [{id: 1, secret: %s}, {id: 2, secret: %s}]", secret(1, 32), secret(1, 32)), []string{"same secret"}},
+			{"an unknown field", fmt.Sprintf("active: 1\nvalid: 3\nkeys: [{id: 1, secret: %s}]", secret(1, 32)), []string{"valid"}},
+			{"an id out of range", fmt.Sprintf("active: 1\nkeys: [{id: 300, secret: %s}]", secret(1, 32)), []string{"parse keys"}},
+		}
+		for _, c := range cases {
+			Convey(c.name, func() {
+				path := filepath.Join(t.TempDir(), "keys.yaml")
+				So(os.WriteFile(path, []byte(c.file), 0o600), ShouldBeNil)
+				ring, err := LoadKeyring(path)
+				if c.want == nil {
+					So(err, ShouldBeNil)
+					So(ring, ShouldNotBeNil)
+					return
+				}
+				So(err, ShouldNotBeNil)
+				for _, text := range c.want {
+					So(err.Error(), ShouldContainSubstring, text)
+				}
+				So(err.Error(), ShouldNotContainSubstring, secret(1, 32))
+			})
+		}
+	})
+	Convey("A missing file is named", t, func() {
+		_, err := LoadKeyring("/nowhere/keys.yaml")
+		So(err.Error(), ShouldContainSubstring, "/nowhere/keys.yaml")
+	})
+}
+
+func TestSealAndOpenDoNotAllocate(t *testing.T) {
+	Convey("A datagram costs no allocation", t, func() {
+		sealer, opener := testPair(t)
+		body, buf := make([]byte, 1400), make([]byte, 0, 2000)
+		So(testing.AllocsPerRun(100, func() {
+			buf = sealer.AppendSealed(buf[:0], bob, KindHop, body)
+			_, _ = opener.Open(buf)
+		}), ShouldEqual, 0)
+	})
+}
+
+func BenchmarkSealOpen(b *testing.B) {
+	for _, size := range []int{64, 1400} {
+		body, buf := make([]byte, size), make([]byte, 0, 2000)
+		b.Run(fmt.Sprintf("seal/%d", size), func(b *testing.B) {
+			sealer, _ := testPair(b)
+			b.ReportAllocs()
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				buf = sealer.AppendSealed(buf[:0], bob, KindHop, body)
+			}
+		})
+		b.Run(fmt.Sprintf("seal+open/%d", size), func(b *testing.B) {
+			sealer, opener := testPair(b)
+			b.ReportAllocs()
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				buf = sealer.AppendSealed(buf[:0], bob, KindHop, body)
+				if _, kind := opener.Open(buf); kind != errkind.None {
+					b.Fatal(kind)
+				}
+			}
+		})
+	}
+}
