--- /dev/null
+++ b/internal/flow/copies.go
@@ -0,0 +1,230 @@
+package flow
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Copies holds the copies of all owners' logs. The copy of an owner that died or was replaced is
+// kept for the retention time, since its flows live on under other owners.
+type Copies struct {
+	retention time.Duration
+
+	mu      sync.Mutex
+	current atomic.Pointer[copySet]
+}
+
+// copySet is immutable; a change replaces it.
+type copySet struct {
+	live    map[model.MachineID]*Copy
+	retired []*Copy
+}
+
+// NewCopies returns an empty set. Retention must be at least the flows' idle timeout.
+func NewCopies(retention time.Duration) *Copies {
+	c := &Copies{retention: retention}
+	c.current.Store(&copySet{live: make(map[model.MachineID]*Copy)})
+	return c
+}
+
+// Of returns the copy of a live owner's log, or nil.
+func (c *Copies) Of(owner model.MachineID) *Copy {
+	return c.current.Load().live[owner]
+}
+
+// HandleBatch applies a batch of an owner's log and returns what to acknowledge. A batch of an older
+// incarnation than the one known is not applied and reports false.
+func (c *Copies) HandleBatch(now time.Time, owner model.MachineID, incarnation uint64, b wire.LogBatch) (wire.LogAck, bool) {
+	cp := c.Ensure(now, owner, incarnation)
+	if cp == nil {
+		return wire.LogAck{}, false
+	}
+	cp.apply(now, b)
+	return cp.Ack(), true
+}
+
+// Ack returns the acknowledgement of the copy's position; the mark is the caller's to fill in.
+func (c *Copy) Ack() wire.LogAck {
+	p := c.Position()
+	return wire.LogAck{OwnerIncarnation: c.Incarnation, Seq: p.NextSeq, NeedSnapshot: !p.Synced}
+}
+
+// Ensure returns the copy for an owner's incarnation, and starts an empty one where it is new; the
+// copy of an older incarnation is retired. It returns nil for an incarnation that was replaced.
+func (c *Copies) Ensure(now time.Time, owner model.MachineID, incarnation uint64) *Copy {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	set := c.current.Load()
+	old := set.live[owner]
+	if old != nil && old.Incarnation == incarnation {
+		return old
+	}
+	if old != nil && old.Incarnation > incarnation {
+		return nil
+	}
+	next := set.clone()
+	if old != nil {
+		old.retire(now)
+		next.retired = append(next.retired, old)
+	}
+	next.live[owner] = newCopy(owner, incarnation)
+	c.current.Store(next)
+	return next.live[owner]
+}
+
+// Retire keeps the copy of an owner that is dead or has left for the retention time.
+func (c *Copies) Retire(now time.Time, owner model.MachineID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	set := c.current.Load()
+	old := set.live[owner]
+	if old == nil {
+		return
+	}
+	old.retire(now)
+	next := set.clone()
+	delete(next.live, owner)
+	next.retired = append(next.retired, old)
+	c.current.Store(next)
+}
+
+// Revive takes the copy of an owner back into the live ones where the same incarnation is heard
+// again, as after a partition.
+func (c *Copies) Revive(owner model.MachineID, incarnation uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.current.Load().clone()
+	kept := next.retired[:0]
+	for _, cp := range next.retired {
+		if cp.Owner != owner || cp.Incarnation != incarnation || next.live[owner] != nil {
+			kept = append(kept, cp)
+			continue
+		}
+		cp.mu.Lock()
+		cp.retiredAt = time.Time{}
+		cp.mu.Unlock()
+		next.live[owner] = cp
+	}
+	next.retired = kept
+	c.current.Store(next)
+}
+
+// Restore takes a snapshot: into the live copy of that incarnation, or as a retired copy where the
+// owner is not live in this daemon's view.
+func (c *Copies) Restore(now time.Time, s Snapshot, ownerLive bool) {
+	if ownerLive {
+		if cp := c.Ensure(now, s.Owner, s.Incarnation); cp != nil {
+			cp.restore(s)
+		}
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	set := c.current.Load()
+	for _, cp := range set.all() {
+		if cp.Owner == s.Owner && cp.Incarnation == s.Incarnation {
+			cp.restore(s)
+			return
+		}
+	}
+	cp := newCopy(s.Owner, s.Incarnation)
+	cp.restore(s)
+	cp.retire(now)
+	next := set.clone()
+	next.retired = append(next.retired, cp)
+	c.current.Store(next)
+}
+
+// Find looks for a flow in every copy, live ones first.
+func (c *Copies) Find(h model.FlowHash) (model.TargetID, bool) {
+	set := c.current.Load()
+	for _, cp := range set.live {
+		if t, ok := cp.Lookup(h); ok {
+			return t, true
+		}
+	}
+	for i := len(set.retired) - 1; i >= 0; i-- {
+		if t, ok := set.retired[i].Lookup(h); ok {
+			return t, true
+		}
+	}
+	return 0, false
+}
+
+// Retired returns the latest retired copy of an owner, or nil.
+func (c *Copies) Retired(owner model.MachineID) *Copy {
+	set := c.current.Load()
+	for i := len(set.retired) - 1; i >= 0; i-- {
+		if set.retired[i].Owner == owner {
+			return set.retired[i]
+		}
+	}
+	return nil
+}
+
+// RetiredOwners returns the owners of retired copies, latest last.
+func (c *Copies) RetiredOwners() []model.MachineID {
+	set := c.current.Load()
+	owners := make([]model.MachineID, 0, len(set.retired))
+	for _, cp := range set.retired {
+		owners = append(owners, cp.Owner)
+	}
+	return owners
+}
+
+// Expire drops retired copies whose retention is over.
+func (c *Copies) Expire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := c.current.Load().clone()
+	kept := next.retired[:0]
+	for _, cp := range next.retired {
+		if !cp.retiredBefore(now.Add(-c.retention)) {
+			kept = append(kept, cp)
+		}
+	}
+	next.retired = kept
+	c.current.Store(next)
+}
+
+// Snapshots returns the state of every copy, for a daemon that starts.
+func (c *Copies) Snapshots() []Snapshot {
+	all := c.current.Load().all()
+	snapshots := make([]Snapshot, 0, len(all))
+	for _, cp := range all {
+		if cp.Position().Synced {
+			snapshots = append(snapshots, cp.snapshot())
+		}
+	}
+	return snapshots
+}
+
+// Len returns the number of exceptions in all copies.
+func (c *Copies) Len() int {
+	n := 0
+	for _, cp := range c.current.Load().all() {
+		n += cp.Len()
+	}
+	return n
+}
+
+func (s *copySet) all() []*Copy {
+	all := make([]*Copy, 0, len(s.live)+len(s.retired))
+	for _, cp := range s.live {
+		all = append(all, cp)
+	}
+	return append(all, s.retired...)
+}
+
+func (s *copySet) clone() *copySet {
+	n := &copySet{live: make(map[model.MachineID]*Copy, len(s.live)+1)}
+	for id, cp := range s.live {
+		n.live[id] = cp
+	}
+	n.retired = append(n.retired, s.retired...)
+	return n
+}
--- /dev/null
+++ b/internal/flow/entry.go
@@ -0,0 +1,87 @@
+package flow
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// State is how far an owned flow has come, as seen from the caller's packets.
+type State uint8
+
+// The states of an owned flow.
+const (
+	// StateOpening is a flow whose SYN went to a target; nothing of its conversation has.
+	StateOpening State = iota
+	// StateOpen is a flow that has carried more than its SYN.
+	StateOpen
+	// StateClosing is a flow whose caller has sent FIN or RST.
+	StateClosing
+)
+
+// Endpoint is an address and port without pointers, so that a large table costs the garbage
+// collector nothing.
+type Endpoint struct {
+	IP   [16]byte
+	Port uint16
+}
+
+// EndpointOf packs an address and port.
+func EndpointOf(a netip.AddrPort) Endpoint {
+	return Endpoint{IP: a.Addr().As16(), Port: a.Port()}
+}
+
+// AddrPort unpacks the address and port; 4-in-6-mapped addresses come back as IPv4.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom16(e.IP).Unmap(), e.Port)
+}
+
+// Entry is one owned flow.
+type Entry struct {
+	Caller  Endpoint
+	Service Endpoint
+	Target  model.TargetID
+	// LastSeen is in seconds since the table's epoch.
+	LastSeen uint32
+	State    State
+	// Exception is true while the owner's log names the flow.
+	Exception bool
+}
+
+// Config sets how long flows are remembered.
+type Config struct {
+	// OpeningTimeout forgets a flow that never got past its SYN. Default 30 s.
+	OpeningTimeout time.Duration
+	// IdleTimeout forgets an open flow without packets. Default 1 h. It must exceed the callers'
+	// longest silence: a forgotten exception goes to its default target.
+	IdleTimeout time.Duration
+	// ClosingTimeout forgets a flow after FIN or RST and no further packet. Default 60 s.
+	ClosingTimeout time.Duration
+}
+
+// Defaults fills unset fields.
+func (c Config) Defaults() Config {
+	if c.OpeningTimeout == 0 {
+		c.OpeningTimeout = 30 * time.Second
+	}
+	if c.IdleTimeout == 0 {
+		c.IdleTimeout = time.Hour
+	}
+	if c.ClosingTimeout == 0 {
+		c.ClosingTimeout = time.Minute
+	}
+	return c
+}
+
+// timeout returns how long a flow in a state may be silent, in seconds.
+func (c Config) timeout(s State) uint32 {
+	switch s {
+	case StateOpening:
+		return uint32(c.OpeningTimeout / time.Second)
+	case StateClosing:
+		return uint32(c.ClosingTimeout / time.Second)
+	default:
+		return uint32(c.IdleTimeout / time.Second)
+	}
+}
--- /dev/null
+++ b/internal/flow/seen.go
@@ -0,0 +1,154 @@
+package flow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Mark is a daemon's own counter, raised at every log interval and echoed by owners. A log batch
+// that echoes a mark was cut after the owner had received it.
+type Mark uint64
+
+// Seen caches, for flows that other daemons own, since when this daemon has known them. It only
+// saves hops: a flow that is not in it goes by its owner, which is always right. It holds at most
+// two generations of entries per shard, so its memory is bounded.
+type Seen struct {
+	perShard int
+	refresh  time.Duration
+	epoch    time.Time
+	shards   [shardCount]seenShard
+}
+
+type seenShard struct {
+	mu    sync.Mutex
+	young map[model.FlowHash]seenEntry
+	old   map[model.FlowHash]seenEntry
+}
+
+type seenEntry struct {
+	owner model.MachineID
+	// since is the mark at which the flow was first sent by this owner, cut to 32 bits.
+	since uint32
+	// lastHop is when a packet last went by the owner, in milliseconds since the epoch.
+	lastHop uint32
+}
+
+// SeenConfig bounds the cache.
+type SeenConfig struct {
+	// MaxFlows is how many flows the cache holds at most. Default 400000.
+	MaxFlows int
+	// Refresh is how often a packet of a flow goes by its owner, so that the owner sees that the
+	// flow lives. Default 10 s.
+	Refresh time.Duration
+}
+
+// Defaults fills unset fields.
+func (c SeenConfig) Defaults() SeenConfig {
+	if c.MaxFlows == 0 {
+		c.MaxFlows = 400_000
+	}
+	if c.Refresh == 0 {
+		c.Refresh = 10 * time.Second
+	}
+	return c
+}
+
+// NewSeen returns an empty cache. Times handed to it may not lie before epoch.
+func NewSeen(cfg SeenConfig, epoch time.Time) *Seen {
+	cfg = cfg.Defaults()
+	s := &Seen{perShard: max(cfg.MaxFlows/(2*shardCount), 1), refresh: cfg.Refresh, epoch: epoch}
+	for i := range s.shards {
+		s.shards[i].young = make(map[model.FlowHash]seenEntry)
+	}
+	return s
+}
+
+// Direct reports whether a packet of the flow may go straight to its target: the flow was first
+// sent by this owner before the mark that the owner has echoed, and its last hop is recent. Where it
+// reports false, the caller hops the packet, and the cache has noted that.
+func (s *Seen) Direct(now time.Time, h model.FlowHash, owner model.MachineID, current, echoed Mark) bool {
+	ms := uint32(now.Sub(s.epoch) / time.Millisecond)
+	sh := &s.shards[shardIndex(h)]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e, ok := sh.lookup(h, s.perShard)
+	if !ok || e.owner != owner {
+		sh.store(h, seenEntry{owner: owner, since: uint32(current), lastHop: ms}, s.perShard)
+		return false
+	}
+	// The difference survives the cut to 32 bits as long as a flow is younger than 2^31 marks.
+	if int32(uint32(echoed)-e.since) <= 0 {
+		return false
+	}
+	silent := ms - e.lastHop
+	if silent < s.refreshMillis() {
+		return true
+	}
+	// After a long silence the address and port may belong to a new flow.
+	if silent > 2*s.refreshMillis() {
+		e.since = uint32(current)
+	}
+	e.lastHop = ms
+	sh.store(h, e, s.perShard)
+	return false
+}
+
+func (s *Seen) refreshMillis() uint32 {
+	return uint32(s.refresh / time.Millisecond)
+}
+
+// Clear empties the cache, as after a pause: what was covered before may have changed unseen.
+func (s *Seen) Clear() {
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		sh.young = make(map[model.FlowHash]seenEntry)
+		sh.old = nil
+		sh.mu.Unlock()
+	}
+}
+
+// Forget drops a flow from the cache.
+func (s *Seen) Forget(h model.FlowHash) {
+	sh := &s.shards[shardIndex(h)]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	delete(sh.young, h)
+	delete(sh.old, h)
+}
+
+// Len returns the number of cached flows.
+func (s *Seen) Len() int {
+	n := 0
+	for i := range s.shards {
+		s.shards[i].mu.Lock()
+		n += len(s.shards[i].young) + len(s.shards[i].old)
+		s.shards[i].mu.Unlock()
+	}
+	return n
+}
+
+// lookup finds an entry and keeps a used one young.
+func (sh *seenShard) lookup(h model.FlowHash, limit int) (seenEntry, bool) {
+	if e, ok := sh.young[h]; ok {
+		return e, true
+	}
+	e, ok := sh.old[h]
+	if !ok {
+		return seenEntry{}, false
+	}
+	delete(sh.old, h)
+	sh.store(h, e, limit)
+	return e, true
+}
+
+// store writes an entry; a full young generation becomes the old one, and the old one is dropped.
+func (sh *seenShard) store(h model.FlowHash, e seenEntry, limit int) {
+	if _, ok := sh.young[h]; !ok && len(sh.young) >= limit {
+		sh.old = sh.young
+		sh.young = make(map[model.FlowHash]seenEntry)
+	}
+	sh.young[h] = e
+}
--- /dev/null
+++ b/internal/flow/table.go
@@ -0,0 +1,148 @@
+package flow
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+const shardCount = 64
+
+// Table holds the flows that this daemon owns, in shards with their own locks.
+type Table struct {
+	cfg    Config
+	epoch  time.Time
+	shards [shardCount]tableShard
+}
+
+type tableShard struct {
+	mu    sync.Mutex
+	flows map[model.FlowHash]Entry
+}
+
+// NewTable returns an empty table. Times handed to it may not lie before epoch.
+func NewTable(cfg Config, epoch time.Time) *Table {
+	t := &Table{cfg: cfg.Defaults(), epoch: epoch}
+	for i := range t.shards {
+		t.shards[i].flows = make(map[model.FlowHash]Entry)
+	}
+	return t
+}
+
+// shardIndex uses the high bits: the map inside a shard uses the low ones.
+func shardIndex(h model.FlowHash) int {
+	return int(h >> 58)
+}
+
+func (t *Table) seconds(now time.Time) uint32 {
+	return uint32(now.Sub(t.epoch) / time.Second)
+}
+
+// Touch notes a packet of a known flow and returns the flow. The state moves forward only.
+func (t *Table) Touch(now time.Time, h model.FlowHash, state State) (Entry, bool) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.flows[h]
+	if !ok {
+		return Entry{}, false
+	}
+	e.LastSeen = t.seconds(now)
+	e.State = max(e.State, state)
+	s.flows[h] = e
+	return e, true
+}
+
+// Get returns a flow without noting a packet.
+func (t *Table) Get(h model.FlowHash) (Entry, bool) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.flows[h]
+	return e, ok
+}
+
+// Insert adds a flow unless it is already there; it returns the flow in force and whether it is
+// the new one.
+func (t *Table) Insert(now time.Time, h model.FlowHash, e Entry) (Entry, bool) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if old, ok := s.flows[h]; ok {
+		return old, false
+	}
+	e.LastSeen = t.seconds(now)
+	s.flows[h] = e
+	return e, true
+}
+
+// Remove forgets a flow and returns what was known of it.
+func (t *Table) Remove(h model.FlowHash) (Entry, bool) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.flows[h]
+	delete(s.flows, h)
+	return e, ok
+}
+
+// SetException notes whether the owner's log names the flow.
+func (t *Table) SetException(h model.FlowHash, exception bool) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.flows[h]; ok {
+		e.Exception = exception
+		s.flows[h] = e
+	}
+}
+
+// Expired is a flow that Expire has forgotten.
+type Expired struct {
+	Hash  model.FlowHash
+	Entry Entry
+}
+
+// Expire forgets the flows of one shard that were silent for longer than their state allows. Calls
+// with a counter that grows by one visit every shard in turn.
+func (t *Table) Expire(now time.Time, turn uint64) []Expired {
+	s := &t.shards[turn%shardCount]
+	sec := t.seconds(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var gone []Expired
+	for h, e := range s.flows {
+		if sec-e.LastSeen > t.cfg.timeout(e.State) {
+			gone = append(gone, Expired{Hash: h, Entry: e})
+			delete(s.flows, h)
+		}
+	}
+	return gone
+}
+
+// Each calls f for every flow, a shard at a time under its lock. f may not call the table.
+func (t *Table) Each(f func(h model.FlowHash, e Entry)) {
+	for i := range t.shards {
+		t.shards[i].each(f)
+	}
+}
+
+func (s *tableShard) each(f func(h model.FlowHash, e Entry)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for h, e := range s.flows {
+		f(h, e)
+	}
+}
+
+// Len returns the number of flows.
+func (t *Table) Len() int {
+	n := 0
+	for i := range t.shards {
+		t.shards[i].mu.Lock()
+		n += len(t.shards[i].flows)
+		t.shards[i].mu.Unlock()
+	}
+	return n
+}
