--- /dev/null
+++ b/placement/loads.go
@@ -0,0 +1,256 @@
+package placement
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Report is a target's load report as a prober read it.
+type Report struct {
+	Connections int
+	BusySlots   int
+	Shedding    bool
+	Warming     bool
+	// At is the time at which the report was read.
+	At time.Time
+}
+
+// Observation is what an owner knows of one target at one moment.
+type Observation struct {
+	// Open is the number of open flows that this owner placed on the target.
+	Open int
+	// FleetOpen estimates the open flows of all owners; valid while FleetKnown.
+	FleetOpen  int
+	FleetKnown bool
+	// ReportAge is the time since the report was read; valid while FleetKnown.
+	ReportAge time.Duration
+	// BusySlots is the reported number of busy slots; valid while FleetKnown.
+	BusySlots int
+	Shedding  bool
+	Warming   bool
+	// Unanswered is the share of recent connection attempts that got no answer, 0 to 1.
+	Unanswered float64
+	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
+	Handshake time.Duration
+	// Since is the time at which the target joined; zero when it was there from the start.
+	Since time.Time
+	// Down is true while health checks put the target aside.
+	Down bool
+}
+
+// Loads is what a Policy may look at.
+type Loads interface {
+	// Open returns the number of open flows that this owner placed on the target.
+	Open(t model.TargetID) int
+	// Observe returns all that is known of the target at now.
+	Observe(now time.Time, t model.TargetID) Observation
+	// Owners returns the number of daemons that place flows on the targets of the owner's zone, 1 or more.
+	Owners() int
+}
+
+const (
+	// evidenceWeight is the weight of one connection attempt in the moving averages.
+	evidenceWeight = 0.1
+	// evidenceHalfLife is the time after which evidence that is not renewed counts half.
+	evidenceHalfLife = 10 * time.Second
+)
+
+// LoadTable implements Loads. It holds one small record per target, each under its own lock.
+type LoadTable struct {
+	targets atomic.Pointer[map[model.TargetID]*targetLoad]
+	owners  atomic.Int32
+	update  sync.Mutex
+}
+
+type targetLoad struct {
+	mu         sync.Mutex
+	open       int
+	opened     int
+	report     Report
+	reportOpen int
+	unanswered float64
+	evidenceAt time.Time
+	handshake  time.Duration
+	since      time.Time
+	down       bool
+}
+
+// NewLoadTable returns an empty table of an owner that is alone.
+func NewLoadTable() *LoadTable {
+	l := &LoadTable{}
+	l.targets.Store(&map[model.TargetID]*targetLoad{})
+	l.owners.Store(1)
+	return l
+}
+
+// SetTable makes the table hold the targets of t. Targets that stay keep their counts; targets that
+// join an already filled table start their ramp at now; targets that are gone are forgotten once
+// they have no open flow.
+func (l *LoadTable) SetTable(now time.Time, t *Table) {
+	l.update.Lock()
+	defer l.update.Unlock()
+	old := *l.targets.Load()
+	next := make(map[model.TargetID]*targetLoad, len(old))
+	for id, load := range old {
+		if load.openFlows() > 0 {
+			next[id] = load
+		}
+	}
+	t.Services(func(st *ServiceTable) {
+		for _, target := range st.targets {
+			next[target.ID] = joined(old, target.ID, now)
+		}
+	})
+	l.targets.Store(&next)
+}
+
+func joined(old map[model.TargetID]*targetLoad, id model.TargetID, now time.Time) *targetLoad {
+	if load := old[id]; load != nil {
+		return load
+	}
+	load := &targetLoad{}
+	if len(old) > 0 {
+		load.since = now
+	}
+	return load
+}
+
+// SetOwners sets the number of daemons that place flows on the targets of the owner's zone.
+func (l *LoadTable) SetOwners(n int) {
+	l.owners.Store(int32(max(n, 1)))
+}
+
+// Owners implements Loads.
+func (l *LoadTable) Owners() int {
+	return int(l.owners.Load())
+}
+
+// Opened counts a flow that this owner placed on the target.
+func (l *LoadTable) Opened(id model.TargetID) {
+	l.with(id, func(t *targetLoad) {
+		t.open++
+		t.opened++
+	})
+}
+
+// Closed counts the end of a flow that this owner had placed on the target.
+func (l *LoadTable) Closed(id model.TargetID) {
+	l.with(id, func(t *targetLoad) {
+		t.open = max(t.open-1, 0)
+	})
+}
+
+// SetReport takes a load report. One that is older than the last is dropped.
+func (l *LoadTable) SetReport(id model.TargetID, r Report) {
+	l.with(id, func(t *targetLoad) {
+		if r.At.Before(t.report.At) {
+			return
+		}
+		t.report = r
+		t.reportOpen = t.open
+	})
+}
+
+// SetDown puts a target aside or takes it back.
+func (l *LoadTable) SetDown(id model.TargetID, down bool) {
+	l.with(id, func(t *targetLoad) { t.down = down })
+}
+
+// Answered notes that the target answered a connection attempt after d.
+func (l *LoadTable) Answered(now time.Time, id model.TargetID, d time.Duration) {
+	l.with(id, func(t *targetLoad) {
+		t.noteAttempt(now, 0)
+		if t.handshake == 0 {
+			t.handshake = d
+			return
+		}
+		t.handshake += time.Duration(evidenceWeight * float64(d-t.handshake))
+	})
+}
+
+// Unanswered notes that the target shed a connection attempt or left it unanswered.
+func (l *LoadTable) Unanswered(now time.Time, id model.TargetID) {
+	l.with(id, func(t *targetLoad) { t.noteAttempt(now, 1) })
+}
+
+// Open implements Loads.
+func (l *LoadTable) Open(id model.TargetID) int {
+	t := (*l.targets.Load())[id]
+	if t == nil {
+		return 0
+	}
+	return t.openFlows()
+}
+
+// Observe implements Loads.
+func (l *LoadTable) Observe(now time.Time, id model.TargetID) Observation {
+	t := (*l.targets.Load())[id]
+	if t == nil {
+		return Observation{}
+	}
+	return t.observe(now, l.Owners())
+}
+
+func (l *LoadTable) with(id model.TargetID, change func(t *targetLoad)) {
+	t := (*l.targets.Load())[id]
+	if t == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(t)
+}
+
+func (t *targetLoad) openFlows() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.open
+}
+
+func (t *targetLoad) noteAttempt(now time.Time, missed float64) {
+	t.unanswered = t.unansweredAt(now)
+	t.unanswered += evidenceWeight * (missed - t.unanswered)
+	t.evidenceAt = now
+}
+
+// unansweredAt returns the share of unanswered attempts, halved for each half-life without evidence.
+func (t *targetLoad) unansweredAt(now time.Time) float64 {
+	age := now.Sub(t.evidenceAt)
+	if t.unanswered == 0 || age <= 0 {
+		return t.unanswered
+	}
+	return t.unanswered / (1 + float64(age)/float64(evidenceHalfLife))
+}
+
+func (t *targetLoad) observe(now time.Time, owners int) Observation {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := Observation{
+		Open:       t.open,
+		Unanswered: t.unansweredAt(now),
+		Handshake:  t.handshake,
+		Since:      t.since,
+		Down:       t.down,
+	}
+	if t.report.At.IsZero() {
+		return o
+	}
+	o.FleetKnown = true
+	o.ReportAge = max(now.Sub(t.report.At), 0)
+	o.FleetOpen = t.fleetOpen(owners)
+	o.BusySlots = t.report.BusySlots
+	o.Shedding = t.report.Shedding
+	o.Warming = t.report.Warming
+	return o
+}
+
+// fleetOpen corrects the report for its age: the other owners are taken to have changed their counts
+// as this one did since the report. It is never less than the owner's own count.
+func (t *targetLoad) fleetOpen(owners int) int {
+	change := t.open - t.reportOpen
+	estimate := t.report.Connections + change*owners
+	return max(estimate, t.open)
+}
--- /dev/null
+++ b/placement/maglev.go
@@ -0,0 +1,89 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// MaglevSlots is the default number of slots of a Maglev table: a prime, 100 or more for each target.
+const MaglevSlots = 65537
+
+// Maglev is a lookup table of one service after "Maglev: A Fast and Reliable Software Network Load
+// Balancer" (Eisenbud et al., NSDI 2016), with weights. It is immutable and serves as a comparison.
+type Maglev struct {
+	targets []*model.Target
+	slots   []uint16
+}
+
+// NewMaglev fills a table of the given number of slots, which must be a prime. Targets that are
+// leaving are part of it.
+func NewMaglev(st *ServiceTable, slots int) *Maglev {
+	m := &Maglev{targets: st.targets, slots: make([]uint16, slots)}
+	if len(m.targets) > 0 {
+		m.fill(st.candidates)
+	}
+	return m
+}
+
+const emptySlot = ^uint16(0)
+
+func (m *Maglev) fill(candidates []candidate) {
+	for i := range m.slots {
+		m.slots[i] = emptySlot
+	}
+	size := uint64(len(m.slots))
+	next := make([]uint64, len(candidates))
+	credit := make([]uint64, len(candidates))
+	heaviest := uint64(1)
+	for _, c := range candidates {
+		heaviest = max(heaviest, c.weight)
+	}
+	filled := 0
+	for {
+		for i, c := range candidates {
+			credit[i] += c.weight
+			if credit[i] < heaviest {
+				continue
+			}
+			credit[i] -= heaviest
+			m.takeSlot(i, c.seed, &next[i], size)
+			filled++
+			if filled == len(m.slots) {
+				return
+			}
+		}
+	}
+}
+
+// takeSlot gives the next free slot of a candidate's permutation to it.
+func (m *Maglev) takeSlot(i int, seed uint64, next *uint64, size uint64) {
+	offset := mix(seed, 1) % size
+	skip := mix(seed, 2)%(size-1) + 1
+	for {
+		slot := (offset + *next*skip) % size
+		*next++
+		if m.slots[slot] == emptySlot {
+			m.slots[slot] = uint16(i)
+			return
+		}
+	}
+}
+
+// Default returns the flow's target, or nil when the service has none. It allocates nothing.
+func (m *Maglev) Default(h model.FlowHash) *model.Target {
+	if len(m.targets) == 0 {
+		return nil
+	}
+	return m.targets[m.slots[mix(uint64(h), 0)%uint64(len(m.slots))]]
+}
+
+// Choose implements Policy: the table's target, or the next usable one in the rendezvous order.
+func (m *Maglev) Choose(now time.Time, h model.FlowHash, st *ServiceTable, l Loads) (*model.Target, errkind.Kind) {
+	t := m.Default(h)
+	if t != nil && usable(now, t, l) {
+		return t, errkind.None
+	}
+	return Plain{}.Choose(now, h, st, l)
+}
--- /dev/null
+++ b/placement/policy.go
@@ -0,0 +1,35 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Policy chooses the target of a new flow.
+type Policy interface {
+	// Choose returns the target, or the kind of the refusal: ServiceFull when every target that could
+	// take the flow is at its limit, NoTargetReachable when there is none. It must not keep st or l.
+	Choose(now time.Time, h model.FlowHash, st *ServiceTable, l Loads) (*model.Target, errkind.Kind)
+}
+
+// Plain is rendezvous hashing without regard to load: the first target in the flow's order that is
+// neither leaving nor down.
+type Plain struct{}
+
+// Choose implements Policy.
+func (Plain) Choose(now time.Time, h model.FlowHash, st *ServiceTable, l Loads) (*model.Target, errkind.Kind) {
+	var scratch [stackTargets]*model.Target
+	for _, t := range st.Order(h, scratch[:0]) {
+		if usable(now, t, l) {
+			return t, errkind.None
+		}
+	}
+	return nil, errkind.NoTargetReachable
+}
+
+// usable reports whether a target takes new flows at all.
+func usable(now time.Time, t *model.Target, l Loads) bool {
+	return !t.Leaving && !l.Observe(now, t.ID).Down
+}
--- /dev/null
+++ b/placement/score.go
@@ -0,0 +1,80 @@
+package placement
+
+import (
+	"math"
+	"math/bits"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// logTableBits is the number of leading mantissa bits that index logTable.
+	logTableBits = 10
+	// logFractionBits is the number of fraction bits of a fixed-point logarithm.
+	logFractionBits = 40
+	// logRoundedBits is the number of fraction bits kept of an entry of logTable.
+	logRoundedBits = 32
+)
+
+// logTable holds log2(1 + i/2^logTableBits) in fixed point, one more entry for interpolation.
+var logTable = buildLogTable()
+
+func buildLogTable() [1<<logTableBits + 1]uint64 {
+	var table [1<<logTableBits + 1]uint64
+	for i := range table {
+		v := math.Log2(1 + float64(i)/(1<<logTableBits))
+		// Rounded to fewer bits than a float64 holds, so that every architecture gets the same table.
+		table[i] = uint64(math.Round(v*(1<<logRoundedBits))) << (logFractionBits - logRoundedBits)
+	}
+	return table
+}
+
+// negLog2 returns -log2(x / 2^64) in fixed point with logFractionBits fraction bits. It never
+// increases with x.
+func negLog2(x uint64) uint64 {
+	if x == 0 {
+		return 64 << logFractionBits
+	}
+	lead := bits.LeadingZeros64(x)
+	mantissa := x << lead << 1
+	index := mantissa >> (64 - logTableBits)
+	rest := mantissa << logTableBits >> 32
+	low := logTable[index]
+	high := logTable[index+1]
+	fraction := low + (high-low)*rest>>32
+	return uint64(lead+1)<<logFractionBits - fraction
+}
+
+// mix combines a flow hash with a seed to an even 64-bit value (the finalizer of SplitMix64).
+func mix(h, seed uint64) uint64 {
+	x := h ^ seed
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// seedOf returns the seed of a named candidate. The domain keeps names of different kinds apart.
+func seedOf(domain, name string) uint64 {
+	return xxhash.Sum64String(domain + "\x00" + name)
+}
+
+// score is a candidate's place in a weighted rendezvous order: cost/weight, the lowest first.
+type score struct {
+	cost   uint64
+	weight uint64
+	index  int32
+	zone   int32
+}
+
+// before reports whether s comes before o. Equal costs go by index, which follows the names.
+func (s score) before(o score) bool {
+	sh, sl := bits.Mul64(s.cost, o.weight)
+	oh, ol := bits.Mul64(o.cost, s.weight)
+	if sh != oh {
+		return sh < oh
+	}
+	if sl != ol {
+		return sl < ol
+	}
+	return s.index < o.index
+}
--- /dev/null
+++ b/placement/service_table.go
@@ -0,0 +1,208 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// stackTargets is the number of targets up to which an order is computed without allocation.
+const stackTargets = 64
+
+// stackZones is the number of zones up to which an order is computed without allocation.
+const stackZones = 16
+
+// ServiceTable is the part of a Table that belongs to one service. It is immutable.
+type ServiceTable struct {
+	service *model.Service
+	// targets are sorted by name; candidates runs parallel to it.
+	targets    []*model.Target
+	candidates []candidate
+	// zones are those with targets, in the order of their names.
+	zones []model.Zone
+	// bareZones have entry VMs but no target of the service; bareSeeds runs parallel to it.
+	bareZones []model.Zone
+	bareSeeds []uint64
+	weight    uint64
+}
+
+// candidate is what the hot path reads of one target.
+type candidate struct {
+	seed   uint64
+	weight uint64
+	zone   int32
+}
+
+// newServiceTable indexes the targets of a service. known are the zones that have entry VMs.
+func newServiceTable(svc *model.Service, known []model.Zone) *ServiceTable {
+	st := &ServiceTable{service: svc, targets: slices.Clone(svc.Targets)}
+	slices.SortFunc(st.targets, func(a, b *model.Target) int { return cmp.Compare(a.Name, b.Name) })
+	st.zones = targetZones(st.targets)
+	for _, t := range st.targets {
+		st.addCandidate(t)
+	}
+	for _, z := range known {
+		if !slices.Contains(st.zones, z) {
+			st.bareZones = append(st.bareZones, z)
+			st.bareSeeds = append(st.bareSeeds, seedOf("zone", z.String()))
+		}
+	}
+	return st
+}
+
+func (st *ServiceTable) addCandidate(t *model.Target) {
+	c := candidate{
+		seed:   seedOf("target", t.Name),
+		weight: uint64(max(t.Weight, 1)),
+		zone:   int32(slices.Index(st.zones, t.Zone)),
+	}
+	st.candidates = append(st.candidates, c)
+	st.weight += c.weight
+}
+
+// Service returns the service that the table belongs to.
+func (st *ServiceTable) Service() *model.Service {
+	return st.service
+}
+
+// Targets returns the targets sorted by name, leaving ones included. Callers must not change it.
+func (st *ServiceTable) Targets() []*model.Target {
+	return st.targets
+}
+
+// Default returns the flow's default target, or nil when the service has none. It allocates nothing.
+//
+// The default is the first of a weighted rendezvous order over all targets. A zone is therefore home to
+// a share of the flows equal to its share of the weights, and a target that is added or removed moves
+// only the flows that it gains or loses.
+func (st *ServiceTable) Default(h model.FlowHash) *model.Target {
+	if len(st.targets) == 0 {
+		return nil
+	}
+	best := st.score(h, 0)
+	for i := 1; i < len(st.candidates); i++ {
+		s := st.score(h, i)
+		if s.before(best) {
+			best = s
+		}
+	}
+	return st.targets[best.index]
+}
+
+// HomeZones appends the flow's zones to buf in order of preference and returns it: the zone of the
+// default target, the other zones with targets in the order of their best target, then zones that
+// have only entry VMs. It allocates nothing when buf is large enough and the service has at most
+// 64 targets in at most 16 zones.
+func (st *ServiceTable) HomeZones(h model.FlowHash, buf []model.Zone) []model.Zone {
+	var zoneScratch [stackZones]score
+	best := st.bestOfZones(h, zoneScratch[:0])
+	insertionSort(best, score.before)
+	for _, s := range best {
+		buf = append(buf, st.zones[s.zone])
+	}
+	var bareScratch [stackZones]score
+	bare := bareScratch[:0]
+	for i, seed := range st.bareSeeds {
+		bare = append(bare, score{cost: negLog2(mix(uint64(h), seed)), weight: 1, index: int32(i)})
+	}
+	insertionSort(bare, score.before)
+	for _, s := range bare {
+		buf = append(buf, st.bareZones[s.index])
+	}
+	return buf
+}
+
+// Order appends the service's targets to buf in the flow's order and returns it: the default first,
+// then the others of its zone, then those of the next zones. It allocates nothing when buf is large
+// enough and the service has at most 64 targets in at most 16 zones.
+func (st *ServiceTable) Order(h model.FlowHash, buf []*model.Target) []*model.Target {
+	var scratch [stackTargets]score
+	scores := scratch[:0]
+	for i := range st.candidates {
+		scores = append(scores, st.score(h, i))
+	}
+	var zoneScratch [stackZones]score
+	best := st.bestOfZones(h, zoneScratch[:0])
+	insertionSort(scores, func(a, b score) bool {
+		if a.zone != b.zone {
+			return best[a.zone].before(best[b.zone])
+		}
+		return a.before(b)
+	})
+	for _, s := range scores {
+		buf = append(buf, st.targets[s.index])
+	}
+	return buf
+}
+
+// Rank returns the target's place in the flow's order, 0 for the default, or -1 when the service has
+// no such target.
+func (st *ServiceTable) Rank(h model.FlowHash, id model.TargetID) int {
+	var scratch [stackTargets]*model.Target
+	order := st.Order(h, scratch[:0])
+	return slices.IndexFunc(order, func(t *model.Target) bool { return t.ID == id })
+}
+
+func (st *ServiceTable) score(h model.FlowHash, i int) score {
+	c := &st.candidates[i]
+	return score{
+		cost:   negLog2(mix(uint64(h), c.seed)),
+		weight: c.weight,
+		index:  int32(i),
+		zone:   c.zone,
+	}
+}
+
+// bestOfZones appends each zone's best score to buf, indexed as st.zones.
+func (st *ServiceTable) bestOfZones(h model.FlowHash, buf []score) []score {
+	for range st.zones {
+		buf = append(buf, score{index: -1})
+	}
+	for i := range st.candidates {
+		s := st.score(h, i)
+		b := &buf[s.zone]
+		if b.index < 0 || s.before(*b) {
+			*b = s
+		}
+	}
+	return buf
+}
+
+// insertionSort sorts short slices in place without allocation.
+func insertionSort(s []score, before func(a, b score) bool) {
+	for i := 1; i < len(s); i++ {
+		for j := i; j > 0 && before(s[j], s[j-1]); j-- {
+			s[j], s[j-1] = s[j-1], s[j]
+		}
+	}
+}
+
+// targetZones returns the zones of the targets, each once, sorted by name.
+func targetZones(targets []*model.Target) []model.Zone {
+	var zones []model.Zone
+	for _, t := range targets {
+		if !slices.Contains(zones, t.Zone) {
+			zones = append(zones, t.Zone)
+		}
+	}
+	return sortZones(zones)
+}
+
+// entryZones returns the zones of the entry VMs, each once, sorted by name.
+func entryZones(entries []*model.EntryVM) []model.Zone {
+	var zones []model.Zone
+	for _, e := range entries {
+		if !slices.Contains(zones, e.Zone) {
+			zones = append(zones, e.Zone)
+		}
+	}
+	return sortZones(zones)
+}
+
+func sortZones(zones []model.Zone) []model.Zone {
+	slices.SortFunc(zones, func(a, b model.Zone) int {
+		return cmp.Or(cmp.Compare(a.Region, b.Region), cmp.Compare(a.Name, b.Name))
+	})
+	return zones
+}
--- /dev/null
+++ b/placement/table.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Table is the routing table of one Generation. It is immutable: any number of goroutines may read it.
+type Table struct {
+	generation model.Generation
+	services   map[string]*ServiceTable
+}
+
+// NewTable derives the table of a Snapshot. Zones that have only entry VMs are part of it, so that an
+// owner can be found for a flow whose own zone is lost.
+func NewTable(s *model.Snapshot) *Table {
+	zones := entryZones(s.Entries)
+	t := &Table{
+		generation: s.Generation(),
+		services:   make(map[string]*ServiceTable, len(s.Services)),
+	}
+	for _, svc := range s.Services {
+		t.services[svc.Name] = newServiceTable(svc, zones)
+	}
+	return t
+}
+
+// Generation returns the revisions that the table was derived from.
+func (t *Table) Generation() model.Generation {
+	return t.generation
+}
+
+// Service returns the table of a service, found by its name, or nil when the generation has none.
+func (t *Table) Service(s *model.Service) *ServiceTable {
+	if s == nil {
+		return nil
+	}
+	return t.services[s.Name]
+}
+
+// Services calls visit for the table of each service, in no fixed order.
+func (t *Table) Services(visit func(st *ServiceTable)) {
+	for _, st := range t.services {
+		visit(st)
+	}
+}
