Add the decision engine: owners, exceptions, hops and generations

Cause: the pieces (table, log, copies, membership, placement) need one place that decides. Ruled out: home zones by the targets' lists for ownership. A change of lists would then move owners, and two daemons with different lists would name two owners for one flow.

--- /dev/null
+++ b/core/answers.go
@@ -0,0 +1,76 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// FromPeerAnswer decides on a target's answer that another daemon hopped here.
+func (e *Engine) FromPeerAnswer(now time.Time, hops uint8, m *packet.Meta) Verdict {
+	w := e.world.Load()
+	if w == nil {
+		return drop(errkind.NotReady)
+	}
+	return e.answer(w, netip.AddrPort{}, now, m, hops)
+}
+
+// answer passes a target's answer on to its caller. Answers that change what the owner knows of the
+// flow (handshake, reset, end) go by the owner.
+func (e *Engine) answer(w *world, from netip.AddrPort, now time.Time, m *packet.Meta, hops uint8) Verdict {
+	if hops == 0 && !w.servesFrom(from, m.Src) {
+		return drop(errkind.PacketFromUnknownTarget)
+	}
+	h := m.ReturnKey().Hash()
+	if m.Flags&(packet.SYN|packet.RST|packet.FIN) == 0 {
+		return Verdict{Op: OpReturn}
+	}
+	owner := w.owner(h)
+	if owner != nil && owner.ID != e.cfg.Self && hops == 0 {
+		return hopTo(owner, hops)
+	}
+	return e.ownAnswer(h, now, m)
+}
+
+// ownAnswer notes what an answer tells the owner.
+func (e *Engine) ownAnswer(h model.FlowHash, now time.Time, m *packet.Meta) Verdict {
+	entry, ok := e.table.Get(h)
+	if !ok {
+		return Verdict{Op: OpReturn}
+	}
+	switch {
+	case m.Flags.Has(packet.RST):
+		e.noteReset(now, h, entry)
+	case m.Flags.Has(packet.SYN):
+		e.loads.Answered(now, entry.Target, e.table.Age(now, entry))
+	}
+	return Verdict{Op: OpReturn}
+}
+
+// noteReset ends a flow that its target reset. A reset that answers a SYN is evidence against the
+// target.
+func (e *Engine) noteReset(now time.Time, h model.FlowHash, entry flow.Entry) {
+	if entry.State == flow.StateOpening {
+		e.loads.Unanswered(now, entry.Target)
+	}
+	e.table.Touch(now, h, flow.StateClosing)
+}
+
+// servesFrom reports whether the target at a data address belongs to the service at an address, in
+// any kept generation.
+func (w *world) servesFrom(from, service netip.AddrPort) bool {
+	t := w.byData[from]
+	if t == nil {
+		return false
+	}
+	for _, r := range w.routes {
+		if svc := r.snapshot.ServiceAt(service); svc != nil && svc.Name == t.Service {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/config.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+// Config holds the settings of an Engine.
+type Config struct {
+	// Self is this daemon's machine; required.
+	Self model.MachineID
+	// Zone is this daemon's availability zone; required.
+	Zone model.Zone
+	// Incarnation tells this run from earlier ones on the machine; it must grow. Required.
+	Incarnation uint64
+	// Rand is the source of random choices; required. The engine is its only user.
+	Rand *rand.Rand
+	// Epoch is a time not after the first event; required.
+	Epoch time.Time
+
+	// LogInterval is the time between two batches of the log to one peer. A longer one costs fewer
+	// bytes, lets young flows hop for longer and risks more exceptions in a crash. Default 500 ms.
+	LogInterval time.Duration
+	// SettleTime is how long after a change of the members an owner leaves flows that it does not know
+	// to the daemon that owned them before. Default 2 s.
+	SettleTime time.Duration
+	// SnapshotInterval is the least time between two requests for the same owner's snapshot. Default 1 s.
+	SnapshotInterval time.Duration
+	// FleetScope is how many entry VMs the list may hold for the log to go to all of them. In a larger
+	// fleet it goes to the own zone and to backups in the next zone. Default 16.
+	FleetScope int
+	// Backups is the number of daemons of the next zone that take the log in a larger fleet. Default 1.
+	Backups int
+
+	// Flow, Seen and Log set how flows are remembered and told.
+	Flow flow.Config
+	Seen flow.SeenConfig
+	Log  flow.LogConfig
+	// Members sets failure detection; its Self, Zone, Incarnation and Rand are filled in.
+	Members membership.Config
+	// Policy chooses the targets of new flows. Default placement.Chosen.
+	Policy placement.Policy
+	// Limits bounds customers' flows. Default: no bounds.
+	Limits Limits
+}
+
+const (
+	defaultLogInterval      = 500 * time.Millisecond
+	defaultSettleTime       = 2 * time.Second
+	defaultSnapshotInterval = time.Second
+	defaultFleetScope       = 16
+	defaultBackups          = 1
+)
+
+// withDefaults fills unset fields.
+func (c Config) withDefaults() Config {
+	setDefault(&c.LogInterval, defaultLogInterval)
+	setDefault(&c.SettleTime, defaultSettleTime)
+	setDefault(&c.SnapshotInterval, defaultSnapshotInterval)
+	setDefault(&c.FleetScope, defaultFleetScope)
+	setDefault(&c.Backups, defaultBackups)
+	c.Flow = c.Flow.Defaults()
+	c.Seen = c.Seen.Defaults()
+	c.Log = c.Log.Defaults()
+	c.Members.Self = c.Self
+	c.Members.Zone = c.Zone
+	c.Members.Incarnation = c.Incarnation
+	c.Members.Rand = c.Rand
+	if c.Policy == nil {
+		c.Policy = placement.NewChosen(placement.ChosenConfig{})
+	}
+	if c.Limits == nil {
+		c.Limits = noLimits{}
+	}
+	return c
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Admission says who opened a flow and for what.
+type Admission struct {
+	Customer *model.Customer
+	Service  *model.Service
+}
+
+// Admitter decides who may use what. It belongs to one set of lists and is immutable.
+type Admitter interface {
+	// Admit returns errkind.None, or NoSuchService, UnknownCustomer or PlanForbids.
+	Admit(caller netip.Addr, service netip.AddrPort) (Admission, errkind.Kind)
+}
+
+// Limits bounds what customers use. It must be safe for concurrent use.
+type Limits interface {
+	// Open counts a new flow, or returns the kind of the limit that it would exceed.
+	Open(now time.Time, a Admission) errkind.Kind
+	// Close counts the end of a flow that Open has counted.
+	Close(now time.Time, a Admission)
+}
+
+type noLimits struct{}
+
+func (noLimits) Open(time.Time, Admission) errkind.Kind { return errkind.None }
+func (noLimits) Close(time.Time, Admission)             {}
--- /dev/null
+++ b/core/engine.go
@@ -0,0 +1,105 @@
+package core
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+// Engine takes every decision of one daemon.
+type Engine struct {
+	cfg    Config
+	policy placement.Policy
+	limits Limits
+
+	world  atomic.Pointer[world]
+	lease  *membership.Lease
+	table  *flow.Table
+	seen   *flow.Seen
+	log    *flow.Log
+	copies *flow.Copies
+	loads  *placement.LoadTable
+
+	// placing is held for reading while a flow enters the table and the log, and for writing while the
+	// log changes its generation.
+	placing sync.RWMutex
+	// mark is the current flow.Mark.
+	mark atomic.Uint64
+	// settled is when the last change of the members has settled, in nanoseconds after the epoch.
+	settled atomic.Int64
+
+	// control guards everything below.
+	control sync.Mutex
+	members *membership.List
+	awake   bool
+	ready   bool
+	leaving bool
+	turn    uint64
+	nextLog time.Time
+	fetches map[model.MachineID]time.Time
+}
+
+// New returns an engine without lists; it drops every packet until HandleLists was called.
+func New(cfg Config) *Engine {
+	cfg = cfg.withDefaults()
+	members := membership.New(cfg.Members)
+	return &Engine{
+		cfg:     cfg,
+		policy:  cfg.Policy,
+		limits:  cfg.Limits,
+		members: members,
+		lease:   members.Lease(),
+		table:   flow.NewTable(cfg.Flow, cfg.Epoch),
+		seen:    flow.NewSeen(cfg.Seen, cfg.Epoch),
+		log:     flow.NewLog(cfg.Log, model.Generation{}),
+		copies:  flow.NewCopies(cfg.Flow.IdleTimeout),
+		loads:   placement.NewLoadTable(),
+		fetches: make(map[model.MachineID]time.Time),
+	}
+}
+
+// fresh reports whether the engine's beliefs may be acted on: it was ticked in time.
+func (e *Engine) fresh(now time.Time) bool {
+	return e.lease.Valid(now)
+}
+
+// settledAt returns when the last change of the members has settled.
+func (e *Engine) settledAt() time.Time {
+	return e.cfg.Epoch.Add(time.Duration(e.settled.Load()))
+}
+
+// unsettle starts the time in which unknown flows are left to their former owners.
+func (e *Engine) unsettle(now time.Time) {
+	e.settled.Store(int64(now.Add(e.cfg.SettleTime).Sub(e.cfg.Epoch)))
+}
+
+// Ready reports whether this daemon owns flows.
+func (e *Engine) Ready() bool {
+	e.control.Lock()
+	defer e.control.Unlock()
+	return e.ready && !e.leaving
+}
+
+// Loads returns the table of what is known of the targets' loads.
+func (e *Engine) Loads() *placement.LoadTable {
+	return e.loads
+}
+
+// Lists returns the lists in force, or nil.
+func (e *Engine) Lists() *model.Snapshot {
+	w := e.world.Load()
+	if w == nil {
+		return nil
+	}
+	return w.snapshot
+}
+
+// View returns who is here.
+func (e *Engine) View() *membership.View {
+	return e.members.View()
+}
--- /dev/null
+++ b/core/lists.go
@@ -0,0 +1,68 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// HandleLists puts a set of published lists in force. A set that is older than the one in force in
+// any list is not taken; HandleLists then returns false.
+func (e *Engine) HandleLists(now time.Time, s *model.Snapshot, a Admitter) ([]Action, bool) {
+	e.control.Lock()
+	defer e.control.Unlock()
+	old := e.world.Load()
+	if old != nil && !s.Revisions.Covers(old.snapshot.Revisions) {
+		return nil, false
+	}
+	actions := e.members.SetPublished(now, s.Entries)
+	e.members.SetRevisions(s.Revisions)
+	e.adoptLists(now, s, a)
+	out := e.handleMembers(now, actions)
+	e.switchGeneration(s.Generation())
+	return out, true
+}
+
+func (e *Engine) adoptLists(now time.Time, s *model.Snapshot, a Admitter) {
+	base := e.world.Load()
+	if base == nil {
+		base = &world{view: e.members.View()}
+	}
+	next := base.withLists(s, a)
+	e.loads.SetTable(now, next.newest().table)
+	e.world.Store(next)
+}
+
+// switchGeneration makes the log's unnamed flows those of a generation. It first names every flow
+// whose default target moves, so that a peer never resolves a flow wrongly at any position of the
+// log. No flow is placed meanwhile.
+func (e *Engine) switchGeneration(g model.Generation) {
+	e.placing.Lock()
+	defer e.placing.Unlock()
+	w := e.world.Load()
+	route := w.routeOf(g)
+	if route == nil || e.log.Generation() == g {
+		return
+	}
+	var moved, settled []model.FlowHash
+	e.table.Each(func(h model.FlowHash, entry flow.Entry) {
+		t := route.defaultTarget(entry.Service.AddrPort(), h)
+		isDefault := t != nil && t.ID == entry.Target
+		switch {
+		case !isDefault && !entry.Exception:
+			moved = append(moved, h)
+			e.log.Add(h, entry.Target)
+		case isDefault && entry.Exception:
+			settled = append(settled, h)
+		}
+	})
+	e.log.SetGeneration(g)
+	for _, h := range moved {
+		e.table.SetException(h, true)
+	}
+	for _, h := range settled {
+		e.log.Remove(h)
+		e.table.SetException(h, false)
+	}
+}
--- /dev/null
+++ b/core/owner.go
@@ -0,0 +1,186 @@
+package core
+
+import (
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// own decides on a packet of a flow that this daemon owns.
+func (e *Engine) own(w *world, a *arrival) Verdict {
+	if a.opens() {
+		return e.open(w, a)
+	}
+	if entry, ok := e.table.Touch(a.now, a.hash, a.state()); ok {
+		return e.toTarget(w, entry.Target)
+	}
+	return e.carryOn(w, a)
+}
+
+// open admits and places a new flow. The repetition of a SYN gets the target of the first one.
+func (e *Engine) open(w *world, a *arrival) Verdict {
+	if !e.fresh(a.now) {
+		return drop(errkind.NotReady)
+	}
+	if entry, ok := e.table.Get(a.hash); ok {
+		if entry.State != flow.StateClosing {
+			return e.toTarget(w, entry.Target)
+		}
+		e.forget(a.hash)
+	}
+	ad, kind := w.admitter.Admit(a.meta.Src.Addr(), a.meta.Dst)
+	if kind != errkind.None {
+		return e.refuse(kind, a)
+	}
+	if kind := e.limits.Open(a.now, ad); kind != errkind.None {
+		return e.refuse(kind, a)
+	}
+	e.placing.RLock()
+	defer e.placing.RUnlock()
+	target, kind := e.place(w, a)
+	if kind != errkind.None {
+		e.limits.Close(a.now, ad)
+		return e.refuse(kind, a)
+	}
+	return e.enter(w, a, target, flow.StateOpening)
+}
+
+func (e *Engine) refuse(k errkind.Kind, a *arrival) Verdict {
+	return refuse(k, a.hash)
+}
+
+// place chooses the target of a new flow.
+func (e *Engine) place(w *world, a *arrival) (*model.Target, errkind.Kind) {
+	if id, ok := e.copies.Find(a.hash, e.rank(w, a.hash)); ok && w.takes(id, a) {
+		// A predecessor placed the flow; this is a repetition of its SYN.
+		return w.targets[id], errkind.None
+	}
+	route := w.newest()
+	_, st := route.service(a.meta.Dst)
+	if st == nil {
+		return nil, errkind.NoTargetReachable
+	}
+	if a.now.Before(e.settledAt()) {
+		// A predecessor may have placed the flow on its default target just now.
+		if t := st.Default(a.hash); t != nil && !t.Leaving {
+			return t, errkind.None
+		}
+	}
+	return e.policy.Choose(a.now, a.hash, st, e.loads)
+}
+
+// takes reports whether a target belongs to the service at the packet's destination and takes new
+// flows.
+func (w *world) takes(id model.TargetID, a *arrival) bool {
+	t := w.snapshot.Target(id)
+	if t == nil || t.Leaving {
+		return false
+	}
+	svc := w.snapshot.ServiceAt(a.meta.Dst)
+	return svc != nil && svc.Name == t.Service
+}
+
+// enter writes a flow into the table and, where its target is not the one that others would derive,
+// into the log.
+func (e *Engine) enter(w *world, a *arrival, t *model.Target, s flow.State) Verdict {
+	entry, added := e.table.Insert(a.now, a.hash, flow.Entry{
+		Caller:  flow.EndpointOf(a.meta.Src),
+		Service: flow.EndpointOf(a.meta.Dst),
+		Target:  t.ID,
+		State:   s,
+	})
+	if !added {
+		return e.toTarget(w, entry.Target)
+	}
+	e.loads.Opened(t.ID)
+	if e.needsRecord(w, a, t.ID) {
+		e.table.SetException(a.hash, true)
+		e.log.Add(a.hash, t.ID)
+	}
+	return forward(t)
+}
+
+// needsRecord reports whether the log must name the flow: its target differs from the default of the
+// log's generation, or a predecessor's log says otherwise.
+func (e *Engine) needsRecord(w *world, a *arrival, id model.TargetID) bool {
+	if told, ok := e.copies.Find(a.hash, e.rank(w, a.hash)); ok && told != id {
+		return true
+	}
+	route := w.routeOf(e.log.Generation())
+	if route == nil {
+		return true
+	}
+	t := route.defaultTarget(a.meta.Dst, a.hash)
+	return t == nil || t.ID != id
+}
+
+// carryOn takes in a flow that this daemon owns but does not know: a predecessor placed it, or the
+// packet is a stray one.
+func (e *Engine) carryOn(w *world, a *arrival) Verdict {
+	if a.now.Before(e.settledAt()) || !e.fresh(a.now) {
+		if next := e.nextOwner(w, a); next != nil {
+			return hopTo(next, a.hops)
+		}
+	}
+	t := e.resolve(w, a)
+	if t == nil {
+		return drop(errkind.TargetLost)
+	}
+	if a.closes() || !e.fresh(a.now) {
+		return forward(t)
+	}
+	e.placing.RLock()
+	defer e.placing.RUnlock()
+	return e.enter(w, a, t, flow.StateOpening)
+}
+
+// nextOwner returns the daemon that owned the flow before, as far as the view tells, while hops
+// remain.
+func (e *Engine) nextOwner(w *world, a *arrival) *model.EntryVM {
+	if a.hops >= maxHops {
+		return nil
+	}
+	var buf [maxOwners]*model.EntryVM
+	for _, o := range w.owners(a.hash, buf[:0]) {
+		if o.ID != e.cfg.Self {
+			return o
+		}
+	}
+	return nil
+}
+
+// resolve returns the target of a flow that a predecessor placed: the one that a log names, else the
+// default of the predecessor's generation.
+func (e *Engine) resolve(w *world, a *arrival) *model.Target {
+	rank := e.rank(w, a.hash)
+	if id, ok := e.copies.Find(a.hash, rank); ok {
+		return w.targets[id]
+	}
+	route := w.newest()
+	if cp := e.copies.First(rank); cp != nil {
+		if r := w.routeOf(cp.Position().Generation); r != nil {
+			route = r
+		}
+	}
+	return route.defaultTarget(a.meta.Dst, a.hash)
+}
+
+// rank orders owners by how likely each was the flow's owner before: lower comes first.
+func (e *Engine) rank(w *world, h model.FlowHash) flow.Rank {
+	return func(owner model.MachineID) uint64 { return w.rank(h, owner) }
+}
+
+// forget drops an owned flow.
+func (e *Engine) forget(h model.FlowHash) {
+	entry, ok := e.table.Remove(h)
+	if !ok {
+		return
+	}
+	e.ended(h, entry)
+}
+
+// ended undoes what enter counted.
+func (e *Engine) ended(h model.FlowHash, entry flow.Entry) {
+	e.loads.Closed(entry.Target)
+	e.log.Remove(h)
+}
--- /dev/null
+++ b/core/packets.go
@@ -0,0 +1,166 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// maxHops bounds how many daemons may pass a packet on, so that daemons with different views cannot
+// send it in circles.
+const maxHops = 2
+
+// arrival is one caller's packet on its way through the engine.
+type arrival struct {
+	now  time.Time
+	meta *packet.Meta
+	hash model.FlowHash
+	hops uint8
+}
+
+// opens reports whether the packet asks for a new flow.
+func (a *arrival) opens() bool {
+	return a.meta.Flags.Has(packet.SYN) && !a.meta.Flags.Has(packet.ACK)
+}
+
+// closes reports whether the caller ends the flow.
+func (a *arrival) closes() bool {
+	return a.meta.Flags&(packet.FIN|packet.RST) != 0
+}
+
+// state returns what the packet tells of the flow's progress.
+func (a *arrival) state() flow.State {
+	switch {
+	case a.closes():
+		return flow.StateClosing
+	case a.opens():
+		return flow.StateOpening
+	default:
+		return flow.StateOpen
+	}
+}
+
+// FromFabric decides on a packet that the fabric handed to this daemon: a caller's packet, or an
+// answer of a target whose service returns through the daemons. from is the outer source address.
+func (e *Engine) FromFabric(now time.Time, from netip.AddrPort, m *packet.Meta) Verdict {
+	w := e.world.Load()
+	if w == nil {
+		return drop(errkind.NotReady)
+	}
+	if w.isAnswer(from, m) {
+		return e.answer(w, from, now, m, 0)
+	}
+	a := arrival{now: now, meta: m, hash: m.Key().Hash()}
+	return e.route(w, &a)
+}
+
+// FromPeer decides on a packet that another daemon hopped here. hops is the number of daemons that
+// have passed it on.
+func (e *Engine) FromPeer(now time.Time, hops uint8, m *packet.Meta) Verdict {
+	w := e.world.Load()
+	if w == nil {
+		return drop(errkind.NotReady)
+	}
+	a := arrival{now: now, meta: m, hash: m.Key().Hash(), hops: hops}
+	return e.route(w, &a)
+}
+
+// route sends a caller's packet straight to its target, decides as its owner, or hops it.
+func (e *Engine) route(w *world, a *arrival) Verdict {
+	owner := w.owner(a.hash)
+	if owner == nil {
+		return drop(errkind.NotReady)
+	}
+	if owner.ID == e.cfg.Self {
+		return e.own(w, a)
+	}
+	if a.hops > 0 {
+		return e.disputed(w, a, owner)
+	}
+	if t := e.covered(w, a, owner); t != nil {
+		return forward(t)
+	}
+	return hopTo(owner, a.hops)
+}
+
+// covered returns the target of a flow of another owner where this daemon's copy of the owner's log
+// covers the flow, else nil.
+func (e *Engine) covered(w *world, a *arrival, owner *model.EntryVM) *model.Target {
+	if a.opens() || a.closes() {
+		e.seen.Forget(a.hash)
+		return nil
+	}
+	cp := e.copies.Of(owner.ID)
+	if cp == nil || !e.fresh(a.now) {
+		return nil
+	}
+	r := cp.Route(a.hash)
+	if !r.Synced {
+		return nil
+	}
+	mark := flow.Mark(e.mark.Load())
+	if !e.seen.Direct(a.now, a.hash, owner.ID, mark, r.Echoed) {
+		cp.Want(mark)
+		return nil
+	}
+	if r.Exception {
+		return w.targets[r.Target]
+	}
+	route := w.routeOf(r.Generation)
+	if route == nil {
+		return nil
+	}
+	return route.defaultTarget(a.meta.Dst, a.hash)
+}
+
+// disputed handles a packet that a peer hopped here although this daemon holds another to be the
+// owner. A flow known here goes on; anything else is passed on while hops remain.
+func (e *Engine) disputed(w *world, a *arrival, owner *model.EntryVM) Verdict {
+	if !a.opens() {
+		if entry, ok := e.table.Touch(a.now, a.hash, a.state()); ok {
+			return e.toTarget(w, entry.Target)
+		}
+	}
+	if a.hops < maxHops {
+		return hopTo(owner, a.hops)
+	}
+	if a.opens() {
+		return drop(errkind.PacketLooping)
+	}
+	return e.toTargetOrDrop(e.resolve(w, a))
+}
+
+// hopTo returns the verdict for a packet that goes by its owner.
+func hopTo(owner *model.EntryVM, hops uint8) Verdict {
+	return Verdict{Op: OpHop, To: owner.Peer, Peer: owner.ID, Hops: hops + 1}
+}
+
+// toTarget forwards to a target by its id; a target that no kept list names is gone.
+func (e *Engine) toTarget(w *world, id model.TargetID) Verdict {
+	return e.toTargetOrDrop(w.targets[id])
+}
+
+func (e *Engine) toTargetOrDrop(t *model.Target) Verdict {
+	if t == nil {
+		return drop(errkind.TargetLost)
+	}
+	return forward(t)
+}
+
+// isAnswer reports whether a packet comes from a target and not from a caller: it leaves a service's
+// address and does not go to one.
+func (w *world) isAnswer(from netip.AddrPort, m *packet.Meta) bool {
+	if w.byData[from] == nil {
+		return false
+	}
+	for _, r := range w.routes {
+		if r.snapshot.ServiceAt(m.Src) != nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/peers.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// HandlePeer takes an authentic datagram of a peer other than a hop. The kind is PeerMalformed where a
+// message could not be decoded; messages before it were taken.
+func (e *Engine) HandlePeer(now time.Time, env wire.Envelope) ([]Action, errkind.Kind) {
+	e.control.Lock()
+	defer e.control.Unlock()
+	var out []Action
+	bad := errkind.None
+	kind := wire.EachMessage(env, func(k wire.Kind, message []byte) {
+		actions, fault := e.handleMessage(now, env, k, message)
+		out = append(out, actions...)
+		bad = max(bad, fault)
+	})
+	return out, max(bad, kind)
+}
+
+// HandleStalePeer takes an authentic datagram of an older incarnation than one already seen.
+func (e *Engine) HandleStalePeer(now time.Time, env wire.Envelope) []Action {
+	e.control.Lock()
+	defer e.control.Unlock()
+	return e.handleMembers(now, e.members.HandleStale(now, env.Sender, env.Incarnation))
+}
+
+func (e *Engine) handleMessage(now time.Time, env wire.Envelope, k wire.Kind, message []byte) ([]Action, errkind.Kind) {
+	switch k {
+	case wire.KindHeartbeat:
+		return e.handleHeartbeat(now, env, message)
+	case wire.KindLogBatch:
+		return nil, e.handleBatch(now, env, message)
+	case wire.KindLogAck:
+		return nil, e.handleAck(env, message)
+	default:
+		return nil, errkind.PeerMalformed
+	}
+}
+
+func (e *Engine) handleHeartbeat(now time.Time, env wire.Envelope, message []byte) ([]Action, errkind.Kind) {
+	var hb wire.Heartbeat
+	if kind := hb.Decode(message); kind != errkind.None {
+		return nil, kind
+	}
+	actions := e.members.HandleHeartbeat(now, membership.Heartbeat{
+		From: env.Sender, Incarnation: env.Incarnation, Message: &hb,
+	})
+	return e.handleMembers(now, actions), errkind.None
+}
+
+func (e *Engine) handleBatch(now time.Time, env wire.Envelope, message []byte) errkind.Kind {
+	var b wire.LogBatch
+	if kind := b.Decode(message); kind != errkind.None {
+		return kind
+	}
+	w := e.world.Load()
+	if w == nil || !w.view.Here(env.Sender) || !e.takesLog(w, env.Sender, e.cfg.Self) {
+		return errkind.None
+	}
+	cp := e.copies.Ensure(now, env.Sender, env.Incarnation)
+	if cp != nil && cp.Apply(now, b) {
+		e.yieldTo(w, env.Sender, b.Records)
+	}
+	return errkind.None
+}
+
+// yieldTo drops flows of the table that another daemon has placed on another target, where that
+// daemon's word counts for more: it owns the flow in this daemon's view.
+func (e *Engine) yieldTo(w *world, peer model.MachineID, records []wire.Record) {
+	for _, r := range records {
+		if r.Remove {
+			continue
+		}
+		entry, ok := e.table.Get(r.Hash)
+		if !ok || entry.Target == r.Target {
+			continue
+		}
+		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer {
+			continue
+		}
+		e.forget(r.Hash)
+	}
+}
+
+func (e *Engine) handleAck(env wire.Envelope, message []byte) errkind.Kind {
+	var a wire.LogAck
+	if kind := a.Decode(message); kind != errkind.None {
+		return kind
+	}
+	if a.OwnerIncarnation == e.cfg.Incarnation {
+		e.log.HandleAck(env.Sender, env.Incarnation, a)
+	}
+	return errkind.None
+}
+
+// Snapshots returns what a peer asks for with FetchSnapshots: this daemon's own log, and with all its
+// copies of other logs.
+func (e *Engine) Snapshots(all bool) []flow.Snapshot {
+	own := e.log.Snapshot(e.cfg.Self, e.cfg.Incarnation)
+	if !all {
+		return []flow.Snapshot{own}
+	}
+	return append(e.copies.Snapshots(), own)
+}
+
+// HandleSnapshots takes fetched snapshots.
+func (e *Engine) HandleSnapshots(now time.Time, snapshots []flow.Snapshot) {
+	e.control.Lock()
+	defer e.control.Unlock()
+	w := e.world.Load()
+	if w == nil {
+		return
+	}
+	for _, s := range snapshots {
+		if s.Owner == e.cfg.Self && s.Incarnation == e.cfg.Incarnation {
+			continue
+		}
+		m, known := w.view.Member(s.Owner)
+		live := known && m.Here && m.Incarnation == s.Incarnation && e.takesLog(w, s.Owner, e.cfg.Self)
+		e.copies.Restore(now, s, live)
+	}
+}
--- /dev/null
+++ b/core/scope.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"slices"
+
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// maxOwners is how many owners are ordered without an allocation.
+const maxOwners = 32
+
+// takesLog reports whether a daemon takes the log of an owner: all do in a small fleet; in a large one
+// those of the owner's zone and its backups in the next zone.
+func (e *Engine) takesLog(w *world, owner, peer model.MachineID) bool {
+	if owner == peer {
+		return false
+	}
+	if len(w.snapshot.Entries) <= e.cfg.FleetScope {
+		return true
+	}
+	o, p := w.snapshot.Entry(owner), w.snapshot.Entry(peer)
+	if o == nil || p == nil {
+		return false
+	}
+	if o.Zone == p.Zone {
+		return true
+	}
+	return slices.Contains(w.backups(o, e.cfg.Backups), peer)
+}
+
+// backups returns the daemons of the zone after an owner's that keep a copy of its log, so that a copy
+// survives the loss of the zone.
+func (w *world) backups(owner *model.EntryVM, n int) []model.MachineID {
+	i := slices.Index(w.zones.zones, owner.Zone)
+	if i < 0 || len(w.zones.zones) < 2 {
+		return nil
+	}
+	next := w.zones.zones[(i+1)%len(w.zones.zones)]
+	var buf [maxOwners]*model.EntryVM
+	order := w.view.Owners(model.FlowHash(mix(uint64(owner.ID), 0)), []model.Zone{next}, buf[:0])
+	var ids []model.MachineID
+	for _, o := range order[:min(n, len(order))] {
+		ids = append(ids, o.ID)
+	}
+	return ids
+}
+
+// rank orders daemons, live or not, by how early they come in a flow's order of owners: the lower, the
+// earlier. A daemon that the lists no longer name comes last.
+func (w *world) rank(h model.FlowHash, owner model.MachineID) uint64 {
+	entry := w.snapshot.Entry(owner)
+	if entry == nil {
+		return ^uint64(0)
+	}
+	var buf [maxZones]model.Zone
+	zone := slices.Index(w.zones.of(h, buf[:0]), entry.Zone)
+	const zoneBits = 4
+	return uint64(zone)<<(64-zoneBits) | ^membership.Score(h, owner)>>zoneBits
+}
--- a/internal/flow/copies.go
+++ b/internal/flow/copies.go
@@ -1,11 +1,11 @@
 package flow
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/model"
 )
 
@@ -36,23 +36,6 @@
 	return c.current.Load().live[owner]
 }
 
-// HandleBatch applies a batch of an owner's log and returns what to acknowledge. A batch of an older
-// incarnation than the one known is not applied and reports false.
-func (c *Copies) HandleBatch(now time.Time, owner model.MachineID, incarnation uint64, b wire.LogBatch) (wire.LogAck, bool) {
-	cp := c.Ensure(now, owner, incarnation)
-	if cp == nil {
-		return wire.LogAck{}, false
-	}
-	cp.apply(now, b)
-	return cp.Ack(), true
-}
-
-// Ack returns the acknowledgement of the copy's position; the mark is the caller's to fill in.
-func (c *Copy) Ack() wire.LogAck {
-	p := c.Position()
-	return wire.LogAck{OwnerIncarnation: c.Incarnation, Seq: p.NextSeq, NeedSnapshot: !p.Synced}
-}
-
 // Ensure returns the copy for an owner's incarnation, and starts an empty one where it is new; the
 // copy of an older incarnation is retired. It returns nil for an incarnation that was replaced.
 func (c *Copies) Ensure(now time.Time, owner model.MachineID, incarnation uint64) *Copy {
@@ -139,41 +122,37 @@
 	c.current.Store(next)
 }
 
-// Find looks for a flow in every copy, live ones first.
-func (c *Copies) Find(h model.FlowHash) (model.TargetID, bool) {
-	set := c.current.Load()
-	for _, cp := range set.live {
-		if t, ok := cp.Lookup(h); ok {
-			return t, true
+// Rank orders owners by how likely each was a flow's owner before: the lowest comes first.
+type Rank func(owner model.MachineID) uint64
+
+// Find looks for a flow in every copy and returns the target that the copy of the lowest rank names;
+// of one owner's copies the latest counts.
+func (c *Copies) Find(h model.FlowHash, rank Rank) (model.TargetID, bool) {
+	var target model.TargetID
+	best, found := uint64(0), false
+	for _, cp := range c.current.Load().latestFirst() {
+		t, ok := cp.Lookup(h)
+		if !ok {
+			continue
 		}
-	}
-	for i := len(set.retired) - 1; i >= 0; i-- {
-		if t, ok := set.retired[i].Lookup(h); ok {
-			return t, true
+		if r := rank(cp.Owner); !found || r < best {
+			target, best, found = t, r, true
 		}
 	}
-	return 0, false
+	return target, found
 }
 
-// Retired returns the latest retired copy of an owner, or nil.
-func (c *Copies) Retired(owner model.MachineID) *Copy {
-	set := c.current.Load()
-	for i := len(set.retired) - 1; i >= 0; i-- {
-		if set.retired[i].Owner == owner {
-			return set.retired[i]
+// First returns the copy of the owner with the lowest rank, or nil where there is none; of one
+// owner's copies the latest counts.
+func (c *Copies) First(rank Rank) *Copy {
+	var first *Copy
+	best := uint64(0)
+	for _, cp := range c.current.Load().latestFirst() {
+		if r := rank(cp.Owner); first == nil || r < best {
+			first, best = cp, r
 		}
 	}
-	return nil
-}
-
-// RetiredOwners returns the owners of retired copies, latest last.
-func (c *Copies) RetiredOwners() []model.MachineID {
-	set := c.current.Load()
-	owners := make([]model.MachineID, 0, len(set.retired))
-	for _, cp := range set.retired {
-		owners = append(owners, cp.Owner)
-	}
-	return owners
+	return first
 }
 
 // Expire drops retired copies whose retention is over.
@@ -220,6 +199,13 @@
 	return append(all, s.retired...)
 }
 
+// latestFirst returns the live copies, then the retired ones from the latest to the earliest.
+func (s *copySet) latestFirst() []*Copy {
+	all := s.all()
+	slices.Reverse(all[len(s.live):])
+	return all
+}
+
 func (s *copySet) clone() *copySet {
 	n := &copySet{live: make(map[model.MachineID]*Copy, len(s.live)+1)}
 	for id, cp := range s.live {
--- a/internal/flow/copy.go
+++ b/internal/flow/copy.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -18,6 +19,10 @@
 	generation model.Generation
 	echoed     Mark
 	exceptions map[model.FlowHash]model.TargetID
+	// ackDue is true while a batch has not been acknowledged.
+	ackDue bool
+	// wanted is the highest mark at which a flow was noted that the copy does not cover yet.
+	wanted atomic.Uint64
 	// gapSince is when the first batch arrived that did not join the position; zero without a gap.
 	gapSince time.Time
 	// retiredAt is when the owner was found dead or replaced; zero while it lives.
@@ -83,11 +88,12 @@
 	return len(c.exceptions)
 }
 
-// apply takes a batch if it joins the copy's position; a batch that leaves a gap is left for the
+// Apply takes a batch if it joins the copy's position; a batch that leaves a gap is left for the
 // owner to send again. It reports whether the batch was taken.
-func (c *Copy) apply(now time.Time, b wire.LogBatch) bool {
+func (c *Copy) Apply(now time.Time, b wire.LogBatch) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ackDue = true
 	end := b.FirstSeq + uint64(len(b.Records))
 	if c.next == 0 || b.FirstSeq > c.next {
 		c.noteGap(now)
@@ -106,6 +112,30 @@
 	return true
 }
 
+// Want notes that a flow of the owner was first seen here at a mark, so that the mark must be sent to
+// the owner and come back.
+func (c *Copy) Want(m Mark) {
+	for {
+		old := c.wanted.Load()
+		if old >= uint64(m) || c.wanted.CompareAndSwap(old, uint64(m)) {
+			return
+		}
+	}
+}
+
+// TakeAck returns the acknowledgement that is due to the owner: a batch came, a snapshot is missing,
+// or a flow waits for its mark. current is this daemon's mark.
+func (c *Copy) TakeAck(current Mark) (wire.LogAck, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	waiting := c.wanted.Load() != 0 && c.wanted.Load() >= uint64(c.echoed)
+	if !c.ackDue && c.next != 0 && !waiting {
+		return wire.LogAck{}, false
+	}
+	c.ackDue = false
+	return wire.LogAck{OwnerIncarnation: c.Incarnation, Seq: c.next, Mark: uint64(current), NeedSnapshot: c.next == 0}, true
+}
+
 func (c *Copy) noteGap(now time.Time) {
 	if c.gapSince.IsZero() {
 		c.gapSince = now
@@ -145,6 +175,7 @@
 	c.next = s.NextSeq
 	c.generation = s.Generation
 	c.gapSince = time.Time{}
+	c.ackDue = true
 }
 
 func (c *Copy) snapshot() Snapshot {
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -42,7 +42,7 @@
 	Caller  Endpoint
 	Service Endpoint
 	Target  model.TargetID
-	// LastSeen is in seconds since the table's epoch.
+	// LastSeen is when the last packet came, in milliseconds since the table's epoch, cut to 32 bits.
 	LastSeen uint32
 	State    State
 	// Exception is true while the owner's log names the flow.
@@ -74,14 +74,14 @@
 	return c
 }
 
-// timeout returns how long a flow in a state may be silent, in seconds.
+// timeout returns how long a flow in a state may be silent, in milliseconds.
 func (c Config) timeout(s State) uint32 {
 	switch s {
 	case StateOpening:
-		return uint32(c.OpeningTimeout / time.Second)
+		return uint32(c.OpeningTimeout / time.Millisecond)
 	case StateClosing:
-		return uint32(c.ClosingTimeout / time.Second)
+		return uint32(c.ClosingTimeout / time.Millisecond)
 	default:
-		return uint32(c.IdleTimeout / time.Second)
+		return uint32(c.IdleTimeout / time.Millisecond)
 	}
 }
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -35,8 +35,9 @@
 	return int(h >> 58)
 }
 
-func (t *Table) seconds(now time.Time) uint32 {
-	return uint32(now.Sub(t.epoch) / time.Second)
+// millis returns the time since the epoch cut to 32 bits; differences of up to 49 days survive the cut.
+func (t *Table) millis(now time.Time) uint32 {
+	return uint32(now.Sub(t.epoch) / time.Millisecond)
 }
 
 // Touch notes a packet of a known flow and returns the flow. The state moves forward only.
@@ -48,12 +49,17 @@
 	if !ok {
 		return Entry{}, false
 	}
-	e.LastSeen = t.seconds(now)
+	e.LastSeen = t.millis(now)
 	e.State = max(e.State, state)
 	s.flows[h] = e
 	return e, true
 }
 
+// Age returns the time since the last packet of a flow.
+func (t *Table) Age(now time.Time, e Entry) time.Duration {
+	return time.Duration(t.millis(now)-e.LastSeen) * time.Millisecond
+}
+
 // Get returns a flow without noting a packet.
 func (t *Table) Get(h model.FlowHash) (Entry, bool) {
 	s := &t.shards[shardIndex(h)]
@@ -72,7 +78,7 @@
 	if old, ok := s.flows[h]; ok {
 		return old, false
 	}
-	e.LastSeen = t.seconds(now)
+	e.LastSeen = t.millis(now)
 	s.flows[h] = e
 	return e, true
 }
@@ -108,12 +114,12 @@
 // with a counter that grows by one visit every shard in turn.
 func (t *Table) Expire(now time.Time, turn uint64) []Expired {
 	s := &t.shards[turn%shardCount]
-	sec := t.seconds(now)
+	ms := t.millis(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var gone []Expired
 	for h, e := range s.flows {
-		if sec-e.LastSeen > t.cfg.timeout(e.State) {
+		if ms-e.LastSeen > t.cfg.timeout(e.State) {
 			gone = append(gone, Expired{Hash: h, Entry: e})
 			delete(s.flows, h)
 		}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -110,6 +110,12 @@
 	return z.owners[best]
 }
 
+// Score returns the rendezvous weight of a machine for a flow, live or not; among the owners of a zone
+// the one with the highest owns the flow.
+func Score(h model.FlowHash, id model.MachineID) uint64 {
+	return score(h, saltOf(id))
+}
+
 // score is the rendezvous weight of a machine for a flow.
 func score(h model.FlowHash, salt uint64) uint64 {
 	return mix(uint64(h) ^ salt)
