--- /dev/null
+++ b/internal/udpio/batch_linux.go
@@ -0,0 +1,232 @@
+package udpio
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"unsafe"
+
+	"golang.org/x/sys/unix"
+)
+
+// batchConn reads and writes many datagrams in each system call.
+type batchConn struct {
+	udp   *net.UDPConn
+	raw   syscall.RawConn
+	local netip.AddrPort
+	// ipv6 is true for a socket of the IPv6 family, which takes IPv4 addresses in their mapped form.
+	ipv6 bool
+
+	readMu  sync.Mutex
+	read    vector
+	writeMu sync.Mutex
+	write   vector
+}
+
+// mmsghdr is the kernel's struct mmsghdr.
+type mmsghdr struct {
+	hdr unix.Msghdr
+	len uint32
+}
+
+// vector is the argument of one batched call. It is built once and grows with the batch.
+type vector struct {
+	hdrs  []mmsghdr
+	iovs  []unix.Iovec
+	names []unix.RawSockaddrInet6
+	// from and to bound the messages of the next call.
+	from, to int
+	// done is the number of messages of the last call, errno its error.
+	done  int
+	errno syscall.Errno
+	// call is the bound method that package net runs when the socket is ready; kept, since binding it
+	// allocates.
+	call func(fd uintptr) bool
+}
+
+func newBatchConn(udp *net.UDPConn, raw syscall.RawConn) *batchConn {
+	c := &batchConn{udp: udp, raw: raw, local: localAddr(udp)}
+	c.ipv6 = len(udp.LocalAddr().(*net.UDPAddr).IP) == net.IPv6len
+	c.read.call = c.read.recvmmsg
+	c.write.call = c.write.sendmmsg
+	return c
+}
+
+// setReusePort is the Control function of a socket that shares its address with others.
+func setReusePort(_, _ string, raw syscall.RawConn) error {
+	var err error
+	ctrlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	if ctrlErr != nil {
+		return ctrlErr
+	}
+	return os.NewSyscallError("setsockopt", err)
+}
+
+// probeBatch makes both batched calls without a message, to learn whether the system allows them.
+func probeBatch(raw syscall.RawConn) error {
+	var recvErrno, sendErrno syscall.Errno
+	err := raw.Control(func(fd uintptr) {
+		var none mmsghdr
+		_, _, recvErrno = unix.Syscall6(unix.SYS_RECVMMSG, fd, uintptr(unsafe.Pointer(&none)), 0, unix.MSG_DONTWAIT, 0, 0)
+		_, _, sendErrno = unix.Syscall6(unix.SYS_SENDMMSG, fd, uintptr(unsafe.Pointer(&none)), 0, unix.MSG_DONTWAIT, 0, 0)
+	})
+	switch {
+	case err != nil:
+		return fmt.Errorf("reach the socket: %w", err)
+	case recvErrno != 0:
+		return os.NewSyscallError("recvmmsg", recvErrno)
+	case sendErrno != 0:
+		return os.NewSyscallError("sendmmsg", sendErrno)
+	}
+	return nil
+}
+
+func (c *batchConn) ReadBatch(ms []Message) (int, error) {
+	if len(ms) == 0 {
+		return 0, nil
+	}
+	c.readMu.Lock()
+	defer c.readMu.Unlock()
+	v := &c.read
+	v.grow(len(ms))
+	for i := range ms {
+		v.setBuffer(i, ms[i].Buf)
+		v.hdrs[i].hdr.Namelen = unix.SizeofSockaddrInet6
+	}
+	v.from, v.to = 0, len(ms)
+	if err := c.raw.Read(v.call); err != nil {
+		return 0, fmt.Errorf("read from UDP %v: %w", c.local, err)
+	}
+	if v.errno != 0 {
+		return 0, fmt.Errorf("read from UDP %v: %w", c.local, os.NewSyscallError("recvmmsg", v.errno))
+	}
+	for i := range v.done {
+		ms[i].N = int(v.hdrs[i].len)
+		ms[i].Addr = decodeName(&v.names[i])
+	}
+	return v.done, nil
+}
+
+func (c *batchConn) WriteBatch(ms []Message) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
+	v := &c.write
+	v.grow(len(ms))
+	for i := range ms {
+		v.setBuffer(i, ms[i].Buf[:ms[i].N])
+		v.hdrs[i].hdr.Namelen = encodeName(&v.names[i], ms[i].Addr, c.ipv6)
+	}
+	var sent int
+	var first error
+	for v.from, v.to = 0, len(ms); v.from < v.to; {
+		if err := c.raw.Write(v.call); err != nil {
+			return sent, fmt.Errorf("write to UDP %v: %w", ms[v.from].Addr, err)
+		}
+		sent += v.done
+		v.from += v.done
+		if v.errno == 0 {
+			continue
+		}
+		if first == nil {
+			first = fmt.Errorf("write to UDP %v: %w", ms[v.from].Addr, os.NewSyscallError("sendmmsg", v.errno))
+		}
+		v.from++
+	}
+	return sent, first
+}
+
+func (c *batchConn) LocalAddr() netip.AddrPort {
+	return c.local
+}
+
+func (c *batchConn) Close() error {
+	return c.udp.Close()
+}
+
+// grow makes room for n messages and ties headers, names and buffers together.
+func (v *vector) grow(n int) {
+	if n <= len(v.hdrs) {
+		return
+	}
+	v.hdrs = make([]mmsghdr, n)
+	v.iovs = make([]unix.Iovec, n)
+	v.names = make([]unix.RawSockaddrInet6, n)
+	for i := range v.hdrs {
+		h := &v.hdrs[i].hdr
+		h.Name = (*byte)(unsafe.Pointer(&v.names[i]))
+		h.Iov = &v.iovs[i]
+		h.SetIovlen(1)
+	}
+}
+
+func (v *vector) setBuffer(i int, b []byte) {
+	if len(b) == 0 {
+		v.iovs[i].Base = nil
+	} else {
+		v.iovs[i].Base = &b[0]
+	}
+	v.iovs[i].SetLen(len(b))
+}
+
+// recvmmsg reads what waits in the socket. It reports false when nothing does.
+func (v *vector) recvmmsg(fd uintptr) bool {
+	return v.transfer(unix.SYS_RECVMMSG, fd)
+}
+
+// sendmmsg writes what the socket takes. It reports false when it takes nothing now.
+func (v *vector) sendmmsg(fd uintptr) bool {
+	return v.transfer(unix.SYS_SENDMMSG, fd)
+}
+
+func (v *vector) transfer(trap, fd uintptr) bool {
+	v.done, v.errno = 0, 0
+	for {
+		first := unsafe.Pointer(&v.hdrs[v.from])
+		n, _, errno := unix.Syscall6(trap, fd, uintptr(first), uintptr(v.to-v.from), unix.MSG_DONTWAIT, 0, 0)
+		switch errno {
+		case 0:
+			v.done = int(n)
+			return true
+		case unix.EINTR:
+			continue
+		case unix.EAGAIN:
+			return false
+		default:
+			v.errno = errno
+			return true
+		}
+	}
+}
+
+// decodeName returns the address in a name that the kernel filled.
+func decodeName(name *unix.RawSockaddrInet6) netip.AddrPort {
+	if name.Family == unix.AF_INET {
+		v4 := (*unix.RawSockaddrInet4)(unsafe.Pointer(name))
+		return netip.AddrPortFrom(netip.AddrFrom4(v4.Addr), networkOrder(v4.Port))
+	}
+	return netip.AddrPortFrom(netip.AddrFrom16(name.Addr).Unmap(), networkOrder(name.Port))
+}
+
+// encodeName fills a name for the kernel and returns its length in bytes. A socket of the IPv4 family
+// gets an IPv6 address as such, so that the kernel refuses it.
+func encodeName(name *unix.RawSockaddrInet6, addr netip.AddrPort, ipv6 bool) uint32 {
+	port := networkOrder(addr.Port())
+	if a := addr.Addr().Unmap(); a.Is4() && !ipv6 {
+		v4 := (*unix.RawSockaddrInet4)(unsafe.Pointer(name))
+		*v4 = unix.RawSockaddrInet4{Family: unix.AF_INET, Port: port, Addr: a.As4()}
+		return unix.SizeofSockaddrInet4
+	}
+	*name = unix.RawSockaddrInet6{Family: unix.AF_INET6, Port: port, Addr: addr.Addr().As16()}
+	return unix.SizeofSockaddrInet6
+}
+
+// networkOrder turns a port from the host's byte order to the network's, or back.
+func networkOrder(port uint16) uint16 {
+	b := (*[2]byte)(unsafe.Pointer(&port))
+	return uint16(b[0])<<8 | uint16(b[1])
+}
--- /dev/null
+++ b/internal/udpio/shared.go
@@ -0,0 +1,44 @@
+package udpio
+
+import (
+	"net/netip"
+	"sync"
+)
+
+// sharedConn is one socket behind all Conns of an address. The first Close closes it for all of them,
+// as the workers of one address stop together; later ones do nothing.
+type sharedConn struct {
+	Conn
+	network *system
+	once    sync.Once
+	err     error
+}
+
+// listenShared returns the address's socket and opens it the first time.
+func (s *system) listenShared(addr netip.AddrPort) (Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.shared[addr]; c != nil {
+		return c, nil
+	}
+	conn, err := s.open(addr, false)
+	if err != nil {
+		return nil, err
+	}
+	c := &sharedConn{Conn: conn, network: s}
+	s.shared[conn.LocalAddr()] = c
+	return c, nil
+}
+
+// Close closes the socket for all Conns of its address.
+func (c *sharedConn) Close() error {
+	c.once.Do(c.close)
+	return c.err
+}
+
+func (c *sharedConn) close() {
+	c.network.mu.Lock()
+	delete(c.network.shared, c.LocalAddr())
+	c.network.mu.Unlock()
+	c.err = c.Conn.Close()
+}
