Read lists and settings strictly from YAML

First version: every fault of a document is reported with file, line and key, and faults between documents are kept apart from faults of one document.

--- /dev/null
+++ b/internal/lists/lists.go
@@ -0,0 +1,142 @@
+package lists
+
+import (
+	"fmt"
+
+	"github.com/fireflypin/fireflypin/internal/yamldoc"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Document is the text of a published list and the name that faults are reported under.
+type Document = yamldoc.Document
+
+// Finding is one fault of a document.
+type Finding = yamldoc.Finding
+
+// Findings is the error that joins every fault.
+type Findings = yamldoc.Findings
+
+// MaxBytes bounds the size of one document.
+const MaxBytes = yamldoc.MaxBytes
+
+// maxRevision keeps revisions within what a signed 64-bit field of a message can carry.
+const maxRevision = 1<<63 - 1
+
+// Kind names one of the published lists.
+type Kind uint8
+
+// The published lists.
+const (
+	KindCustomers Kind = iota
+	KindPlans
+	KindMachines
+	kindCount
+)
+
+var kindNames = [kindCount]string{"customers", "plans", "machines"}
+
+// String returns the kind's name in documents and on the platform.
+func (k Kind) String() string {
+	if k >= kindCount {
+		return fmt.Sprintf("kind(%d)", uint8(k))
+	}
+	return kindNames[k]
+}
+
+// Kinds returns every kind in a fixed order.
+func Kinds() []Kind {
+	return []Kind{KindCustomers, KindPlans, KindMachines}
+}
+
+// KindOf returns the kind with a name.
+func KindOf(name string) (Kind, bool) {
+	for _, k := range Kinds() {
+		if kindNames[k] == name {
+			return k, true
+		}
+	}
+	return 0, false
+}
+
+// Documents is one text of each published list.
+type Documents struct {
+	Customers Document
+	Plans     Document
+	Machines  Document
+}
+
+// Parse reads three documents and builds a Snapshot. The error is Findings with every fault; faults
+// between documents are only looked for when each document is sound by itself.
+func Parse(d Documents) (*model.Snapshot, error) {
+	customers, findings := ReadCustomers(d.Customers)
+	plans, more := ReadPlans(d.Plans)
+	findings = append(findings, more...)
+	machines, more := ReadMachines(d.Machines)
+	findings = append(findings, more...)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	snapshot, findings := Build(customers, plans, machines)
+	return snapshot, findings.Err()
+}
+
+// Header is what every document starts with.
+type Header struct {
+	Kind     Kind
+	Revision uint64
+}
+
+// ReadHeader finds out which list a document is, without checking the rest of it.
+func ReadHeader(d Document) (Header, Findings) {
+	var h Header
+	findings := yamldoc.Read(d, func(m *yamldoc.Map) {
+		h = readHeader(m)
+		m.Ignore()
+	})
+	return h, findings
+}
+
+func readHeader(m *yamldoc.Map) Header {
+	h := Header{Revision: m.NeedUint("revision", 1, maxRevision)}
+	name := m.NeedText("kind")
+	if name == "" {
+		return h
+	}
+	kind, ok := KindOf(name)
+	if !ok {
+		m.Fault("kind", "%q is not one of customers, plans, machines", name)
+	}
+	h.Kind = kind
+	return h
+}
+
+// read opens a document that must be of one kind and returns its revision.
+func read(d Document, want Kind, visit func(m *yamldoc.Map)) (uint64, Findings) {
+	var h Header
+	findings := yamldoc.Read(d, func(m *yamldoc.Map) {
+		h = readHeader(m)
+		name := m.Text("kind", "")
+		if _, known := KindOf(name); known && h.Kind != want {
+			m.Fault("kind", "is %q; a document of kind %q is expected here", name, want)
+			m.Ignore()
+			return
+		}
+		visit(m)
+	})
+	return h.Revision, findings
+}
+
+// names finds names that stand twice in a document.
+type names map[string]int
+
+// add keeps a name and reports one that was seen before.
+func (ns names) add(m *yamldoc.Map, key, name, what string) {
+	if name == "" {
+		return
+	}
+	if first, seen := ns[name]; seen {
+		m.Fault(key, "%s %q stands twice; first in line %d", what, name, first)
+		return
+	}
+	ns[name] = m.LineOf(key)
+}
--- /dev/null
+++ b/internal/lists/lists_test.go
@@ -0,0 +1,180 @@
+package lists
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/yamldoc"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+const goodCustomers = `kind: customers
+revision: 3
+customers:
+  - {name: quinta, plan: gold, prefixes: [192.0.2.0/24, "2001:db8:1::/48"]}
+  - {name: desk, plan: silver, prefixes: [192.0.2.128/25]}
+`
+
+const goodPlans = `kind: plans
+revision: 5
+services:
+  - name: booking
+    addresses: ["198.51.100.10:443", "[2001:db8::10]:443"]
+    return: through
+    margin: 0.1
+    ramp: 45s
+  - name: brochures
+    addresses: ["198.51.100.11:443"]
+    return: direct
+plans:
+  - {name: gold, services: [booking, brochures], new_flows_per_second: 50, open_flows: 1000, on_revoke: reset, revoke_grace: 5s}
+  - {name: silver, services: [booking]}
+`
+
+const goodMachines = `kind: machines
+revision: 9
+entries:
+  - {name: entry-1, region: r, zone: a, data: "127.0.0.1:7001", peer: "127.0.0.1:7002", bulk: "127.0.0.1:7003", ops: "127.0.0.1:7004"}
+  - {name: entry-2, region: r, zone: b, state: leaving, data: "127.0.0.1:7011", peer: "127.0.0.1:7012", bulk: "127.0.0.1:7013"}
+endpoints:
+  - name: vm-1
+    region: r
+    zone: a
+    targets:
+      - {name: booking-2, service: booking, data: "127.0.0.1:8002"}
+      - {name: booking-1, service: booking, data: "127.0.0.1:8001", report: "127.0.0.1:8101", weight: 2, max_connections: 100, slots: 4}
+  - name: vm-2
+    region: r
+    zone: b
+    state: leaving
+    leave_by: 2026-01-31T22:00:00Z
+    targets:
+      - {name: brochures-1, service: brochures, data: "127.0.0.1:8003"}
+`
+
+func documents(customers, plans, machines string) Documents {
+	return Documents{
+		Customers: Document{Name: "customers.yaml", Data: []byte(customers)},
+		Plans:     Document{Name: "plans.yaml", Data: []byte(plans)},
+		Machines:  Document{Name: "machines.yaml", Data: []byte(machines)},
+	}
+}
+
+func TestParseBuildsASnapshot(t *testing.T) {
+	Convey("Three sound documents give linked objects with defaults filled in", t, func() {
+		s, err := Parse(documents(goodCustomers, goodPlans, goodMachines))
+		So(err, ShouldBeNil)
+		So(s.Revisions, ShouldResemble, model.Revisions{Customers: 3, Plans: 5, Machines: 9})
+
+		booking := s.ServiceAt(netip.MustParseAddrPort("[2001:db8::10]:443"))
+		So(booking.Name, ShouldEqual, "booking")
+		So(booking.Return, ShouldEqual, model.ReturnThrough)
+		So(booking.Margin, ShouldEqual, 0.1)
+		So(booking.Ramp, ShouldEqual, 45*time.Second)
+		So(booking.Targets[0].Name, ShouldEqual, "booking-1")
+		So(booking.Targets[0].Weight, ShouldEqual, 2)
+		So(booking.Targets[1].MaxConnections, ShouldEqual, DefaultMaxConnections)
+
+		brochures := s.ServiceAt(netip.MustParseAddrPort("198.51.100.11:443"))
+		So(brochures.Return, ShouldEqual, model.ReturnDirect)
+		So(brochures.Margin, ShouldEqual, DefaultMargin)
+		So(brochures.Targets[0].Leaving, ShouldBeTrue)
+		So(brochures.Targets[0].LeaveBy.Year(), ShouldEqual, 2026)
+
+		So(s.Customers[0].Plan.Allows(brochures), ShouldBeTrue)
+		So(s.Customers[1].Plan.Allows(brochures), ShouldBeFalse)
+		So(s.Customers[0].Plan.RevokeGrace, ShouldEqual, 5*time.Second)
+		So(s.Entry(model.MachineIDOf("entry-1")).Ops.Port(), ShouldEqual, 7004)
+		So(s.Entries[1].State, ShouldEqual, model.MachineLeaving)
+	})
+}
+
+func TestFaultsOfOneDocument(t *testing.T) {
+	cases := []struct{ what, doc, old, new, want string }{
+		{"revision missing", "plans", "revision: 5\n", "", "plans.yaml:1: revision: missing"},
+		{"revision zero", "plans", "revision: 5", "revision: 0", "plans.yaml:2: revision: 0 is out of range"},
+		{"kind missing", "plans", "kind: plans\n", "", "plans.yaml:1: kind: missing"},
+		{"kind wrong", "plans", "kind: plans", "kind: machines", `plans.yaml:1: kind: is "machines"; a document of kind "plans" is expected`},
+		{"unknown key", "plans", "margin: 0.1", "margn: 0.1", "plans.yaml:7: services[0].margn: unknown key"},
+		{"duration without unit", "plans", "ramp: 45s", "ramp: 45", `plans.yaml:8: services[0].ramp: "45" has no unit`},
+		{"duplicate service", "plans", "name: brochures\n", "name: booking\n", `services[1].name: service "booking" stands twice; first in line 4`},
+		{"address of two services", "plans", "198.51.100.11:443", "198.51.100.10:443", `plans.yaml:10: services[1].addresses[0]: 198.51.100.10:443 belongs to service "booking" already, in line 5`},
+		{"service without address", "plans", `["198.51.100.11:443"]`, "[]", "plans.yaml:10: services[1].addresses: must name at least one address"},
+		{"plan names no service", "plans", "services: [booking]}", "services: [bookings]}", `plans.yaml:14: plans[1].services[0]: there is no service "bookings"`},
+		{"plan without services", "plans", "services: [booking]}", "services: []}", "plans[1].services: must name at least one service"},
+		{"plan names a service twice", "plans", "[booking, brochures]", "[booking, booking]", "stands twice in the plan"},
+		{"duplicate plan", "plans", "name: silver", "name: gold", `plans[1].name: plan "gold" stands twice`},
+		{"grace without reset", "plans", "on_revoke: reset, ", "", "plans[0].revoke_grace: has an effect only with"},
+		{"prefix twice", "customers", "192.0.2.128/25", "192.0.2.0/24", `customers.yaml:5: customers[1].prefixes[0]: 192.0.2.0/24 belongs to customer "quinta" already, in line 4`},
+		{"prefix with host bits", "customers", "192.0.2.128/25", "192.0.2.129/25", `write "192.0.2.128/25"`},
+		{"mapped prefix", "customers", "192.0.2.128/25", `"::ffff:192.0.2.0/120"`, "must be a plain IPv4 or IPv6 prefix"},
+		{"duplicate customer", "customers", "name: desk", "name: quinta", `customers[1].name: customer "quinta" stands twice`},
+		{"customer without plan", "customers", "plan: silver, ", "", "customers.yaml:5: customers[1].plan: missing"},
+		{"weight zero", "machines", "weight: 2", "weight: 0", "machines.yaml:12: endpoints[0].targets[1].weight: 0 is out of range"},
+		{"duplicate target", "machines", "name: booking-2", "name: booking-1", `target "booking-1" stands twice`},
+		{"duplicate machine", "machines", "name: vm-2", "name: entry-1", `endpoints[1].name: machine "entry-1" stands twice`},
+		{"data address twice", "machines", "127.0.0.1:8002", "127.0.0.1:7001", `endpoints[0].targets[0].data: 127.0.0.1:7001 belongs to "entry-1" already, in line 4`},
+		{"port zero", "machines", "127.0.0.1:8002", "127.0.0.1:0", "has port 0"},
+		{"state", "machines", "state: leaving, data", "state: gone, data", `"gone" is not one of live, leaving`},
+		{"leave_by of a live VM", "machines", "    state: leaving\n", "", "leave_by: has an effect only with"},
+		{"zone missing", "machines", "    zone: b\n    state", "    state", "endpoints[1].zone: missing"},
+		{"no list", "machines", "entries:\n", "entries: 3\nentrees:\n", "entries: must be a list"},
+	}
+	Convey("Each fault is reported with file, line and key", t, func() {
+		for _, c := range cases {
+			texts := map[string]string{"customers": goodCustomers, "plans": goodPlans, "machines": goodMachines}
+			So(texts[c.doc], ShouldContainSubstring, c.old)
+			texts[c.doc] = strings.Replace(texts[c.doc], c.old, c.new, 1)
+			s, err := Parse(documents(texts["customers"], texts["plans"], texts["machines"]))
+			So(s, ShouldBeNil)
+			So(err.Error(), ShouldContainSubstring, c.want)
+		}
+	})
+}
+
+func TestFaultsBetweenDocuments(t *testing.T) {
+	Convey("A document that is ahead of another gives findings of Build alone", t, func() {
+		customers, f1 := ReadCustomers(Document{Name: "c", Data: []byte(strings.Replace(goodCustomers, "plan: silver", "plan: platinum", 1))})
+		plans, f2 := ReadPlans(Document{Name: "p", Data: []byte(goodPlans)})
+		machines, f3 := ReadMachines(Document{Name: "m", Data: []byte(strings.Replace(goodMachines, "service: brochures", "service: leaflets", 1))})
+		So(len(f1)+len(f2)+len(f3), ShouldEqual, 0)
+		s, findings := Build(customers, plans, machines)
+		So(s, ShouldBeNil)
+		So(findings, ShouldResemble, Findings{
+			{File: "c", Line: 5, Key: "customers[1].plan", Message: `there is no plan "platinum"`},
+			{File: "m", Line: 19, Key: "endpoints[1].targets[0].service", Message: `there is no service "leaflets"`},
+		})
+	})
+}
+
+func TestAllFaultsAtOnce(t *testing.T) {
+	Convey("Faults of all three documents come in one error", t, func() {
+		_, err := Parse(documents("kind: customers\n", "revision: 1\n", goodMachines+"colour: red\n"))
+		findings := err.(Findings)
+		So(len(findings), ShouldEqual, 6)
+	})
+}
+
+func TestIDCollisions(t *testing.T) {
+	Convey("Names that hash to one id are a fault", t, func() {
+		r := newMachineReader("m")
+		r.machineHash = func(string) model.MachineID { return 7 }
+		r.targetHash = func(string) model.TargetID { return 7 }
+		_, findings := r.read(Document{Name: "m", Data: []byte(goodMachines)})
+		So(findings.Error(), ShouldContainSubstring, `machines "entry-1" and "entry-2" get the same id 7; rename one`)
+		So(findings.Error(), ShouldContainSubstring, `targets "booking-2" and "booking-1" get the same id 7; rename one`)
+		So(findings.Error(), ShouldContainSubstring, `targets "booking-2" and "brochures-1" get the same id 7`)
+	})
+}
+
+func TestReadHeader(t *testing.T) {
+	Convey("The header is read whatever else the document holds", t, func() {
+		h, findings := ReadHeader(yamldoc.Document{Name: "x", Data: []byte("kind: machines\nrevision: 4\nfoo: 1\n")})
+		So(findings, ShouldBeEmpty)
+		So(h, ShouldResemble, Header{Kind: KindMachines, Revision: 4})
+	})
+}
--- /dev/null
+++ b/internal/lists/plans.go
@@ -0,0 +1,137 @@
+package lists
+
+import (
+	"math"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/yamldoc"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Defaults of a service and of a plan.
+const (
+	DefaultMargin = 0.05
+	DefaultRamp   = 30 * time.Second
+
+	maxRamp        = time.Hour
+	maxRevokeGrace = 24 * time.Hour
+)
+
+// Plans is a checked document of kind plans.
+type Plans struct {
+	Revision uint64
+	Name     string          // of the document
+	services []model.Service // without Targets
+	plans    []planRow
+}
+
+type planRow struct {
+	plan     model.Plan // without Services
+	services []string
+}
+
+// ReadPlans checks a document of kind plans by itself.
+func ReadPlans(d Document) (*Plans, Findings) {
+	p := &Plans{Name: d.Name}
+	revision, findings := read(d, KindPlans, func(m *yamldoc.Map) {
+		services := p.readServices(m)
+		p.readPlans(m, services)
+	})
+	p.Revision = revision
+	return p, findings
+}
+
+// addressOwner says which service named an address first.
+type addressOwner struct {
+	service string
+	line    int
+}
+
+func (p *Plans) readServices(m *yamldoc.Map) names {
+	seen := make(names)
+	owners := make(map[netip.AddrPort]addressOwner)
+	m.Each("services", func(m *yamldoc.Map) {
+		s := readService(m, owners)
+		seen.add(m, "name", s.Name, "service")
+		p.services = append(p.services, s)
+	})
+	return seen
+}
+
+func readService(m *yamldoc.Map, owners map[netip.AddrPort]addressOwner) model.Service {
+	s := model.Service{
+		Name:   m.Name("name"),
+		Margin: m.Share("margin", DefaultMargin),
+		Ramp:   m.Duration("ramp", DefaultRamp, 0, maxRamp),
+	}
+	if m.Choice("return", "through", "direct") == 0 {
+		s.Return = model.ReturnThrough
+	}
+	items := m.Texts("addresses", true)
+	if len(items) == 0 && m.Has("addresses") {
+		m.Fault("addresses", "must name at least one address")
+	}
+	for i := range items {
+		it := &items[i]
+		a, why := yamldoc.ParseAddress(it.Text)
+		if why != "" {
+			it.Fault("%s", why)
+			continue
+		}
+		if o, taken := owners[a]; taken {
+			it.Fault("%s belongs to service %q already, in line %d", a, o.service, o.line)
+			continue
+		}
+		owners[a] = addressOwner{service: s.Name, line: it.Line}
+		s.Addresses = append(s.Addresses, a)
+	}
+	return s
+}
+
+func (p *Plans) readPlans(m *yamldoc.Map, services names) {
+	seen := make(names)
+	m.Each("plans", func(m *yamldoc.Map) {
+		row := readPlan(m, services)
+		seen.add(m, "name", row.plan.Name, "plan")
+		p.plans = append(p.plans, row)
+	})
+}
+
+func readPlan(m *yamldoc.Map, services names) planRow {
+	row := planRow{plan: model.Plan{
+		Name:              m.Name("name"),
+		NewFlowsPerSecond: uint32(m.Uint("new_flows_per_second", 0, 0, math.MaxUint32)),
+		OpenFlows:         uint32(m.Uint("open_flows", 0, 0, math.MaxUint32)),
+		RevokeGrace:       m.Duration("revoke_grace", 0, 0, maxRevokeGrace),
+	}}
+	if m.Choice("on_revoke", "finish", "reset") == 1 {
+		row.plan.OnRevoke = model.RevokeReset
+	} else if m.Has("revoke_grace") {
+		m.Fault("revoke_grace", "has an effect only with \"on_revoke: reset\"")
+	}
+	row.services = readPlanServices(m, services)
+	return row
+}
+
+func readPlanServices(m *yamldoc.Map, services names) []string {
+	items := m.Texts("services", true)
+	if len(items) == 0 && m.Has("services") {
+		m.Fault("services", "must name at least one service")
+	}
+	seen := make(map[string]bool, len(items))
+	allowed := make([]string, 0, len(items))
+	for i := range items {
+		it := &items[i]
+		switch _, known := services[it.Text]; {
+		case !known:
+			it.Fault("there is no service %q", it.Text)
+		case seen[it.Text]:
+			it.Fault("service %q stands twice in the plan", it.Text)
+		default:
+			seen[it.Text] = true
+			allowed = append(allowed, it.Text)
+		}
+	}
+	return allowed
+}
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,175 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/fireflypin/fireflypin/internal/yamldoc"
+)
+
+// Defaults of the settings that may be left out.
+const (
+	DefaultMTU               = 1472
+	DefaultHeartbeatInterval = time.Second
+	DefaultLogBatchInterval  = 50 * time.Millisecond
+	DefaultFlowIdleTimeout   = 15 * time.Minute
+	DefaultDrainTimeout      = 30 * time.Second
+	DefaultWatchWait         = 30 * time.Second
+	DefaultCallTimeout       = 5 * time.Second
+	DefaultCallsPerSecond    = 1
+	DefaultCallBurst         = 6
+)
+
+// DefaultOps is where metrics, health and status are served.
+var DefaultOps = netip.MustParseAddrPort("127.0.0.1:9650")
+
+// Load reads a settings file. The error is yamldoc.Findings with every fault when the file was read.
+func Load(path string) (*Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	return Parse(yamldoc.Document{Name: path, Data: data})
+}
+
+// Parse reads the text of a settings file; its name gives the directory of relative paths. The error is
+// yamldoc.Findings with every fault.
+func Parse(d yamldoc.Document) (*Settings, error) {
+	s := &Settings{}
+	findings := yamldoc.Read(d, func(m *yamldoc.Map) {
+		r := reader{m: m, dir: filepath.Dir(d.Name)}
+		r.readPlace(s)
+		r.readSource(s)
+		r.readSecurity(s)
+		r.readTuning(s)
+		r.checkAddresses(s)
+	})
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	return s, nil
+}
+
+// reader reads one settings file.
+type reader struct {
+	m   *yamldoc.Map
+	dir string
+}
+
+func (r *reader) readPlace(s *Settings) {
+	s.Name = r.m.Name("name")
+	s.Zone.Region = r.m.Name("region")
+	s.Zone.Name = r.m.Name("zone")
+	s.Data = r.m.NeedAddress("data")
+	s.Peer = r.m.NeedAddress("peer")
+	s.Bulk = r.m.NeedAddress("bulk")
+	s.Egress = r.m.NeedAddress("egress")
+	s.Ops = DefaultOps
+	if r.m.Has("ops") {
+		s.Ops = r.m.Address("ops")
+	}
+}
+
+// readSource reads where the lists come from: the platform or local files.
+func (r *reader) readSource(s *Settings) {
+	switch platform, files := r.m.Has("platform"), r.m.Has("lists"); {
+	case platform && files:
+		r.m.Fault("lists", "cannot be used together with platform")
+	case !platform && !files:
+		r.m.Fault("platform", "missing; give platform or lists")
+	}
+	r.m.Map("platform", func(m *yamldoc.Map) { s.Platform = readPlatform(m) })
+	r.m.Map("lists", func(m *yamldoc.Map) {
+		s.Lists = Lists{
+			Customers: r.path(m.NeedText("customers")),
+			Plans:     r.path(m.NeedText("plans")),
+			Machines:  r.path(m.NeedText("machines")),
+		}
+	})
+}
+
+func readPlatform(m *yamldoc.Map) Platform {
+	p := Platform{
+		URL:            m.NeedText("url"),
+		WatchWait:      m.Duration("watch_wait", DefaultWatchWait, time.Second, 10*time.Minute),
+		CallTimeout:    m.Duration("call_timeout", DefaultCallTimeout, 100*time.Millisecond, time.Minute),
+		CallsPerSecond: m.Number("calls_per_second", DefaultCallsPerSecond, 0.01, 1000),
+		CallBurst:      int(m.Uint("call_burst", DefaultCallBurst, 4, 1000)),
+	}
+	u, err := url.Parse(p.URL)
+	if p.URL != "" && (err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https") {
+		m.Fault("url", "%q is no URL with http or https", p.URL)
+	}
+	return p
+}
+
+func (r *reader) readSecurity(s *Settings) {
+	items := r.m.Texts("key_files", false)
+	for i := range items {
+		if items[i].Text == "" {
+			items[i].Fault("must not be empty")
+		}
+		s.KeyFiles = append(s.KeyFiles, r.path(items[i].Text))
+	}
+	if len(s.KeyFiles) > 2 {
+		r.m.Fault("key_files", "names %d files; at most 2 keys are in use at a time", len(s.KeyFiles))
+	}
+	r.m.Map("tls", func(m *yamldoc.Map) {
+		s.TLS = TLS{
+			CertFile: r.path(m.NeedText("cert_file")),
+			KeyFile:  r.path(m.NeedText("key_file")),
+			CAFile:   r.path(m.NeedText("ca_file")),
+		}
+	})
+}
+
+// path takes a relative path from the directory of the settings file.
+func (r *reader) path(p string) string {
+	if p == "" || filepath.IsAbs(p) {
+		return p
+	}
+	return filepath.Join(r.dir, p)
+}
+
+var logLevels = []log.Level{log.InfoLevel, log.DebugLevel, log.WarnLevel, log.ErrorLevel}
+
+func (r *reader) readTuning(s *Settings) {
+	s.Workers = int(r.m.Uint("workers", 0, 0, 1024))
+	s.MTU = int(r.m.Uint("mtu", DefaultMTU, 576, 65000))
+	s.HeartbeatInterval = r.m.Duration("heartbeat_interval", DefaultHeartbeatInterval, 50*time.Millisecond, 10*time.Second)
+	s.LogBatchInterval = r.m.Duration("log_batch_interval", DefaultLogBatchInterval, time.Millisecond, 5*time.Second)
+	s.FlowIdleTimeout = r.m.Duration("flow_idle_timeout", DefaultFlowIdleTimeout, 10*time.Second, 24*time.Hour)
+	s.DrainTimeout = r.m.Duration("drain_timeout", DefaultDrainTimeout, time.Second, time.Hour)
+	s.LogLevel = logLevels[r.m.Choice("log_level", "info", "debug", "warn", "error")]
+}
+
+// checkAddresses reports sockets that collide and missing keys where others can reach the sockets.
+func (r *reader) checkAddresses(s *Settings) {
+	if s.Data.IsValid() && s.Data == s.Peer {
+		r.m.Fault("peer", "%s is the data address too", s.Peer)
+	}
+	if s.Bulk.IsValid() && s.Bulk == s.Ops {
+		r.m.Fault("ops", "%s is the bulk address too", s.Ops)
+	}
+	if loopback(s.Data) && loopback(s.Peer) && loopback(s.Bulk) {
+		return
+	}
+	if len(s.KeyFiles) == 0 {
+		r.m.Fault("key_files", "missing; needed unless data, peer and bulk are loopback addresses")
+	}
+	if s.TLS.CertFile == "" && !r.m.Has("tls") {
+		r.m.Fault("tls", "missing; needed unless data, peer and bulk are loopback addresses")
+	}
+}
+
+// loopback reports whether an address is reachable from the same machine only. An address that was not
+// read counts as one, since its own fault is reported already.
+func loopback(a netip.AddrPort) bool {
+	return !a.IsValid() || a.Addr().IsLoopback()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,103 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Settings is what a daemon is told by its operator.
+type Settings struct {
+	// Name is the entry VM's name in the list of machines. Key name; required.
+	Name string
+	// Zone is the entry VM's region and availability zone. Keys region and zone; required.
+	Zone model.Zone
+	// Data receives IP-in-UDP packets from the fabric and from endpoints. Key data; required.
+	Data netip.AddrPort
+	// Peer receives datagrams of other daemons. Key peer; required.
+	Peer netip.AddrPort
+	// Bulk serves calls of other daemons over TCP. Key bulk; required.
+	Bulk netip.AddrPort
+	// Ops serves metrics, health and status over HTTP. Key ops; default 127.0.0.1:9650.
+	Ops netip.AddrPort
+	// Egress receives the IP-in-UDP packets of answers that go to callers. Key egress; required.
+	Egress netip.AddrPort
+
+	// Platform is the source of the published lists; its URL is empty where Lists is used.
+	Platform Platform
+	// Lists names local files that are read in place of the platform.
+	Lists Lists
+
+	// KeyFiles hold the shared keys of datagrams between daemons, one key of 32 or more bytes each, the
+	// first used to sign and all to verify. Key key_files; default none, which is allowed only while data,
+	// peer and bulk are loopback addresses.
+	KeyFiles []string
+	// TLS names the files that authenticate calls between daemons. Key tls; default none, under the same
+	// condition as KeyFiles.
+	TLS TLS
+
+	// Workers is the number of goroutines that move packets. Key workers; default 0, which takes one for
+	// each processor that the process may use.
+	Workers int
+	// MTU is the size in bytes of the largest inner packet that is passed on. Key mtu; default 1472.
+	MTU int
+	// HeartbeatInterval is the time between two heartbeats to a peer. Key heartbeat_interval; default 1 s.
+	HeartbeatInterval time.Duration
+	// LogBatchInterval is the longest wait of an exception before it is sent to peers. Key
+	// log_batch_interval; default 50 ms.
+	LogBatchInterval time.Duration
+	// FlowIdleTimeout is the time without packets after which a flow is forgotten. Key
+	// flow_idle_timeout; default 15 min.
+	FlowIdleTimeout time.Duration
+	// DrainTimeout bounds the wait for hand-over in a planned stop. Key drain_timeout; default 30 s.
+	DrainTimeout time.Duration
+	// LogLevel is the least severe level that is logged. Key log_level; default info.
+	LogLevel log.Level
+}
+
+// Platform says how the platform's service is reached.
+type Platform struct {
+	// URL is the address of the service, such as "http://192.0.2.1:8500". Key platform.url.
+	URL string
+	// WatchWait is how long one watch call waits for a change. Key platform.watch_wait; default 30 s.
+	WatchWait time.Duration
+	// CallTimeout bounds a call, in a watch on top of its wait. Key platform.call_timeout; default 5 s.
+	CallTimeout time.Duration
+	// CallsPerSecond is the daemon's own call budget over time. Key platform.calls_per_second; default 1.
+	CallsPerSecond float64
+	// CallBurst is the number of calls that may be made at once out of the budget. Key
+	// platform.call_burst; default 6.
+	CallBurst int
+}
+
+// Lists names local files with the published lists.
+type Lists struct {
+	// Customers, Plans and Machines are paths; relative ones are taken from the settings file's directory.
+	// Keys lists.customers, lists.plans and lists.machines; all or none.
+	Customers string
+	Plans     string
+	Machines  string
+}
+
+// TLS names the files for calls between daemons, in PEM form; relative paths are taken from the settings
+// file's directory.
+type TLS struct {
+	// CertFile and KeyFile hold the daemon's certificate and private key. Keys tls.cert_file, tls.key_file.
+	CertFile string
+	KeyFile  string
+	// CAFile holds the authorities that sign the daemons' certificates. Key tls.ca_file.
+	CAFile string
+}
+
+// Secure reports whether datagrams and calls between daemons are authenticated.
+func (s *Settings) Secure() bool {
+	return len(s.KeyFiles) > 0 && s.TLS.CertFile != ""
+}
+
+// UsesPlatform reports whether the lists come from the platform and not from local files.
+func (s *Settings) UsesPlatform() bool {
+	return s.Platform.URL != ""
+}
--- /dev/null
+++ b/internal/yamldoc/scalar.go
@@ -0,0 +1,300 @@
+package yamldoc
+
+import (
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// MaxNameLength bounds names, in bytes.
+const MaxNameLength = 63
+
+// Item is one scalar of a list.
+type Item struct {
+	Line int
+	Text string
+
+	r    *report
+	list *place
+	i    int
+}
+
+// Fault reports a fault of the item.
+func (it *Item) Fault(format string, args ...any) {
+	at := place{parent: it.list, index: it.i}
+	it.r.add(it.Line, at.path(), format, args...)
+}
+
+// scalarText returns the text of a scalar as it stands in the document.
+func scalarText(n ast.Node) (string, bool) {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		return n.GetToken().Value, true
+	}
+	return "", false
+}
+
+// text returns the text of a field that must be a scalar.
+func (m *Map) text(f *field) (string, bool) {
+	if f == nil {
+		return "", false
+	}
+	s, ok := scalarText(f.value)
+	if !ok {
+		m.Fault(f.key, "must be a single value")
+	}
+	return s, ok
+}
+
+// Texts returns the scalars of the list under a key. An absent key gives an empty list, unless
+// required is set.
+func (m *Map) Texts(key string, required bool) []Item {
+	f := m.find(key)
+	if f == nil {
+		if required {
+			m.need(key)
+		}
+		return nil
+	}
+	list := &place{parent: m.place, key: key}
+	nodes := m.items(f)
+	items := make([]Item, 0, len(nodes))
+	for i, n := range nodes {
+		it := Item{Line: lineOf(n), r: m.r, list: list, i: i}
+		text, ok := scalarText(n)
+		if !ok {
+			it.Fault("must be a single value")
+			continue
+		}
+		it.Text = text
+		items = append(items, it)
+	}
+	return items
+}
+
+// Text returns an optional text, or the default where the key is absent.
+func (m *Map) Text(key, byDefault string) string {
+	f := m.find(key)
+	if f == nil {
+		return byDefault
+	}
+	s, _ := m.text(f)
+	return s
+}
+
+// NeedText returns a text that must be present and not empty.
+func (m *Map) NeedText(key string) string {
+	s, ok := m.text(m.need(key))
+	if ok && s == "" {
+		m.Fault(key, "must not be empty")
+	}
+	return s
+}
+
+// Name returns a name that must be present: letters, digits, '.', '_' and '-', at most MaxNameLength.
+func (m *Map) Name(key string) string {
+	s := m.NeedText(key)
+	if s != "" && !ValidName(s) {
+		m.Fault(key, "%q is no name: use up to %d letters, digits, '.', '_' and '-'", s, MaxNameLength)
+	}
+	return s
+}
+
+// ValidName reports whether a name holds only letters, digits, '.', '_' and '-' and is not too long.
+func ValidName(s string) bool {
+	if s == "" || len(s) > MaxNameLength {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z'
+		if !letter && (c < '0' || c > '9') && c != '.' && c != '_' && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// Choice returns the index of an optional text among the allowed ones; an absent key gives index 0.
+func (m *Map) Choice(key string, allowed ...string) int {
+	f := m.find(key)
+	if f == nil {
+		return 0
+	}
+	s, ok := m.text(f)
+	if !ok {
+		return 0
+	}
+	for i, a := range allowed {
+		if s == a {
+			return i
+		}
+	}
+	m.Fault(key, "%q is not one of %s", s, strings.Join(allowed, ", "))
+	return 0
+}
+
+// Uint returns an optional whole number between low and high, or the default where the key is absent.
+func (m *Map) Uint(key string, byDefault, low, high uint64) uint64 {
+	f := m.find(key)
+	if f == nil {
+		return byDefault
+	}
+	n, ok := m.integer(f)
+	if !ok {
+		return byDefault
+	}
+	if n < low || n > high {
+		m.Fault(key, "%d is out of range: %d to %d", n, low, high)
+		return byDefault
+	}
+	return n
+}
+
+// NeedUint is Uint for a key that must be present.
+func (m *Map) NeedUint(key string, low, high uint64) uint64 {
+	if m.need(key) == nil {
+		return 0
+	}
+	return m.Uint(key, 0, low, high)
+}
+
+// integer returns a plain decimal number.
+func (m *Map) integer(f *field) (uint64, bool) {
+	node, isInteger := f.value.(*ast.IntegerNode)
+	if isInteger && node.GetToken().Type == token.IntegerType {
+		if n, err := strconv.ParseUint(node.GetToken().Value, 10, 64); err == nil {
+			return n, true
+		}
+	}
+	if s, ok := m.text(f); ok {
+		m.Fault(f.key, "%q is no whole number without a unit, 0 or more", s)
+	}
+	return 0, false
+}
+
+// Share returns an optional number between 0 and 1, or the default where the key is absent.
+func (m *Map) Share(key string, byDefault float64) float64 {
+	return m.Number(key, byDefault, 0, 1)
+}
+
+// Number returns an optional number between low and high, or the default where the key is absent.
+func (m *Map) Number(key string, byDefault, low, high float64) float64 {
+	f := m.find(key)
+	if f == nil {
+		return byDefault
+	}
+	s, ok := m.text(f)
+	if !ok {
+		return byDefault
+	}
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= low && v <= high) {
+		m.Fault(key, "%q is no number between %v and %v", s, low, high)
+		return byDefault
+	}
+	return v
+}
+
+// Duration returns an optional time span between low and high, or the default where the key is absent.
+// The document must give a unit.
+func (m *Map) Duration(key string, byDefault, low, high time.Duration) time.Duration {
+	f := m.find(key)
+	if f == nil {
+		return byDefault
+	}
+	s, ok := m.text(f)
+	if !ok {
+		return byDefault
+	}
+	if _, err := strconv.ParseFloat(s, 64); err == nil {
+		m.Fault(key, "%q has no unit; write for example %q", s, s+"s")
+		return byDefault
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil {
+		m.Fault(key, "%q is no duration; write for example \"30s\" or \"250ms\"", s)
+		return byDefault
+	}
+	if d < low || d > high {
+		m.Fault(key, "%s is out of range: %s to %s", d, low, high)
+		return byDefault
+	}
+	return d
+}
+
+// Time returns an optional time in RFC 3339 form, or the zero time where the key is absent.
+func (m *Map) Time(key string) time.Time {
+	f := m.find(key)
+	if f == nil {
+		return time.Time{}
+	}
+	s, ok := m.text(f)
+	if !ok {
+		return time.Time{}
+	}
+	t, err := time.Parse(time.RFC3339, s)
+	if err != nil {
+		m.Fault(key, "%q is no time; write for example \"2026-01-31T22:00:00Z\"", s)
+	}
+	return t
+}
+
+// Address returns an optional IP address with port; an absent key gives the zero value.
+func (m *Map) Address(key string) netip.AddrPort {
+	f := m.find(key)
+	if f == nil {
+		return netip.AddrPort{}
+	}
+	s, ok := m.text(f)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	a, why := ParseAddress(s)
+	if why != "" {
+		m.Fault(key, "%s", why)
+	}
+	return a
+}
+
+// NeedAddress is Address for a key that must be present.
+func (m *Map) NeedAddress(key string) netip.AddrPort {
+	if m.need(key) == nil {
+		return netip.AddrPort{}
+	}
+	return m.Address(key)
+}
+
+// ParseAddress reads an IP address with a port from 1 to 65535. It returns why the text is none, or "".
+func ParseAddress(s string) (netip.AddrPort, string) {
+	a, err := netip.ParseAddrPort(s)
+	switch {
+	case err != nil:
+		return netip.AddrPort{}, strconv.Quote(s) + " is no address with a port; write for example \"192.0.2.10:443\" or \"[2001:db8::1]:443\""
+	case a.Port() == 0:
+		return netip.AddrPort{}, strconv.Quote(s) + " has port 0"
+	case a.Addr().Is4In6(), a.Addr().Zone() != "":
+		return netip.AddrPort{}, strconv.Quote(s) + " must be a plain IPv4 or IPv6 address"
+	}
+	return a, ""
+}
+
+// ParsePrefix reads an IP prefix whose host bits are zero. It returns why the text is none, or "".
+func ParsePrefix(s string) (netip.Prefix, string) {
+	p, err := netip.ParsePrefix(s)
+	switch {
+	case err != nil:
+		return netip.Prefix{}, strconv.Quote(s) + " is no prefix; write for example \"192.0.2.0/24\""
+	case p.Addr().Is4In6():
+		return netip.Prefix{}, strconv.Quote(s) + " must be a plain IPv4 or IPv6 prefix"
+	case p != p.Masked():
+		return netip.Prefix{}, strconv.Quote(s) + " has host bits; write " + strconv.Quote(p.Masked().String())
+	}
+	return p, ""
+}
--- a/model/machine.go
+++ b/model/machine.go
@@ -39,6 +39,8 @@
 	Peer netip.AddrPort
 	// Bulk serves the calls between daemons that carry much: snapshots, hand-over and lists.
 	Bulk netip.AddrPort
+	// Ops serves metrics and status over HTTP; invalid where the list names none.
+	Ops netip.AddrPort
 }
 
 // EndpointVM is a machine that runs targets of one or more services.
