--- /dev/null
+++ b/internal/history/check_test.go
@@ -0,0 +1,73 @@
+package history
+
+import (
+	"net/netip"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+func flowOf(port uint16) packet.FlowKey {
+	return packet.FlowKey{
+		Caller:  netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port),
+		Service: netip.MustParseAddrPort("192.0.2.10:443"),
+	}
+}
+
+// goodHistory is a booking that was refused once, then answered.
+func goodHistory() History {
+	first := AttemptID{Request: 7, Attempt: 1}
+	second := AttemptID{Request: 7, Attempt: 2}
+	return History{
+		Outcomes: []Outcome{
+			{ID: first, Flow: flowOf(1), Fate: FateNotRun},
+			{ID: second, Flow: flowOf(2), Fate: FateAnswered, AnswerTo: second, Whole: true},
+		},
+		Runs:     []Run{{ID: second, Target: "a", Flow: flowOf(2)}},
+		Receipts: []Receipt{{Flow: flowOf(1), Target: "b"}, {Flow: flowOf(2), Target: "a", Bytes: 90}},
+	}
+}
+
+func TestCheckFindsPlantedFaults(t *testing.T) {
+	id := AttemptID{Request: 7, Attempt: 2}
+	cases := []struct {
+		name  string
+		plant func(h *History)
+		want  []Rule
+	}{
+		{"nothing", func(*History) {}, nil},
+		{"an attempt that ran on two targets", func(h *History) {
+			h.Runs = append(h.Runs, Run{ID: id, Target: "b", Flow: flowOf(2)})
+		}, []Rule{RuleDoubleRun, RuleAttemptTwice}},
+		{"a refused attempt that ran", func(h *History) {
+			h.Runs = append(h.Runs, Run{ID: AttemptID{Request: 7, Attempt: 1}, Target: "b", Flow: flowOf(1)})
+		}, []Rule{RuleDoubleRun, RuleRefusedRan}},
+		{"two runs of an idempotent request", func(h *History) {
+			h.Outcomes[0].Idempotent, h.Outcomes[1].Idempotent = true, true
+			h.Outcomes[0].Fate = FateUnknown
+			h.Runs = append(h.Runs, Run{ID: AttemptID{Request: 7, Attempt: 1}, Target: "b", Flow: flowOf(1)})
+		}, nil},
+		{"an answer to another request", func(h *History) { h.Outcomes[1].AnswerTo.Request = 8 }, []Rule{RuleWrongAnswer}},
+		{"an answer that is cut off", func(h *History) { h.Outcomes[1].Whole = false }, []Rule{RulePartAnswer}},
+		{"an answer that nobody gave", func(h *History) { h.Runs = nil }, []Rule{RuleAnsweredUnrun}},
+		{"a flow that reached two targets", func(h *History) {
+			h.Receipts = append(h.Receipts, Receipt{Flow: flowOf(2), Target: "b", Bytes: 1})
+		}, []Rule{RuleSplitFlow}},
+	}
+	Convey("The check finds what is planted and nothing else", t, func() {
+		for _, c := range cases {
+			Convey(c.name, func() {
+				h := goodHistory()
+				c.plant(&h)
+				var got []Rule
+				for _, v := range Check(h) {
+					got = append(got, v.Rule)
+					So(v.String(), ShouldStartWith, v.Rule.String())
+				}
+				So(got, ShouldResemble, c.want)
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/caller.go
@@ -0,0 +1,337 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+const (
+	firstPort = 1024
+	portCount = 65536 - firstPort
+	// answerGrace is how long after a request's deadline and its cancellation a caller waits.
+	answerGrace = time.Second
+	// shedRetryAfter is when a caller comes back that was reset without being told.
+	shedRetryAfter = time.Second
+)
+
+// CallerConfig configures a Caller.
+type CallerConfig struct {
+	// Name names the caller's customer in reports.
+	Name string
+	// Gateway is the fabric's address for packets of callers.
+	Gateway netip.AddrPort
+	// Sources are the inner addresses that flows start from, in turn; at least one.
+	Sources []netip.Addr
+	// Workloads are what the caller does.
+	Workloads []Workload
+	// MaxAttempts bounds how often a refused request is sent; default 10.
+	MaxAttempts uint32
+	// IDBase is the first request id; callers of one run need ids of their own.
+	IDBase uint64
+	// MTU bounds inner packets in bytes; default 1500.
+	MTU int
+	// Rand is the random source; required.
+	Rand *rand.Rand
+}
+
+// callerTimer names what may be due.
+type callerTimer struct {
+	session  *session
+	workload *workloadState
+}
+
+// Caller is a Machine that stands in for the callers of one customer.
+type Caller struct {
+	cfg       CallerConfig
+	dec       *packet.Decoder
+	out       outbox
+	sessions  map[packet.FlowKey]*session
+	workloads []*workloadState
+	timers    timerQueue[callerTimer]
+	nextID    uint64
+	opened    uint64
+	stopped   bool
+	records   history.History
+}
+
+// NewCaller returns a caller whose workloads start now.
+func NewCaller(now time.Time, cfg CallerConfig) *Caller {
+	setDefault(&cfg.MaxAttempts, 10)
+	setDefault(&cfg.MTU, 1500)
+	c := &Caller{
+		cfg:      cfg,
+		dec:      packet.NewDecoder(packet.DecoderConfig{MTU: cfg.MTU}),
+		sessions: make(map[packet.FlowKey]*session),
+		nextID:   cfg.IDBase,
+		opened:   uint64(cfg.Rand.IntN(portCount)),
+	}
+	for _, w := range cfg.Workloads {
+		c.startWorkload(now, w)
+	}
+	return c
+}
+
+// Stop lets running sessions come to their end and starts no others.
+func (c *Caller) Stop(now time.Time) []Datagram {
+	c.stopped = true
+	for _, s := range c.sessions {
+		s.closeWhenIdle = true
+		c.follow(now, s)
+	}
+	return c.takeOut()
+}
+
+// Open returns how many flows are open or opening.
+func (c *Caller) Open() int { return len(c.sessions) }
+
+// Flows returns the established flows of a workload.
+func (c *Caller) Flows(workload string) []packet.FlowKey {
+	var flows []packet.FlowKey
+	for k, s := range c.sessions {
+		if s.workload.Name == workload && s.conn.state == connEstablished {
+			flows = append(flows, k)
+		}
+	}
+	return flows
+}
+
+// History returns what the caller was told so far.
+func (c *Caller) History() history.History { return c.records }
+
+// Handle takes a packet of the fabric.
+func (c *Caller) Handle(now time.Time, d Datagram) []Datagram {
+	p, ok := decode(c.dec, d.Data)
+	if !ok {
+		return nil
+	}
+	s := c.sessions[packet.FlowKey{Caller: p.meta.Dst, Service: p.meta.Src}]
+	if s == nil {
+		c.out.add(c.cfg.Gateway, packet.AppendReset(nil, &p.meta, ""))
+		return c.takeOut()
+	}
+	s.conn.handle(now, p.segment())
+	c.follow(now, s)
+	return c.takeOut()
+}
+
+// takeOut returns the collected datagrams. AppendReset yields none for a RST, which is not sent.
+func (c *Caller) takeOut() []Datagram {
+	all := c.out.take()
+	kept := all[:0]
+	for _, d := range all {
+		if len(d.Data) > 0 {
+			kept = append(kept, d)
+		}
+	}
+	return kept
+}
+
+// Tick starts what is due.
+func (c *Caller) Tick(now time.Time) []Datagram {
+	for {
+		due, ok := c.timers.pop(now)
+		if !ok {
+			return c.takeOut()
+		}
+		if due.workload != nil {
+			c.tickWorkload(now, due.workload)
+		} else {
+			c.tickSession(now, due.session)
+		}
+	}
+}
+
+// Next returns when Tick is due next.
+func (c *Caller) Next() time.Time { return c.timers.next() }
+
+// connect opens a flow for a session.
+func (c *Caller) connect(now time.Time, s *session) {
+	s.key = packet.FlowKey{Caller: c.nextSource(), Service: s.workload.Service}
+	s.opened = now
+	s.conn = &conn{local: s.key.Caller, remote: s.key.Service}
+	cn := s.conn
+	cn.send = func(flags packet.Flags, seq, ack uint32, payload []byte) {
+		c.out.add(c.cfg.Gateway, packet.AppendTCP(nil, cn.local, cn.remote, flags, seq, ack, payload))
+	}
+	c.sessions[s.key] = s
+	cn.dial(now, c.cfg.Rand.Uint32())
+	c.follow(now, s)
+}
+
+// nextSource returns an address and port that no open flow uses.
+func (c *Caller) nextSource() netip.AddrPort {
+	sources := uint64(len(c.cfg.Sources))
+	c.opened++
+	addr := c.cfg.Sources[c.opened%sources]
+	port := firstPort + (c.opened/sources)%portCount
+	return netip.AddrPortFrom(addr, uint16(port))
+}
+
+// follow acts on what an event changed in a session and keeps its timers.
+func (c *Caller) follow(now time.Time, s *session) {
+	if s.conn.state == connEstablished {
+		s.established = true
+	}
+	c.takeFrames(now, s)
+	if s.conn.state != connClosed && s.established {
+		c.step(now, s)
+	}
+	if s.conn.state == connClosed {
+		c.end(now, s)
+		return
+	}
+	c.queueTimer(s)
+}
+
+func (c *Caller) queueTimer(s *session) {
+	next := earliest(s.conn.timerAt, s.wakeAt)
+	if !next.IsZero() {
+		c.timers.add(next, callerTimer{session: s})
+	}
+}
+
+func (c *Caller) tickSession(now time.Time, s *session) {
+	if s.waiting {
+		c.reconnect(now, s)
+		return
+	}
+	if c.sessions[s.key] != s {
+		return
+	}
+	s.conn.tick(now)
+	c.follow(now, s)
+}
+
+func (c *Caller) takeFrames(now time.Time, s *session) {
+	for len(s.conn.in) > 0 {
+		h, body, rest, ok, err := NextFrame(s.conn.in)
+		if err != nil {
+			s.conn.abort()
+			return
+		}
+		if !ok {
+			return
+		}
+		s.conn.in = rest
+		c.takeFrame(now, s, h, body)
+	}
+}
+
+// takeFrame records the fate of the attempt under way.
+func (c *Caller) takeFrame(now time.Time, s *session, h Header, body []byte) {
+	r := s.request
+	if r == nil {
+		return
+	}
+	switch h.Type {
+	case FrameAnswer:
+		o := c.outcome(now, s, history.FateAnswered)
+		o.AnswerTo = h.attemptID()
+		o.Whole = len(body) == r.header.AnswerBytes && checksum(body) == h.CRC32C
+		c.record(s, o)
+		s.advance(now)
+	case FrameNotRun:
+		c.record(s, c.refusal(now, s, h.Reason))
+		s.repeat(now, time.Duration(h.RetryAfterMS)*time.Millisecond, c.cfg.MaxAttempts)
+	case FrameCancelled:
+		c.record(s, c.outcome(now, s, history.FateUnknown))
+		s.advance(now)
+	}
+}
+
+func (c *Caller) outcome(now time.Time, s *session, fate history.Fate) history.Outcome {
+	return history.Outcome{
+		ID:         s.request.header.attemptID(),
+		Workload:   s.workload.Name,
+		Flow:       s.key,
+		Idempotent: s.request.header.Idempotent,
+		Sent:       s.request.sent,
+		Done:       now,
+		Fate:       fate,
+	}
+}
+
+func (c *Caller) refusal(now time.Time, s *session, reason string) history.Outcome {
+	o := c.outcome(now, s, history.FateNotRun)
+	o.Reason = reason
+	return o
+}
+
+func (c *Caller) record(s *session, o history.Outcome) {
+	c.records.Outcomes = append(c.records.Outcomes, o)
+	s.request.pending = false
+}
+
+// end records a closed flow and decides whether its session goes on.
+func (c *Caller) end(now time.Time, s *session) {
+	delete(c.sessions, s.key)
+	flow := history.FlowEnd{Flow: s.key, Workload: s.workload.Name, Opened: s.opened, Ended: now}
+	refusal, told := errkind.ParseRefusal(s.conn.resetText)
+	flow.Reason = refusal.Reason
+	switch {
+	case s.conn.end == endFinished || s.finished:
+		flow.Result = history.FlowFinished
+	case s.established:
+		flow.Result = history.FlowBroken
+		flow.Cause = s.cause()
+	case s.conn.end == endReset:
+		flow.Result = history.FlowRefused
+	default:
+		flow.Result = history.FlowUnanswered
+	}
+	c.records.Flows = append(c.records.Flows, flow)
+	c.afterEnd(now, s, flow, refusal, told)
+}
+
+// afterEnd comes back later after a refusal, and ends the session else.
+func (c *Caller) afterEnd(now time.Time, s *session, flow history.FlowEnd, refusal errkind.Refusal, told bool) {
+	if flow.Result == history.FlowRefused {
+		c.comeBack(now, s, refusal, told)
+		return
+	}
+	if s.request != nil && s.request.pending {
+		o := c.outcome(now, s, history.FateUnknown)
+		o.Cause = flow.Cause
+		c.record(s, o)
+	}
+	c.endSession(now, s)
+}
+
+// comeBack tries a refused session again at the time that the refusal names. Its request did not run,
+// since it is first sent on an established flow.
+func (c *Caller) comeBack(now time.Time, s *session, refusal errkind.Refusal, told bool) {
+	wait := refusal.RetryAfter()
+	if !told {
+		wait = shedRetryAfter
+	}
+	if s.request != nil {
+		c.record(s, c.refusal(now, s, refusal.Reason))
+		s.request.header.Attempt++
+	}
+	s.refusals++
+	if c.stopped || wait == 0 || s.refusals >= c.cfg.MaxAttempts {
+		c.endSession(now, s)
+		return
+	}
+	s.waiting = true
+	s.wakeAt = now.Add(wait)
+	c.timers.add(s.wakeAt, callerTimer{session: s})
+}
+
+func (c *Caller) reconnect(now time.Time, s *session) {
+	if now.Before(s.wakeAt) {
+		return
+	}
+	s.waiting = false
+	s.wakeAt = time.Time{}
+	if c.stopped {
+		return
+	}
+	s.established = false
+	c.connect(now, s)
+}
--- /dev/null
+++ b/internal/standin/exchange_test.go
@@ -0,0 +1,161 @@
+package standin
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+var (
+	serviceAddr = netip.MustParseAddrPort("192.0.2.10:443")
+	callersAddr = netip.MustParseAddrPort("127.0.0.1:1")
+	targetsAddr = netip.MustParseAddrPort("127.0.0.1:2")
+	targetAddr  = netip.MustParseAddrPort("127.0.0.1:10")
+	callerAddr  = netip.MustParseAddrPort("127.0.0.1:20")
+	testStart   = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+type flight struct {
+	from, to netip.AddrPort
+	data     []byte
+}
+
+// exchange moves datagrams between a caller, the fabric and one target in virtual time, without any
+// daemon: the fabric sprays straight to the target.
+type exchange struct {
+	now    time.Time
+	rand   *rand.Rand
+	loss   float64
+	jitter time.Duration
+	caller *Caller
+	fabric *Fabric
+	target *Target
+	queue  timerHeap[flight]
+}
+
+func newExchange(seed uint64, w Workload, tc TargetConfig) *exchange {
+	source := func() *rand.Rand { seed++; return rand.New(rand.NewPCG(seed, 7)) }
+	w.Service = serviceAddr
+	tc.Name, tc.Gateway, tc.Rand = "t1", targetsAddr, source()
+	x := &exchange{now: testStart, rand: source()}
+	x.fabric = NewFabric(FabricConfig{Returns: map[netip.AddrPort]model.ReturnPath{serviceAddr: model.ReturnDirect}, Rand: source()})
+	x.fabric.SetEntries(x.now, []netip.AddrPort{targetAddr})
+	x.target = NewTarget(x.now, tc)
+	x.caller = NewCaller(x.now, CallerConfig{
+		Name: "c1", Gateway: callersAddr, Sources: []netip.Addr{netip.MustParseAddr("10.0.0.1")},
+		Workloads: []Workload{w}, Rand: source(),
+	})
+	return x
+}
+
+func (x *exchange) post(from netip.AddrPort, out []Datagram) {
+	for _, d := range out {
+		if x.rand.Float64() < x.loss {
+			continue
+		}
+		at := x.now.Add(time.Millisecond + time.Duration(x.rand.Float64()*float64(x.jitter)))
+		heap.Push(&x.queue, timer[flight]{at: at, key: flight{from: from, to: d.Addr, data: d.Data}})
+	}
+}
+
+func (x *exchange) deliver(f flight) {
+	d := Datagram{Addr: f.from, Data: f.data}
+	switch f.to {
+	case callersAddr:
+		x.post(callersAddr, x.fabric.Handle(x.now, d))
+	case targetsAddr:
+		x.post(targetsAddr, x.fabric.HandleTarget(x.now, d))
+	case targetAddr:
+		x.post(targetAddr, x.target.Handle(x.now, d))
+	case callerAddr:
+		x.post(callerAddr, x.caller.Handle(x.now, d))
+	}
+}
+
+// run moves the time on by d.
+func (x *exchange) run(d time.Duration) {
+	end := x.now.Add(d)
+	for {
+		next := earliest(earliest(x.caller.Next(), x.target.Next()), (*timerQueue[flight])(&x.queue).next())
+		if next.IsZero() || next.After(end) {
+			x.now = end
+			return
+		}
+		if next.After(x.now) {
+			x.now = next
+		}
+		if f, ok := (*timerQueue[flight])(&x.queue).pop(x.now); ok {
+			x.deliver(f)
+		}
+		x.post(callerAddr, x.caller.Tick(x.now))
+		x.post(targetAddr, x.target.Tick(x.now))
+	}
+}
+
+// finish lets the caller's sessions end and returns all records.
+func (x *exchange) finish() history.History {
+	x.post(callerAddr, x.caller.Stop(x.now))
+	x.run(time.Minute)
+	h := x.caller.History()
+	h.Add(x.target.History())
+	return h
+}
+
+func countFates(h history.History) map[history.Fate]int {
+	counts := make(map[history.Fate]int)
+	for _, o := range h.Outcomes {
+		counts[o.Fate]++
+	}
+	return counts
+}
+
+func countResults(h history.History) map[history.FlowResult]int {
+	counts := make(map[history.FlowResult]int)
+	for _, f := range h.Flows {
+		counts[f.Result]++
+	}
+	return counts
+}
+
+func TestWorkloadsAreServed(t *testing.T) {
+	workloads := []Workload{
+		{Name: "hold", Kind: WorkloadHold, Rate: 20},
+		{Name: "bulk", Kind: WorkloadBulk, Rate: 5, AnswerBytes: 100_000},
+		{Name: "stream", Kind: WorkloadStream, Sessions: 10, Interval: 300 * time.Millisecond},
+		{Name: "channel", Kind: WorkloadChannel, Sessions: 10, Interval: 300 * time.Millisecond},
+	}
+	links := []struct {
+		name   string
+		loss   float64
+		jitter time.Duration
+	}{
+		{"clean link", 0, 0},
+		{"reordering link", 0, 5 * time.Millisecond},
+		{"link that loses 5 %", 0.05, 2 * time.Millisecond},
+	}
+	Convey("Every flow of every workload comes to its end and every request is answered", t, func() {
+		for _, w := range workloads {
+			for _, l := range links {
+				Convey(w.Name+" over a "+l.name, func() {
+					x := newExchange(1, w, TargetConfig{Slots: 8})
+					x.loss, x.jitter = l.loss, l.jitter
+					x.run(20 * time.Second)
+					h := x.finish()
+					So(history.Check(h), ShouldBeEmpty)
+					So(countFates(h)[history.FateAnswered], ShouldBeGreaterThan, 50)
+					So(countFates(h)[history.FateUnknown], ShouldEqual, 0)
+					So(countResults(h), ShouldResemble, map[history.FlowResult]int{history.FlowFinished: len(h.Flows)})
+					So(x.caller.Open(), ShouldEqual, 0)
+					So(x.target.Connections(), ShouldEqual, 0)
+				})
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/fabric.go
@@ -0,0 +1,191 @@
+package standin
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// Spray says how the fabric picks an entry VM.
+type Spray uint8
+
+// The ways to spray.
+const (
+	// SprayPacket picks one at random for each packet.
+	SprayPacket Spray = iota
+	// SprayFlow picks one by the hash of the flow, as equal-cost routing does.
+	SprayFlow
+)
+
+// FabricConfig configures a Fabric.
+type FabricConfig struct {
+	// Spray says how an entry VM is picked; default SprayPacket.
+	Spray Spray
+	// DetectAfter is how long packets still go to an entry VM that died or left; default 1 s.
+	DetectAfter time.Duration
+	// Loss is the share of packets that the fabric loses, 0 to 1; default 0.
+	Loss float64
+	// Returns says per service address which way answers of targets take; default direct.
+	Returns map[netip.AddrPort]model.ReturnPath
+	// MTU bounds inner packets in bytes; default 1500.
+	MTU int
+	// Rand is the random source; required.
+	Rand *rand.Rand
+}
+
+// fabricEntry is an entry VM as the fabric knows it.
+type fabricEntry struct {
+	data netip.AddrPort
+	// until is when the fabric stops spraying to it; zero while it is alive.
+	until time.Time
+}
+
+// Fabric is a Machine that stands in for the network fabric. Callers, targets and daemons send inner
+// packets to it: those to a service are sprayed over the entry VMs, those to a caller are delivered.
+type Fabric struct {
+	cfg     FabricConfig
+	dec     *packet.Decoder
+	out     outbox
+	entries []fabricEntry
+	// callers holds where packets of each caller's address came from last.
+	callers map[netip.Addr]netip.AddrPort
+
+	sprayed, delivered, lost int
+}
+
+// NewFabric returns a fabric without entry VMs.
+func NewFabric(cfg FabricConfig) *Fabric {
+	setDefault(&cfg.DetectAfter, time.Second)
+	setDefault(&cfg.MTU, 1500)
+	return &Fabric{
+		cfg:     cfg,
+		dec:     packet.NewDecoder(packet.DecoderConfig{MTU: cfg.MTU}),
+		callers: make(map[netip.Addr]netip.AddrPort),
+	}
+}
+
+// SetEntries names the entry VMs that are alive. The fabric goes on spraying to those that are missing
+// for DetectAfter.
+func (f *Fabric) SetEntries(now time.Time, alive []netip.AddrPort) {
+	kept := make([]fabricEntry, 0, len(alive))
+	for _, a := range alive {
+		kept = append(kept, fabricEntry{data: a})
+	}
+	for _, e := range f.entries {
+		if slices.Contains(alive, e.data) {
+			continue
+		}
+		if e.until.IsZero() {
+			e.until = now.Add(f.cfg.DetectAfter)
+		}
+		kept = append(kept, e)
+	}
+	f.entries = kept
+	f.forgetDead(now)
+}
+
+// SetLoss changes the share of packets that the fabric loses, 0 to 1.
+func (f *Fabric) SetLoss(loss float64) { f.cfg.Loss = loss }
+
+func (f *Fabric) forgetDead(now time.Time) {
+	f.entries = slices.DeleteFunc(f.entries, func(e fabricEntry) bool {
+		return !e.until.IsZero() && !now.Before(e.until)
+	})
+}
+
+// Handle takes a packet of a caller: it is sprayed over the entry VMs.
+func (f *Fabric) Handle(_ time.Time, d Datagram) []Datagram {
+	p, ok := f.take(d)
+	if !ok {
+		return nil
+	}
+	f.callers[p.meta.Src.Addr()] = d.Addr
+	f.spray(p, d.Data)
+	return f.out.take()
+}
+
+// HandleTarget takes an answer of a target: it is sprayed over the entry VMs where the service's
+// answers pass them, and else delivered.
+func (f *Fabric) HandleTarget(_ time.Time, d Datagram) []Datagram {
+	p, ok := f.take(d)
+	if !ok {
+		return nil
+	}
+	if f.cfg.Returns[p.meta.Src] == model.ReturnThrough {
+		f.spray(p, d.Data)
+	} else {
+		f.deliver(p, d.Data)
+	}
+	return f.out.take()
+}
+
+// HandleEgress takes a packet that a daemon sends to a caller.
+func (f *Fabric) HandleEgress(_ time.Time, d Datagram) []Datagram {
+	p, ok := f.take(d)
+	if !ok {
+		return nil
+	}
+	f.deliver(p, d.Data)
+	return f.out.take()
+}
+
+// take decodes a packet, unless the fabric loses it.
+func (f *Fabric) take(d Datagram) (decoded, bool) {
+	if f.cfg.Loss > 0 && f.cfg.Rand.Float64() < f.cfg.Loss {
+		f.lost++
+		return decoded{}, false
+	}
+	return decode(f.dec, d.Data)
+}
+
+// deliver sends a packet to where its caller was last seen.
+func (f *Fabric) deliver(p decoded, data []byte) {
+	to, found := f.callers[p.meta.Dst.Addr()]
+	if !found {
+		return
+	}
+	f.delivered++
+	f.out.add(to, slices.Clone(data))
+}
+
+// spray sends a packet to one of the entry VMs.
+func (f *Fabric) spray(p decoded, data []byte) {
+	if len(f.entries) == 0 {
+		f.lost++
+		return
+	}
+	f.sprayed++
+	f.out.add(f.pick(p).data, slices.Clone(data))
+}
+
+func (f *Fabric) pick(p decoded) fabricEntry {
+	if f.cfg.Spray == SprayPacket {
+		return f.entries[f.cfg.Rand.IntN(len(f.entries))]
+	}
+	flow := p.meta.Src.String() + p.meta.Dst.String()
+	return f.entries[xxhash.Sum64String(flow)%uint64(len(f.entries))]
+}
+
+// Tick forgets entry VMs whose time is over.
+func (f *Fabric) Tick(now time.Time) []Datagram {
+	f.forgetDead(now)
+	return nil
+}
+
+// Next returns when the next entry VM is forgotten.
+func (f *Fabric) Next() time.Time {
+	var next time.Time
+	for _, e := range f.entries {
+		next = earliest(next, e.until)
+	}
+	return next
+}
+
+// Sprayed returns how many packets went to entry VMs.
+func (f *Fabric) Sprayed() int { return f.sprayed }
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,269 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// ListName names one of the published lists.
+type ListName string
+
+// The published lists.
+const (
+	ListCustomers ListName = "customers"
+	ListPlans     ListName = "plans"
+	ListMachines  ListName = "machines"
+)
+
+var listNames = [...]ListName{ListCustomers, ListPlans, ListMachines}
+
+// maxWatch bounds a waiting watch.
+const maxWatch = time.Minute
+
+// PlatformFault says how the platform's service misbehaves.
+type PlatformFault struct {
+	// Down answers every call with 503.
+	Down bool
+	// Delay is added to each answer.
+	Delay time.Duration
+	// StaleShare is the share of calls, 0 to 1, that a replica answers which still holds the documents
+	// published before the last ones.
+	StaleShare float64
+	// HalfShare is the share of reads, 0 to 1, whose body ends in the middle.
+	HalfShare float64
+}
+
+// PlatformConfig configures a Platform.
+type PlatformConfig struct {
+	// CallsPerSecond is the budget over all readers; default 2000.
+	CallsPerSecond int
+	// Lag is the time from Publish until a document can be read; default 0.
+	Lag time.Duration
+	// Rand is the random source; required.
+	Rand *rand.Rand
+}
+
+// version is one published state of a list.
+type version struct {
+	revision uint64
+	data     []byte
+}
+
+// PlatformCounts is what the platform counted since its start.
+type PlatformCounts struct {
+	Calls, Reads, Watches, OverBudget int
+}
+
+// Platform stands in for the platform's read-and-watch service.
+//
+//	GET /v1/lists/{customers|plans|machines}
+//	GET /v1/watch?customers=N&plans=N&machines=N&wait=30s
+//
+// It holds three documents in memory. Each call counts as one, also a waiting watch.
+type Platform struct {
+	cfg    PlatformConfig
+	budget *rate.Limiter
+	mux    *http.ServeMux
+
+	mu       sync.Mutex
+	current  map[ListName]version
+	previous map[ListName]version
+	changed  chan struct{}
+	fault    PlatformFault
+	counts   PlatformCounts
+}
+
+// NewPlatform returns a platform without documents.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	setDefault(&cfg.CallsPerSecond, 2000)
+	p := &Platform{
+		cfg:      cfg,
+		budget:   rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.CallsPerSecond),
+		mux:      http.NewServeMux(),
+		current:  make(map[ListName]version),
+		previous: make(map[ListName]version),
+		changed:  make(chan struct{}),
+	}
+	p.mux.HandleFunc("GET /v1/lists/{name}", p.serveList)
+	p.mux.HandleFunc("GET /v1/watch", p.serveWatch)
+	return p
+}
+
+// Publish makes a document readable after the lag.
+func (p *Platform) Publish(name ListName, revision uint64, data []byte) {
+	if p.cfg.Lag == 0 {
+		p.adopt(name, version{revision: revision, data: data})
+		return
+	}
+	time.AfterFunc(p.cfg.Lag, func() { p.adopt(name, version{revision: revision, data: data}) })
+}
+
+func (p *Platform) adopt(name ListName, v version) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.previous[name] = p.current[name]
+	p.current[name] = v
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// SetFault changes how the service misbehaves.
+func (p *Platform) SetFault(f PlatformFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+// Counts returns what was counted since the start.
+func (p *Platform) Counts() PlatformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.counts
+}
+
+// ServeHTTP answers one call.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	fault, allowed := p.admit(time.Now())
+	if fault.Delay > 0 && !sleep(r, fault.Delay) {
+		return
+	}
+	if fault.Down || !allowed {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "over budget or down", http.StatusServiceUnavailable)
+		return
+	}
+	p.mux.ServeHTTP(w, r)
+}
+
+// admit counts a call and takes it from the budget.
+func (p *Platform) admit(now time.Time) (PlatformFault, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Calls++
+	allowed := p.budget.AllowN(now, 1)
+	if !allowed {
+		p.counts.OverBudget++
+	}
+	return p.fault, allowed
+}
+
+// sleep waits, or returns false when the reader has gone.
+func sleep(r *http.Request, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+func (p *Platform) serveList(w http.ResponseWriter, r *http.Request) {
+	v, half := p.read(ListName(r.PathValue("name")))
+	if v.revision == 0 {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/yaml")
+	w.Header().Set("Content-Length", strconv.Itoa(len(v.data)))
+	w.Header().Set("X-Revision", strconv.FormatUint(v.revision, 10))
+	if !half {
+		_, _ = w.Write(v.data)
+		return
+	}
+	_, _ = w.Write(v.data[:len(v.data)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// read picks the replica that answers and whether its answer ends in the middle.
+func (p *Platform) read(name ListName) (v version, half bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.counts.Reads++
+	v = p.current[name]
+	if old := p.previous[name]; old.revision > 0 && p.cfg.Rand.Float64() < p.fault.StaleShare {
+		v = old
+	}
+	return v, p.cfg.Rand.Float64() < p.fault.HalfShare
+}
+
+// watchAnswer is the body of a watch's answer.
+type watchAnswer struct {
+	Customers uint64 `json:"customers"`
+	Plans     uint64 `json:"plans"`
+	Machines  uint64 `json:"machines"`
+}
+
+func (p *Platform) serveWatch(w http.ResponseWriter, r *http.Request) {
+	known, wait, err := parseWatch(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	p.counts.Watches++
+	p.mu.Unlock()
+	expired := time.After(wait)
+	for {
+		answer, changed := p.revisions()
+		if answer.newerThan(known) {
+			writeJSON(w, answer)
+			return
+		}
+		select {
+		case <-changed:
+		case <-expired:
+			writeJSON(w, answer)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) revisions() (watchAnswer, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return watchAnswer{
+		Customers: p.current[ListCustomers].revision,
+		Plans:     p.current[ListPlans].revision,
+		Machines:  p.current[ListMachines].revision,
+	}, p.changed
+}
+
+func (a watchAnswer) newerThan(known watchAnswer) bool {
+	return a.Customers > known.Customers || a.Plans > known.Plans || a.Machines > known.Machines
+}
+
+// parseWatch reads the revisions that the reader knows and how long it waits.
+func parseWatch(r *http.Request) (known watchAnswer, wait time.Duration, err error) {
+	fields := [...]*uint64{&known.Customers, &known.Plans, &known.Machines}
+	for i, name := range listNames {
+		text := r.FormValue(string(name))
+		if text == "" {
+			continue
+		}
+		if *fields[i], err = strconv.ParseUint(text, 10, 64); err != nil {
+			return known, 0, fmt.Errorf("read revision of %s: %w", name, err)
+		}
+	}
+	wait = 30 * time.Second
+	if text := r.FormValue("wait"); text != "" {
+		if wait, err = time.ParseDuration(text); err != nil {
+			return known, 0, fmt.Errorf("read wait: %w", err)
+		}
+	}
+	return known, min(wait, maxWatch), nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/standin/target.go
@@ -0,0 +1,482 @@
+package standin
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// Lie says how a target's load report departs from the truth.
+type Lie uint8
+
+// The lies.
+const (
+	LieNone Lie = iota
+	// LieIdle reports an idle target, whatever it does.
+	LieIdle
+	// LieFull reports a full target, whatever it does.
+	LieFull
+	// LieSilent reports the truth, but the target answers no packet.
+	LieSilent
+)
+
+// Shed says how a target that can take no more answers.
+type Shed uint8
+
+// The ways to shed.
+const (
+	// ShedAnswer takes the connection and answers requests with "not run".
+	ShedAnswer Shed = iota
+	// ShedReset answers new connections with a RST while all slots and the queue are taken.
+	ShedReset
+)
+
+// TargetConfig configures a Target.
+type TargetConfig struct {
+	Name string
+	// Gateway is the fabric's address for packets of targets.
+	Gateway netip.AddrPort
+	// Slots is how many requests run at the same time; default 3.
+	Slots int
+	// QueueLimit is how many requests wait for a slot before others are shed; default 32.
+	QueueLimit int
+	// MaxConnections is how many connections are open before a SYN is reset; default 2000.
+	MaxConnections int
+	// ServiceTime is the mean time of one request in a slot; default 2 ms.
+	ServiceTime time.Duration
+	// ColdFor is how long after its start a target is slower; default 0.
+	ColdFor time.Duration
+	// ColdFactor multiplies the service time of a cold target; default 4.
+	ColdFactor float64
+	// RetryAfter is what a shed request is told; default 500 ms.
+	RetryAfter time.Duration
+	// Shed says how the target sheds; default ShedAnswer.
+	Shed Shed
+	// MTU bounds inner packets in bytes; default 1500.
+	MTU int
+	// Rand is the random source; required.
+	Rand *rand.Rand
+}
+
+func (c TargetConfig) withDefaults() TargetConfig {
+	setDefault(&c.Slots, 3)
+	setDefault(&c.QueueLimit, 32)
+	setDefault(&c.MaxConnections, 2000)
+	setDefault(&c.ServiceTime, 2*time.Millisecond)
+	setDefault(&c.ColdFactor, 4)
+	setDefault(&c.RetryAfter, 500*time.Millisecond)
+	setDefault(&c.MTU, 1500)
+	return c
+}
+
+// setDefault gives a zero field its default.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// LoadReport is what a target tells of itself over HTTP.
+type LoadReport struct {
+	Connections int  `json:"connections"`
+	BusySlots   int  `json:"busy_slots"`
+	Shedding    bool `json:"shedding"`
+	Warming     bool `json:"warming"`
+}
+
+// jobState is the state of a job.
+type jobState uint8
+
+const (
+	jobQueued jobState = iota
+	jobRunning
+	jobEnded
+)
+
+// job is one request at a target.
+type job struct {
+	header   Header
+	flow     packet.FlowKey
+	deadline time.Time
+	state    jobState
+	doneAt   time.Time
+}
+
+// targetTimer names what may be due: a connection's retransmission or a job's end.
+type targetTimer struct {
+	conn *conn
+	job  *job
+}
+
+// Target is a Machine that stands in for one target on an endpoint VM: a minimal TCP peer with
+// slots, a queue and load reports.
+type Target struct {
+	cfg     TargetConfig
+	dec     *packet.Decoder
+	out     outbox
+	conns   map[packet.FlowKey]*conn
+	queue   []*job
+	running int
+	jobs    map[history.AttemptID]*job
+	timers  timerQueue[targetTimer]
+	started time.Time
+
+	lie         Lie
+	draining    bool
+	silentFlows map[packet.FlowKey]bool
+
+	records history.History
+	// Shed counts requests and connections that were shed.
+	shed int
+}
+
+// NewTarget returns a target that starts now.
+func NewTarget(now time.Time, cfg TargetConfig) *Target {
+	cfg = cfg.withDefaults()
+	return &Target{
+		cfg:         cfg,
+		dec:         packet.NewDecoder(packet.DecoderConfig{MTU: cfg.MTU}),
+		conns:       make(map[packet.FlowKey]*conn),
+		jobs:        make(map[history.AttemptID]*job),
+		started:     now,
+		silentFlows: make(map[packet.FlowKey]bool),
+	}
+}
+
+// SetLie changes how the target's load report departs from the truth.
+func (t *Target) SetLie(l Lie) { t.lie = l }
+
+// SetDraining makes the target refuse new connections, as a process does that is being stopped.
+func (t *Target) SetDraining(on bool) { t.draining = on }
+
+// SilenceFlow makes the target lose every packet of one flow.
+func (t *Target) SilenceFlow(k packet.FlowKey) { t.silentFlows[k] = true }
+
+// Flows returns the flows that are open at the target.
+func (t *Target) Flows() []packet.FlowKey {
+	flows := make([]packet.FlowKey, 0, len(t.conns))
+	for k := range t.conns {
+		flows = append(flows, k)
+	}
+	return flows
+}
+
+// Busy returns how many slots are taken.
+func (t *Target) Busy() int { return t.running }
+
+// Connections returns how many connections are open.
+func (t *Target) Connections() int { return len(t.conns) }
+
+// Report returns the target's load report, with its lie.
+func (t *Target) Report(now time.Time) LoadReport {
+	r := LoadReport{
+		Connections: len(t.conns),
+		BusySlots:   t.running,
+		Shedding:    t.full(),
+		Warming:     t.cold(now),
+	}
+	switch t.lie {
+	case LieIdle:
+		return LoadReport{}
+	case LieFull:
+		return LoadReport{Connections: t.cfg.MaxConnections, BusySlots: t.cfg.Slots, Shedding: true}
+	default:
+		return r
+	}
+}
+
+// History returns what the target ran and received so far.
+func (t *Target) History() history.History {
+	h := t.records
+	h.Receipts = append([]history.Receipt(nil), h.Receipts...)
+	for k, c := range t.conns {
+		h.Receipts = append(h.Receipts, t.receipt(k, c))
+	}
+	return h
+}
+
+func (t *Target) receipt(k packet.FlowKey, c *conn) history.Receipt {
+	return history.Receipt{Flow: k, Target: t.cfg.Name, Bytes: c.received}
+}
+
+func (t *Target) cold(now time.Time) bool {
+	return now.Sub(t.started) < t.cfg.ColdFor
+}
+
+func (t *Target) full() bool {
+	return t.running >= t.cfg.Slots && len(t.queue) >= t.cfg.QueueLimit
+}
+
+// Handle takes a packet of the fabric.
+func (t *Target) Handle(now time.Time, d Datagram) []Datagram {
+	p, ok := decode(t.dec, d.Data)
+	if !ok || t.lie == LieSilent {
+		return nil
+	}
+	key := packet.FlowKey{Caller: p.meta.Src, Service: p.meta.Dst}
+	if t.silentFlows[key] {
+		return nil
+	}
+	c := t.conns[key]
+	if c == nil {
+		c = t.accept(now, key, p)
+	} else {
+		c.handle(now, p.segment())
+	}
+	if c != nil {
+		t.serve(now, key, c)
+	}
+	return t.out.take()
+}
+
+// accept opens a connection for a SYN and resets anything else.
+func (t *Target) accept(now time.Time, key packet.FlowKey, p decoded) *conn {
+	if p.meta.Flags&packet.RST != 0 {
+		return nil
+	}
+	if p.meta.Flags&(packet.SYN|packet.ACK) != packet.SYN {
+		t.reset(p)
+		return nil
+	}
+	if t.refuses() {
+		t.shed++
+		t.reset(p)
+		return nil
+	}
+	c := &conn{local: key.Service, remote: key.Caller}
+	c.send = t.sender(c)
+	t.conns[key] = c
+	c.accept(now, t.cfg.Rand.Uint32(), p.segment())
+	return c
+}
+
+// refuses reports whether a new connection is reset.
+func (t *Target) refuses() bool {
+	if t.draining || len(t.conns) >= t.cfg.MaxConnections {
+		return true
+	}
+	return t.cfg.Shed == ShedReset && t.full()
+}
+
+// reset answers as a kernel without a socket for the packet.
+func (t *Target) reset(p decoded) {
+	t.out.add(t.cfg.Gateway, packet.AppendReset(nil, &p.meta, ""))
+}
+
+func (t *Target) sender(c *conn) func(packet.Flags, uint32, uint32, []byte) {
+	return func(flags packet.Flags, seq, ack uint32, payload []byte) {
+		t.out.add(t.cfg.Gateway, packet.AppendTCP(nil, c.local, c.remote, flags, seq, ack, payload))
+	}
+}
+
+// serve takes the frames of a connection, follows its closing and keeps its timer.
+func (t *Target) serve(now time.Time, key packet.FlowKey, c *conn) {
+	t.takeFrames(now, key, c)
+	if c.peerFin && !c.closing {
+		c.close(now)
+	}
+	if c.state == connClosed {
+		t.drop(key, c)
+		return
+	}
+	if !c.timerAt.IsZero() {
+		t.timers.add(c.timerAt, targetTimer{conn: c})
+	}
+}
+
+// drop forgets a closed connection.
+func (t *Target) drop(key packet.FlowKey, c *conn) {
+	if t.conns[key] != c {
+		return
+	}
+	t.records.Receipts = append(t.records.Receipts, t.receipt(key, c))
+	delete(t.conns, key)
+}
+
+func (t *Target) takeFrames(now time.Time, key packet.FlowKey, c *conn) {
+	for len(c.in) > 0 {
+		h, _, rest, ok, err := NextFrame(c.in)
+		if err != nil {
+			c.abort()
+			return
+		}
+		if !ok {
+			return
+		}
+		c.in = rest
+		t.handleFrame(now, key, c, h)
+	}
+}
+
+func (t *Target) handleFrame(now time.Time, key packet.FlowKey, c *conn, h Header) {
+	switch h.Type {
+	case FrameRequest:
+		t.handleRequest(now, key, c, h)
+	case FrameCancel:
+		t.handleCancel(now, c, h)
+	default:
+		c.abort()
+	}
+}
+
+func (t *Target) handleRequest(now time.Time, key packet.FlowKey, c *conn, h Header) {
+	if t.full() {
+		t.shed++
+		t.refuse(now, c, h, "shed")
+		return
+	}
+	j := &job{header: h, flow: key, deadline: now.Add(time.Duration(h.DeadlineMS) * time.Millisecond)}
+	t.jobs[h.attemptID()] = j
+	t.queue = append(t.queue, j)
+	t.startJobs(now)
+}
+
+// handleCancel takes a queued job out, or stops a running one.
+func (t *Target) handleCancel(now time.Time, c *conn, h Header) {
+	j := t.jobs[h.attemptID()]
+	if j == nil {
+		return
+	}
+	switch j.state {
+	case jobQueued:
+		t.endJob(j)
+		t.refuse(now, c, j.header, "cancelled")
+	case jobRunning:
+		t.endJob(j)
+		t.running--
+		t.markAborted(j)
+		t.answer(now, c, Header{Type: FrameCancelled, ID: h.ID, Attempt: h.Attempt, Target: t.cfg.Name}, nil)
+		t.startJobs(now)
+	}
+}
+
+func (t *Target) markAborted(j *job) {
+	for i := len(t.records.Runs) - 1; i >= 0; i-- {
+		if t.records.Runs[i].ID == j.header.attemptID() {
+			t.records.Runs[i].Aborted = true
+			return
+		}
+	}
+}
+
+func (t *Target) endJob(j *job) {
+	j.state = jobEnded
+	delete(t.jobs, j.header.attemptID())
+}
+
+// refuse tells that an attempt did not run.
+func (t *Target) refuse(now time.Time, c *conn, h Header, reason string) {
+	t.answer(now, c, Header{
+		Type:         FrameNotRun,
+		ID:           h.ID,
+		Attempt:      h.Attempt,
+		Target:       t.cfg.Name,
+		Reason:       reason,
+		RetryAfterMS: t.cfg.RetryAfter.Milliseconds(),
+	}, nil)
+}
+
+func (t *Target) answer(now time.Time, c *conn, h Header, body []byte) {
+	c.write(now, AppendFrame(nil, h, body))
+	if !c.timerAt.IsZero() {
+		t.timers.add(c.timerAt, targetTimer{conn: c})
+	}
+}
+
+// startJobs moves queued jobs into free slots.
+func (t *Target) startJobs(now time.Time) {
+	for t.running < t.cfg.Slots && len(t.queue) > 0 {
+		j := t.queue[0]
+		t.queue = t.queue[1:]
+		if j.state == jobQueued {
+			t.startJob(now, j)
+		}
+	}
+}
+
+// startJob runs a job, unless its caller has gone or its deadline is over.
+func (t *Target) startJob(now time.Time, j *job) {
+	c := t.conns[j.flow]
+	if c == nil {
+		t.endJob(j)
+		return
+	}
+	if !now.Before(j.deadline) {
+		t.endJob(j)
+		t.refuse(now, c, j.header, "deadline")
+		return
+	}
+	j.state = jobRunning
+	j.doneAt = now.Add(t.serviceTime(now))
+	t.running++
+	t.records.Runs = append(t.records.Runs, history.Run{
+		ID: j.header.attemptID(), Target: t.cfg.Name, Flow: j.flow, Start: now,
+	})
+	t.timers.add(j.doneAt, targetTimer{job: j})
+}
+
+// serviceTime draws how long a request takes: exponential around the mean, cut at ten times it.
+func (t *Target) serviceTime(now time.Time) time.Duration {
+	factor := min(t.cfg.Rand.ExpFloat64(), 10)
+	if t.cold(now) {
+		factor *= t.cfg.ColdFactor
+	}
+	return time.Duration(factor * float64(t.cfg.ServiceTime))
+}
+
+// Tick ends jobs and retransmits.
+func (t *Target) Tick(now time.Time) []Datagram {
+	for {
+		due, ok := t.timers.pop(now)
+		if !ok {
+			return t.out.take()
+		}
+		if due.job != nil {
+			t.finishJob(now, due.job)
+		} else {
+			t.tickConn(now, due.conn)
+		}
+	}
+}
+
+// Next returns when Tick is due next.
+func (t *Target) Next() time.Time { return t.timers.next() }
+
+func (t *Target) finishJob(now time.Time, j *job) {
+	if j.state != jobRunning {
+		return
+	}
+	t.endJob(j)
+	t.running--
+	if c := t.conns[j.flow]; c != nil && t.lie != LieSilent {
+		body := bodyOf(j.header.attemptID(), j.header.AnswerBytes)
+		t.answer(now, c, Header{
+			Type: FrameAnswer, ID: j.header.ID, Attempt: j.header.Attempt,
+			Target: t.cfg.Name, CRC32C: checksum(body),
+		}, body)
+	}
+	t.startJobs(now)
+}
+
+func (t *Target) tickConn(now time.Time, c *conn) {
+	key := packet.FlowKey{Caller: c.remote, Service: c.local}
+	if t.conns[key] != c || c.timerAt.IsZero() || c.timerAt.After(now) {
+		return
+	}
+	c.tick(now)
+	t.serve(now, key, c)
+}
+
+// bodyOf returns the body of the answer to an attempt: n bytes that depend on the attempt.
+func bodyOf(id history.AttemptID, n int) []byte {
+	pattern := []byte{
+		byte(id.Request), byte(id.Request >> 8), byte(id.Request >> 16), byte(id.Request >> 24),
+		byte(id.Request >> 32), byte(id.Request >> 40), byte(id.Attempt), '\n',
+	}
+	return bytes.Repeat(pattern, n/len(pattern)+1)[:n]
+}
--- /dev/null
+++ b/internal/standin/tcp.go
@@ -0,0 +1,410 @@
+package standin
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+const (
+	segmentBytes    = 1200
+	windowBytes     = 32 * segmentBytes
+	aheadSegments   = 64
+	firstRTO        = 200 * time.Millisecond
+	maxRTO          = 3 * time.Second
+	synRetries      = 5
+	dataRetries     = 8
+	duplicateAckRun = 3
+)
+
+// connState is the state of a conn.
+type connState uint8
+
+const (
+	connSynSent connState = iota + 1
+	connSynReceived
+	connEstablished
+	connClosed
+)
+
+// connEnd says why a conn is closed.
+type connEnd uint8
+
+const (
+	endNone connEnd = iota
+	// endFinished: both sides closed.
+	endFinished
+	// endReset: the other side reset it.
+	endReset
+	// endSilent: nothing was acknowledged through all retransmissions.
+	endSilent
+	// endAborted: this side reset it.
+	endAborted
+)
+
+// segment is one TCP segment as a conn sees it.
+type segment struct {
+	flags    packet.Flags
+	seq, ack uint32
+	payload  []byte
+}
+
+// conn is one side of a TCP connection, as small as the stand-ins need it: in-order delivery,
+// retransmission and both ways of closing, with a fixed window and without congestion control.
+type conn struct {
+	local, remote netip.AddrPort
+	state         connState
+	end           connEnd
+	// resetText is the payload of the RST that ended the connection.
+	resetText []byte
+
+	// out holds the bytes from sndUna on.
+	out                    []byte
+	sndUna, sndNxt, sndMax uint32
+	closing, finAcked      bool
+	duplicateAcks          int
+
+	// in holds the delivered bytes that the owner has not taken yet.
+	in       []byte
+	received int
+	rcvNxt   uint32
+	ahead    map[uint32]segment
+	peerFin  bool
+
+	rto     time.Duration
+	retries int
+	timerAt time.Time
+	send    func(flags packet.Flags, seq, ack uint32, payload []byte)
+}
+
+// dial starts a connection as its caller.
+func (c *conn) dial(now time.Time, iss uint32) {
+	c.state = connSynSent
+	c.startSequence(iss)
+	c.transmit(packet.SYN, iss, nil)
+	c.arm(now)
+}
+
+// accept starts a connection from a SYN.
+func (c *conn) accept(now time.Time, iss uint32, syn segment) {
+	c.state = connSynReceived
+	c.startSequence(iss)
+	c.rcvNxt = syn.seq + 1
+	c.transmit(packet.SYN, iss, nil)
+	c.arm(now)
+}
+
+func (c *conn) startSequence(iss uint32) {
+	c.sndUna = iss
+	c.sndNxt = iss + 1
+	c.sndMax = iss + 1
+	c.rto = firstRTO
+}
+
+// transmit sends one segment. Every one but a first SYN acknowledges what was received.
+func (c *conn) transmit(flags packet.Flags, seq uint32, payload []byte) {
+	if c.state != connSynSent {
+		flags |= packet.ACK
+	}
+	c.send(flags, seq, c.ackValue(), payload)
+}
+
+func (c *conn) ackValue() uint32 {
+	if c.state == connSynSent {
+		return 0
+	}
+	return c.rcvNxt
+}
+
+// write queues bytes and sends what the window allows.
+func (c *conn) write(now time.Time, data []byte) {
+	c.out = append(c.out, data...)
+	c.pump(now)
+}
+
+// close sends a FIN after all queued bytes.
+func (c *conn) close(now time.Time) {
+	c.closing = true
+	c.pump(now)
+}
+
+// abort resets the connection at once.
+func (c *conn) abort() {
+	if c.state == connClosed {
+		return
+	}
+	c.transmit(packet.RST, c.sndNxt, nil)
+	c.finish(endAborted)
+}
+
+func (c *conn) finish(end connEnd) {
+	c.state = connClosed
+	c.end = end
+	c.timerAt = time.Time{}
+	c.out = nil
+	c.ahead = nil
+}
+
+// pump sends queued bytes up to the window, and the FIN when all are sent.
+func (c *conn) pump(now time.Time) {
+	if c.state != connEstablished {
+		return
+	}
+	for c.sendNext() {
+	}
+	if c.sndNxt != c.sndUna && c.timerAt.IsZero() {
+		c.arm(now)
+	}
+}
+
+// sendNext sends one segment of new data or the FIN. It returns false when there is nothing to send.
+func (c *conn) sendNext() bool {
+	sent := int(c.sndNxt - c.sndUna)
+	if sent < len(c.out) && sent < c.window() {
+		chunk := c.out[sent:min(len(c.out), sent+segmentBytes)]
+		c.transmit(packet.PSH, c.sndNxt, chunk)
+		c.advance(uint32(len(chunk)))
+		return true
+	}
+	if c.closing && !c.finAcked && sent == len(c.out) {
+		c.transmit(packet.FIN, c.sndNxt, nil)
+		c.advance(1)
+	}
+	return false
+}
+
+func (c *conn) advance(n uint32) {
+	c.sndNxt += n
+	if seqAfter(c.sndNxt, c.sndMax) {
+		c.sndMax = c.sndNxt
+	}
+}
+
+// handle takes a segment of the other side.
+func (c *conn) handle(now time.Time, s segment) {
+	switch {
+	case c.state == connClosed:
+	case s.flags&packet.RST != 0:
+		c.handleReset(s)
+	case c.state == connSynSent:
+		c.handleSynAck(now, s)
+	case s.flags&packet.SYN != 0:
+		c.handleLateSyn(s)
+	default:
+		c.handleAck(now, s)
+		c.handleData(now, s)
+	}
+}
+
+// handleReset ends the connection if the RST lies in its window.
+func (c *conn) handleReset(s segment) {
+	if c.state == connSynSent {
+		if s.flags&packet.ACK == 0 || s.ack != c.sndNxt {
+			return
+		}
+	} else if s.seq-c.rcvNxt >= windowBytes {
+		return
+	}
+	c.resetText = append([]byte(nil), s.payload...)
+	c.finish(endReset)
+}
+
+func (c *conn) handleSynAck(now time.Time, s segment) {
+	want := packet.SYN | packet.ACK
+	if s.flags&want != want || s.ack != c.sndNxt {
+		return
+	}
+	c.rcvNxt = s.seq + 1
+	c.open(s.ack)
+	c.transmit(0, c.sndNxt, nil)
+	c.pump(now)
+}
+
+// open marks the handshake as done.
+func (c *conn) open(ack uint32) {
+	c.state = connEstablished
+	c.sndUna = ack
+	c.retries = 0
+	c.rto = firstRTO
+	c.timerAt = time.Time{}
+}
+
+// handleLateSyn repeats the SYN-ACK of a half-open connection, and answers any other SYN with an
+// acknowledgement of what is expected.
+func (c *conn) handleLateSyn(s segment) {
+	if c.state == connSynReceived && s.seq+1 == c.rcvNxt {
+		c.transmit(packet.SYN, c.sndUna, nil)
+		return
+	}
+	c.transmit(0, c.sndNxt, nil)
+}
+
+func (c *conn) handleAck(now time.Time, s segment) {
+	if s.flags&packet.ACK == 0 || seqAfter(s.ack, c.sndMax) {
+		return
+	}
+	if c.state == connSynReceived {
+		if s.ack != c.sndNxt {
+			return
+		}
+		c.open(s.ack)
+	}
+	if seqAfter(s.ack, c.sndUna) {
+		c.acknowledge(now, s.ack)
+		return
+	}
+	c.countDuplicateAck(now, s)
+}
+
+// acknowledge drops the acknowledged bytes and sends more.
+func (c *conn) acknowledge(now time.Time, ack uint32) {
+	n := int(ack - c.sndUna)
+	if n > len(c.out) {
+		c.finAcked = true
+		n = len(c.out)
+	}
+	c.out = c.out[n:]
+	if len(c.out) == 0 {
+		c.out = nil
+	}
+	c.sndUna = ack
+	if seqAfter(ack, c.sndNxt) {
+		c.sndNxt = ack
+	}
+	c.duplicateAcks = 0
+	c.retries = 0
+	c.rto = firstRTO
+	c.timerAt = time.Time{}
+	c.pump(now)
+	c.finishIfDone()
+}
+
+// countDuplicateAck sends the first missing segment again after a run of duplicates.
+func (c *conn) countDuplicateAck(now time.Time, s segment) {
+	if s.ack != c.sndUna || len(s.payload) > 0 || len(c.out) == 0 || c.sndNxt == c.sndUna {
+		return
+	}
+	c.duplicateAcks++
+	if c.duplicateAcks != duplicateAckRun {
+		return
+	}
+	c.transmit(packet.PSH, c.sndUna, c.out[:min(len(c.out), segmentBytes)])
+	c.arm(now)
+}
+
+// handleData takes the segment's bytes in order and acknowledges them.
+func (c *conn) handleData(now time.Time, s segment) {
+	fin := s.flags&packet.FIN != 0
+	if c.state != connEstablished || (len(s.payload) == 0 && !fin) {
+		return
+	}
+	if seqAfter(s.seq, c.rcvNxt) {
+		c.keepAhead(s)
+	} else {
+		c.deliver(s)
+		c.deliverAhead()
+	}
+	c.transmit(0, c.sndNxt, nil)
+	c.finishIfDone()
+}
+
+// keepAhead stores a segment that arrived before an earlier one.
+func (c *conn) keepAhead(s segment) {
+	if len(c.ahead) >= aheadSegments {
+		return
+	}
+	if c.ahead == nil {
+		c.ahead = make(map[uint32]segment)
+	}
+	s.payload = append([]byte(nil), s.payload...)
+	c.ahead[s.seq] = s
+}
+
+// deliver appends the new part of a segment to in.
+func (c *conn) deliver(s segment) {
+	old := int(c.rcvNxt - s.seq)
+	if old <= len(s.payload) {
+		fresh := s.payload[old:]
+		c.in = append(c.in, fresh...)
+		c.received += len(fresh)
+		c.rcvNxt += uint32(len(fresh))
+	}
+	end := s.seq + uint32(len(s.payload))
+	if s.flags&packet.FIN != 0 && end == c.rcvNxt && !c.peerFin {
+		c.peerFin = true
+		c.rcvNxt++
+	}
+}
+
+// deliverAhead delivers stored segments that have become next.
+func (c *conn) deliverAhead() {
+	for {
+		s, found := c.ahead[c.rcvNxt]
+		if !found {
+			return
+		}
+		delete(c.ahead, s.seq)
+		c.deliver(s)
+	}
+}
+
+func (c *conn) finishIfDone() {
+	if c.closing && c.finAcked && c.peerFin {
+		c.finish(endFinished)
+	}
+}
+
+// tick retransmits what is overdue, or gives up.
+func (c *conn) tick(now time.Time) {
+	if c.timerAt.IsZero() || c.timerAt.After(now) {
+		return
+	}
+	c.retries++
+	if c.retries > c.maxRetries() {
+		c.finish(endSilent)
+		return
+	}
+	c.rto = min(2*c.rto, maxRTO)
+	c.timerAt = time.Time{}
+	c.retransmit(now)
+}
+
+func (c *conn) maxRetries() int {
+	if c.state == connEstablished {
+		return dataRetries
+	}
+	return synRetries
+}
+
+// retransmit sends everything from the first unacknowledged byte again, as far as the window allows.
+func (c *conn) retransmit(now time.Time) {
+	if c.state != connEstablished {
+		c.transmit(packet.SYN, c.sndUna, nil)
+		c.arm(now)
+		return
+	}
+	c.sndNxt = c.sndUna
+	c.pump(now)
+}
+
+// window returns how many bytes may be under way; it shrinks with every retransmission.
+func (c *conn) window() int {
+	return max(windowBytes>>c.retries, 2*segmentBytes)
+}
+
+func (c *conn) arm(now time.Time) {
+	c.timerAt = now.Add(c.rto)
+}
+
+// take removes and returns the delivered bytes.
+func (c *conn) take() []byte {
+	in := c.in
+	c.in = nil
+	return in
+}
+
+// seqAfter reports whether sequence number a lies after b.
+func seqAfter(a, b uint32) bool {
+	return int32(a-b) > 0
+}
