--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -318,3 +318,13 @@
 		_, _ = p.Choose(start, flow(i), st, l)
 	}
 }
+
+func TestExcept(t *testing.T) {
+	Convey("A retried attempt goes to a target that was not tried", t, func() {
+		_, st, l := loaded(fourteen())
+		first, _ := NewChosen(ChosenConfig{}).Choose(start, 7, st, l)
+		next, kind := NewChosen(ChosenConfig{}).Choose(start, 7, st, Except{Loads: l, Tried: []model.TargetID{first.ID}})
+		So(kind, ShouldEqual, errkind.None)
+		So(next, ShouldNotEqual, first)
+	})
+}
