Add the daemon's shell around the engine (not wired yet)

Cause: the engine needs sockets, a clock, lists and peers. Ruled out: sending control datagrams from the packet workers: their sealers are per goroutine, and a control datagram must not wait for a batch.

--- /dev/null
+++ b/internal/daemon/actions.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// perform carries out the engine's actions.
+func (d *Daemon) perform(actions []core.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case core.SendPeer:
+			d.sender.send(a.To, a.Kind, a.Body)
+		case core.FetchSnapshots:
+			d.tasks.Go(func() error { d.fetch(a.From, a.All); return nil })
+		case core.MemberChanged:
+			d.log.Info("member changed", "op", "members", "event", a.To.String(),
+				"member", a.Member.Name, "from", a.From.String(), "incarnation", a.Incarnation)
+		case core.ZoneChanged:
+			d.log.Warn("availability zone changed", "op", "members", "event", "zone",
+				"zone", a.Zone.String(), "reachable", a.Reachable)
+		case core.ReadyChanged:
+			d.ready.Store(a.Ready)
+			d.log.Info("readiness changed", "op", "ready", "event", string(a.Reason), "ready", a.Ready)
+		case core.Outdated:
+			d.noteOutdated(a.Newest)
+		}
+	}
+}
+
+func (d *Daemon) noteOutdated(newest uint64) {
+	select {
+	case d.outdated <- newest:
+	default:
+	}
+}
+
+// fetch asks a peer for snapshots. A failure is counted: the engine asks again.
+func (d *Daemon) fetch(from *model.EntryVM, all bool) {
+	ctx, cancel := context.WithTimeout(d.tasksCtx, fetchTimeout)
+	defer cancel()
+	snapshots, err := d.bulk.FetchSnapshots(ctx, from, all)
+	if err != nil {
+		d.metrics.fetchErrors.Inc(1)
+		return
+	}
+	d.engine.HandleSnapshots(time.Now(), snapshots)
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,259 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+const (
+	// tickInterval is the time between two ticks of the engine.
+	tickInterval = 100 * time.Millisecond
+	// fetchTimeout bounds one request for snapshots.
+	fetchTimeout = 5 * time.Second
+	// goodbyes is how many times a stopping daemon tells its peers that it has left.
+	goodbyes = 3
+)
+
+// Bulk carries what is too large for datagrams between daemons.
+type Bulk interface {
+	// FetchSnapshots asks a peer for its own log, and with all for every copy that it holds.
+	FetchSnapshots(ctx context.Context, from *model.EntryVM, all bool) ([]flow.Snapshot, error)
+}
+
+// Lists is where the published lists come from.
+type Lists interface {
+	// Run calls adopt for every set of lists that may come into force, until ctx ends.
+	Run(ctx context.Context, adopt func(*model.Snapshot)) error
+}
+
+// Deps are the modules that a Daemon works with.
+type Deps struct {
+	Settings *settings.Settings
+	Network  udpio.Network
+	Bulk     Bulk
+	Lists    Lists
+	Keys     wire.KeyringProvider
+	Metrics  *metrics.Set
+	Log      *log.Logger
+	// Now is the start of the process; it gives the incarnation.
+	Now time.Time
+}
+
+// Daemon is one entry VM's process.
+type Daemon struct {
+	settings *settings.Settings
+	self     model.MachineID
+	network  udpio.Network
+	bulk     Bulk
+	lists    Lists
+	keys     wire.KeyringProvider
+	log      *log.Logger
+	metrics  *meters
+
+	engine      *core.Engine
+	incarnation uint64
+	counter     *wire.Counter
+	replay      *wire.Replay
+	sender      *peerSender
+	tasks       *errgroup.Group
+	tasksCtx    context.Context
+	ready       atomic.Bool
+	outdated    chan uint64
+}
+
+// New returns a daemon that has not opened its sockets yet.
+func New(deps Deps) *Daemon {
+	s := deps.Settings
+	self := model.MachineIDOf(s.Name)
+	incarnation := wire.NewIncarnation(deps.Now)
+	d := &Daemon{
+		settings:    s,
+		self:        self,
+		network:     deps.Network,
+		bulk:        deps.Bulk,
+		lists:       deps.Lists,
+		keys:        deps.Keys,
+		log:         deps.Log,
+		metrics:     newMeters(deps.Metrics),
+		incarnation: incarnation,
+		counter:     new(wire.Counter),
+		replay:      wire.NewReplay(wire.ReplayConfig{}),
+		outdated:    make(chan uint64, 1),
+	}
+	d.engine = core.New(core.Config{
+		Self:        self,
+		Zone:        s.Zone,
+		Incarnation: incarnation,
+		Rand:        rand.New(rand.NewPCG(uint64(self), incarnation)),
+		Epoch:       deps.Now,
+		LogInterval: s.LogBatchInterval,
+		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
+	})
+	return d
+}
+
+// Engine returns the daemon's decision engine.
+func (d *Daemon) Engine() *core.Engine {
+	return d.engine
+}
+
+func (d *Daemon) newSealer() *wire.Sealer {
+	return wire.NewSealer(d.keys, d.self, d.incarnation, d.counter)
+}
+
+// Run serves until ctx ends, then stops gracefully: it goes on passing packets until its peers have
+// taken over, at most for the drain timeout.
+func (d *Daemon) Run(ctx context.Context) error {
+	conns, err := d.listen()
+	if err != nil {
+		return err
+	}
+	// Tasks outlive ctx: packets are still passed on while the daemon drains.
+	tasksCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.tasks, d.tasksCtx = errgroup.WithContext(tasksCtx)
+	d.sender = &peerSender{conn: conns.peer, sealer: d.newSealer(), metrics: d.metrics}
+	d.startWorkers(conns)
+	d.tasks.Go(d.tick)
+	d.tasks.Go(func() error { return d.followLists(d.tasksCtx) })
+	d.log.Info("daemon serves", "op", "start", "event", "started", "data", d.settings.Data, "zone", d.settings.Zone.String())
+
+	var cause error
+	select {
+	case <-ctx.Done():
+		d.drain()
+	case newest := <-d.outdated:
+		cause = fmt.Errorf("run as incarnation %d: peers know the newer incarnation %d of this machine", d.incarnation, newest)
+	case <-d.tasksCtx.Done():
+	}
+	stop()
+	conns.close()
+	if err := d.tasks.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return cause
+}
+
+// sockets are the daemon's open sockets.
+type sockets struct {
+	data []udpio.Conn
+	peer udpio.Conn
+}
+
+func (s *sockets) close() {
+	for _, c := range s.data {
+		c.Close()
+	}
+	if s.peer != nil {
+		s.peer.Close()
+	}
+}
+
+func (d *Daemon) workers() int {
+	if d.settings.Workers > 0 {
+		return d.settings.Workers
+	}
+	return runtime.GOMAXPROCS(0)
+}
+
+func (d *Daemon) listen() (*sockets, error) {
+	s := &sockets{}
+	for range d.workers() {
+		conn, err := d.network.Listen(d.settings.Data)
+		if err != nil {
+			s.close()
+			return nil, fmt.Errorf("open the data socket %v: %w", d.settings.Data, err)
+		}
+		s.data = append(s.data, conn)
+	}
+	conn, err := d.network.Listen(d.settings.Peer)
+	if err != nil {
+		s.close()
+		return nil, fmt.Errorf("open the peer socket %v: %w", d.settings.Peer, err)
+	}
+	s.peer = conn
+	return s, nil
+}
+
+func (d *Daemon) startWorkers(s *sockets) {
+	for _, conn := range s.data {
+		d.tasks.Go(d.newWorker(conn, s.peer).serveData)
+	}
+	d.tasks.Go(d.newWorker(s.data[0], s.peer).servePeers)
+}
+
+// tick drives the engine until the tasks end.
+func (d *Daemon) tick() error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-d.tasksCtx.Done():
+			return nil
+		case <-ticker.C:
+			d.perform(d.engine.Tick(time.Now()))
+		}
+	}
+}
+
+// followLists puts published lists in force as they come.
+func (d *Daemon) followLists(ctx context.Context) error {
+	err := d.lists.Run(ctx, d.adopt)
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) adopt(s *model.Snapshot) {
+	actions, taken := d.engine.HandleLists(time.Now(), s, newAdmitter(s))
+	if !taken {
+		return
+	}
+	d.log.Info("lists in force", "op", "lists", "event", "adopted",
+		"customers", s.Revisions.Customers, "plans", s.Revisions.Plans, "machines", s.Revisions.Machines)
+	d.perform(actions)
+}
+
+// drain hands over to the peers before the daemon stops.
+func (d *Daemon) drain() {
+	d.perform(d.engine.Leave(time.Now()))
+	deadline := time.NewTimer(d.settings.DrainTimeout)
+	defer deadline.Stop()
+	quiet := time.NewTicker(tickInterval)
+	defer quiet.Stop()
+	for done := false; !done; {
+		select {
+		case <-deadline.C:
+			d.log.Warn("peers did not take over in time", "op", "stop", "event", "drain_timeout")
+			done = true
+		case <-quiet.C:
+			done = d.engine.Drained() && d.idle()
+		}
+	}
+	for range goodbyes {
+		d.perform(d.engine.Left(time.Now()))
+	}
+	d.log.Info("daemon stops", "op", "stop", "event", "stopped")
+}
+
+// idle reports whether the fabric has stopped sending packets here.
+func (d *Daemon) idle() bool {
+	return d.metrics.sinceLastPacket(time.Now()) >= quietBeforeStop
+}
--- /dev/null
+++ b/internal/daemon/worker.go
@@ -0,0 +1,208 @@
+package daemon
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+const (
+	// batchSize is the number of datagrams that one read takes at most.
+	batchSize = 64
+	// bufferBytes holds the largest inner packet and what a hop adds to it.
+	bufferBytes = 2048
+)
+
+// worker moves packets from one socket. Each worker is one goroutine with its own buffers.
+type worker struct {
+	d       *Daemon
+	data    udpio.Conn
+	peer    udpio.Conn
+	decoder *packet.Decoder
+	sealer  *wire.Sealer
+	opener  *wire.Opener
+
+	in      []udpio.Message
+	meta    packet.Meta
+	toData  []udpio.Message
+	toPeers []udpio.Message
+	scratch scratch
+}
+
+// scratch hands out buffers that live until the batch is written.
+type scratch struct {
+	buffers [][]byte
+	used    int
+}
+
+func (s *scratch) take() []byte {
+	if s.used == len(s.buffers) {
+		s.buffers = append(s.buffers, make([]byte, 0, bufferBytes))
+	}
+	s.used++
+	return s.buffers[s.used-1]
+}
+
+// newWorker returns a worker that writes to the data and peer sockets.
+func (d *Daemon) newWorker(data, peer udpio.Conn) *worker {
+	w := &worker{
+		d:       d,
+		data:    data,
+		peer:    peer,
+		decoder: packet.NewDecoder(packet.DecoderConfig{MTU: d.settings.MTU}),
+		sealer:  d.newSealer(),
+		opener:  wire.NewOpener(d.keys, d.self, d.replay),
+		in:      make([]udpio.Message, batchSize),
+	}
+	for i := range w.in {
+		w.in[i].Buf = make([]byte, bufferBytes)
+	}
+	return w
+}
+
+// serveData moves packets of the fabric and of targets until the socket is closed.
+func (w *worker) serveData() error {
+	return w.serve(w.data, w.handleData)
+}
+
+// servePeers takes datagrams of other daemons until the socket is closed.
+func (w *worker) servePeers() error {
+	return w.serve(w.peer, w.handlePeer)
+}
+
+func (w *worker) serve(conn udpio.Conn, handle func(now time.Time, m *udpio.Message)) error {
+	for {
+		n, err := conn.ReadBatch(w.in)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		for i := range w.in[:n] {
+			handle(now, &w.in[i])
+		}
+		w.flush()
+	}
+}
+
+// flush writes what the batch has produced.
+func (w *worker) flush() {
+	w.write(w.data, w.toData)
+	w.write(w.peer, w.toPeers)
+	w.toData = w.toData[:0]
+	w.toPeers = w.toPeers[:0]
+	w.scratch.used = 0
+}
+
+func (w *worker) write(conn udpio.Conn, out []udpio.Message) {
+	if len(out) == 0 {
+		return
+	}
+	if n, err := conn.WriteBatch(out); err != nil {
+		w.d.metrics.sendErrors.Inc(int64(len(out) - n))
+	}
+}
+
+func (w *worker) handleData(now time.Time, m *udpio.Message) {
+	raw := m.Buf[:m.N]
+	if kind := w.decoder.Decode(raw, &w.meta); kind != errkind.None {
+		w.d.metrics.kinds.Add(kind, 1)
+		return
+	}
+	w.apply(w.d.engine.FromFabric(now, m.Addr, &w.meta), raw, false)
+}
+
+func (w *worker) handlePeer(now time.Time, m *udpio.Message) {
+	env, kind := w.opener.Open(m.Buf[:m.N])
+	if kind == errkind.PeerReplayed {
+		w.d.perform(w.d.engine.HandleStalePeer(now, env))
+	}
+	if kind != errkind.None {
+		w.d.metrics.kinds.Add(kind, 1)
+		return
+	}
+	if env.Kind == wire.KindHop {
+		w.handleHop(now, env)
+		return
+	}
+	w.d.metrics.controlReceived.Inc(int64(m.N))
+	actions, kind := w.d.engine.HandlePeer(now, env)
+	if kind != errkind.None {
+		w.d.metrics.kinds.Add(kind, 1)
+	}
+	w.d.perform(actions)
+}
+
+func (w *worker) handleHop(now time.Time, env wire.Envelope) {
+	hop, raw, kind := wire.DecodeHop(env.Body)
+	if kind == errkind.None {
+		kind = w.decoder.Decode(raw, &w.meta)
+	}
+	if kind != errkind.None {
+		w.d.metrics.kinds.Add(kind, 1)
+		return
+	}
+	w.d.metrics.hopsIn.Inc(1)
+	if hop.FromTarget {
+		w.apply(w.d.engine.FromPeerAnswer(now, hop.Hops, &w.meta), raw, true)
+		return
+	}
+	w.apply(w.d.engine.FromPeer(now, hop.Hops, &w.meta), raw, false)
+}
+
+// apply carries out a verdict on the packet raw.
+func (w *worker) apply(v core.Verdict, raw []byte, fromTarget bool) {
+	switch v.Op {
+	case core.OpForward:
+		w.d.metrics.forwarded.Inc(1)
+		w.toData = append(w.toData, udpio.Message{Buf: raw, N: len(raw), Addr: v.To})
+	case core.OpReturn:
+		w.d.metrics.returned.Inc(1)
+		w.toData = append(w.toData, udpio.Message{Buf: raw, N: len(raw), Addr: w.d.settings.Egress})
+	case core.OpHop:
+		w.hop(v, raw, fromTarget || v.FromTarget)
+	case core.OpReset:
+		w.reset(v)
+	case core.OpResetTarget:
+		w.resetTarget(v)
+	default:
+		w.d.metrics.kinds.Add(v.Kind, 1)
+	}
+}
+
+func (w *worker) hop(v core.Verdict, raw []byte, fromTarget bool) {
+	w.d.metrics.hopsOut.Inc(1)
+	body := wire.HopMeta{Hops: v.Hops, FromTarget: fromTarget}.AppendTo(w.scratch.take()[:0])
+	body = append(body, raw...)
+	datagram := w.sealer.AppendSealed(w.scratch.take()[:0], v.Peer, wire.KindHop, body)
+	w.toPeers = append(w.toPeers, udpio.Message{Buf: datagram, N: len(datagram), Addr: v.To})
+}
+
+// reset refuses the packet in w.meta.
+func (w *worker) reset(v core.Verdict) {
+	w.d.metrics.kinds.Add(v.Kind, 1)
+	text := errkind.RefusalText(v.Kind, v.RetryAfter)
+	answer := packet.AppendReset(w.scratch.take()[:0], &w.meta, text)
+	if len(answer) == 0 {
+		return
+	}
+	w.toData = append(w.toData, udpio.Message{Buf: answer, N: len(answer), Addr: w.d.settings.Egress})
+}
+
+// resetTarget ends the connection that the target's answer in w.meta belongs to.
+func (w *worker) resetTarget(v core.Verdict) {
+	w.d.metrics.kinds.Add(v.Kind, 1)
+	answer := packet.AppendReset(w.scratch.take()[:0], &w.meta, "")
+	if len(answer) == 0 {
+		return
+	}
+	w.toData = append(w.toData, udpio.Message{Buf: answer, N: len(answer), Addr: v.To})
+}
