--- /dev/null
+++ b/internal/ops/server.go
@@ -0,0 +1,143 @@
+package ops
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/metrics"
+)
+
+// DefaultAddr is where the server listens by default.
+var DefaultAddr = netip.MustParseAddrPort("127.0.0.1:9650")
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 2 * time.Minute
+)
+
+// Readiness says whether the daemon may take packets.
+type Readiness interface {
+	// Ready returns nil, or an error that says what is missing.
+	Ready() error
+}
+
+// StatusSource tells the daemon's status.
+type StatusSource interface {
+	// Status returns a value that encoding/json can encode.
+	Status() any
+}
+
+// Config holds the settings of a Server.
+type Config struct {
+	// Addr is the address to listen on. The zero value means DefaultAddr; port 0 picks a free port.
+	Addr netip.AddrPort
+	// Metrics are served at /metrics and /metrics.json.
+	Metrics *metrics.Set
+	// Ready decides /readyz.
+	Ready Readiness
+	// Status is served at /status.
+	Status StatusSource
+	// Profiles serves /debug/pprof/. The default is false.
+	Profiles bool
+}
+
+// Server is the operators' HTTP server.
+type Server struct {
+	cfg    Config
+	server *http.Server
+	local  netip.AddrPort
+}
+
+// NewServer returns a server that does not listen yet.
+func NewServer(cfg Config) *Server {
+	if !cfg.Addr.IsValid() {
+		cfg.Addr = DefaultAddr
+	}
+	s := &Server{cfg: cfg, local: cfg.Addr}
+	s.server = &http.Server{
+		Handler:           s.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+	}
+	return s
+}
+
+// Handler returns the server's routes.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", s.serveText)
+	mux.HandleFunc("GET /metrics.json", s.serveJSON)
+	mux.HandleFunc("GET /healthz", serveHealth)
+	mux.HandleFunc("GET /readyz", s.serveReady)
+	mux.HandleFunc("GET /status", s.serveStatus)
+	if s.cfg.Profiles {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("GET /debug/pprof/symbol", pprof.Symbol)
+		mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	}
+	return mux
+}
+
+// Listen opens the address and serves in the background until Shutdown.
+func (s *Server) Listen() error {
+	l, err := net.Listen("tcp", s.cfg.Addr.String())
+	if err != nil {
+		return fmt.Errorf("listen for operators on %v: %w", s.cfg.Addr, err)
+	}
+	s.local = l.Addr().(*net.TCPAddr).AddrPort()
+	go s.server.Serve(l)
+	return nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort {
+	return s.local
+}
+
+// Shutdown stops listening and waits for requests under way until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.server.Shutdown(ctx); err != nil {
+		return errors.Join(fmt.Errorf("stop the operators' server: %w", err), s.server.Close())
+	}
+	return nil
+}
+
+func (s *Server) serveText(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", metrics.TextContentType)
+	s.cfg.Metrics.WriteText(w)
+}
+
+func (s *Server) serveJSON(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	s.cfg.Metrics.WriteJSON(w)
+}
+
+func serveHealth(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintln(w, "ok")
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if err := s.cfg.Ready.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	fmt.Fprintln(w, "ready")
+}
+
+func (s *Server) serveStatus(w http.ResponseWriter, _ *http.Request) {
+	data, err := json.MarshalIndent(s.cfg.Status.Status(), "", "  ")
+	if err != nil {
+		http.Error(w, fmt.Sprintf("encode status: %v", err), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Write(append(data, '\n'))
+}
