Take in a predecessor's exceptions and the flows met while members settle

Cause: TestRollingRestart found 2 of 1,000 flows sent to their default target after a restarted daemon owned them again. A peer had cached the flow under the daemon's earlier run, and the new run echoed marks for flows that it had only passed on to their former owner. Ruled out: lost records (every copy held the exception) and the placement (the SYN's target was kept). Change: the cache is keyed by the owner's run; an owner takes in every exception of other logs whose flow is now its own; flows met while members settle are taken in afterwards, and no mark is echoed before that. Conclusion: a log is complete for its owner before peers rely on it.

--- a/core/answers.go
+++ b/core/answers.go
@@ -31,7 +31,9 @@
 	}
 	owner := w.owner(h)
 	if owner != nil && owner.ID != e.cfg.Self && hops == 0 {
-		return hopTo(owner, hops)
+		v := hopTo(owner, hops)
+		v.FromTarget = true
+		return v
 	}
 	return e.ownAnswer(h, now, m)
 }
--- a/core/engine.go
+++ b/core/engine.go
@@ -33,6 +33,8 @@
 	// settled is when the last change of the members has settled, in nanoseconds after the epoch.
 	settled atomic.Int64
 
+	delegated delegation
+
 	// control guards everything below.
 	control sync.Mutex
 	members *membership.List
@@ -73,11 +75,6 @@
 	return e.cfg.Epoch.Add(time.Duration(e.settled.Load()))
 }
 
-// unsettle starts the time in which unknown flows are left to their former owners.
-func (e *Engine) unsettle(now time.Time) {
-	e.settled.Store(int64(now.Add(e.cfg.SettleTime).Sub(e.cfg.Epoch)))
-}
-
 // Ready reports whether this daemon owns flows.
 func (e *Engine) Ready() bool {
 	e.control.Lock()
--- a/core/owner.go
+++ b/core/owner.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"time"
+
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/model"
@@ -11,19 +13,44 @@
 	if a.opens() {
 		return e.open(w, a)
 	}
-	if entry, ok := e.table.Touch(a.now, a.hash, a.state()); ok {
+	if entry, ok := e.touch(a); ok {
 		return e.toTarget(w, entry.Target)
 	}
 	return e.carryOn(w, a)
 }
 
+// touch notes a packet of a flow of the table.
+func (e *Engine) touch(a *arrival) (flow.Entry, bool) {
+	entry, ok := e.table.Touch(a.now, a.hash, a.state())
+	if ok && !entry.Identified() {
+		e.table.Identify(a.hash, flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst))
+	}
+	return entry, ok
+}
+
+// repeatedSYN is how long after a flow's last packet a SYN still counts as a late repetition of the
+// flow's own; a later one opens a new flow.
+const repeatedSYN = 5 * time.Second
+
+// repeats reports whether a SYN belongs to a flow of the table.
+func (e *Engine) repeats(a *arrival, entry flow.Entry) bool {
+	switch entry.State {
+	case flow.StateOpening:
+		return true
+	case flow.StateOpen:
+		return e.table.Age(a.now, entry) < repeatedSYN
+	default:
+		return false
+	}
+}
+
 // open admits and places a new flow. The repetition of a SYN gets the target of the first one.
 func (e *Engine) open(w *world, a *arrival) Verdict {
 	if !e.fresh(a.now) {
 		return drop(errkind.NotReady)
 	}
 	if entry, ok := e.table.Get(a.hash); ok {
-		if entry.State != flow.StateClosing {
+		if e.repeats(a, entry) {
 			return e.toTarget(w, entry.Target)
 		}
 		e.forget(a.hash)
@@ -51,10 +78,6 @@
 
 // place chooses the target of a new flow.
 func (e *Engine) place(w *world, a *arrival) (*model.Target, errkind.Kind) {
-	if id, ok := e.copies.Find(a.hash, e.rank(w, a.hash)); ok && w.takes(id, a) {
-		// A predecessor placed the flow; this is a repetition of its SYN.
-		return w.targets[id], errkind.None
-	}
 	route := w.newest()
 	_, st := route.service(a.meta.Dst)
 	if st == nil {
@@ -69,17 +92,6 @@
 	return e.policy.Choose(a.now, a.hash, st, e.loads)
 }
 
-// takes reports whether a target belongs to the service at the packet's destination and takes new
-// flows.
-func (w *world) takes(id model.TargetID, a *arrival) bool {
-	t := w.snapshot.Target(id)
-	if t == nil || t.Leaving {
-		return false
-	}
-	svc := w.snapshot.ServiceAt(a.meta.Dst)
-	return svc != nil && svc.Name == t.Service
-}
-
 // enter writes a flow into the table and, where its target is not the one that others would derive,
 // into the log.
 func (e *Engine) enter(w *world, a *arrival, t *model.Target, s flow.State) Verdict {
@@ -117,10 +129,8 @@
 // carryOn takes in a flow that this daemon owns but does not know: a predecessor placed it, or the
 // packet is a stray one.
 func (e *Engine) carryOn(w *world, a *arrival) Verdict {
-	if a.now.Before(e.settledAt()) || !e.fresh(a.now) {
-		if next := e.nextOwner(w, a); next != nil {
-			return hopTo(next, a.hops)
-		}
+	if next := e.nextOwner(w, a); next != nil && e.delegate(a) {
+		return hopTo(next, a.hops)
 	}
 	t := e.resolve(w, a)
 	if t == nil {
@@ -183,4 +193,5 @@
 func (e *Engine) ended(h model.FlowHash, entry flow.Entry) {
 	e.loads.Closed(entry.Target)
 	e.log.Remove(h)
+	e.copies.Ended(h)
 }
--- a/core/packets.go
+++ b/core/packets.go
@@ -103,7 +103,7 @@
 		return nil
 	}
 	mark := flow.Mark(e.mark.Load())
-	if !e.seen.Direct(a.now, a.hash, owner.ID, mark, r.Echoed) {
+	if !e.seen.Direct(a.now, a.hash, cp.Run, mark, r.Echoed) {
 		cp.Want(mark)
 		return nil
 	}
@@ -121,7 +121,7 @@
 // owner. A flow known here goes on; anything else is passed on while hops remain.
 func (e *Engine) disputed(w *world, a *arrival, owner *model.EntryVM) Verdict {
 	if !a.opens() {
-		if entry, ok := e.table.Touch(a.now, a.hash, a.state()); ok {
+		if entry, ok := e.touch(a); ok {
 			return e.toTarget(w, entry.Target)
 		}
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -68,16 +68,17 @@
 	cp := e.copies.Ensure(now, env.Sender, env.Incarnation)
 	if cp != nil && cp.Apply(now, b) {
 		e.yieldTo(w, env.Sender, b.Records)
+		e.inheritRecords(now, w, b.Records)
 	}
 	return errkind.None
 }
 
-// yieldTo drops flows of the table that another daemon has placed on another target, where that
-// daemon's word counts for more: it owns the flow in this daemon's view.
+// yieldTo drops flows of the table that another daemon has placed on another target or has seen end,
+// where that daemon's word counts for more: it owns the flow in this daemon's view.
 func (e *Engine) yieldTo(w *world, peer model.MachineID, records []wire.Record) {
 	for _, r := range records {
 		if r.Remove {
-			continue
+			e.copies.Ended(r.Hash)
 		}
 		entry, ok := e.table.Get(r.Hash)
 		if !ok || entry.Target == r.Target {
@@ -127,4 +128,5 @@
 		live := known && m.Here && m.Incarnation == s.Incarnation && e.takesLog(w, s.Owner, e.cfg.Self)
 		e.copies.Restore(now, s, live)
 	}
+	e.inherit(now, w)
 }
--- /dev/null
+++ b/core/status.go
@@ -0,0 +1,86 @@
+package core
+
+import (
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Status is what an engine tells of itself to operators.
+type Status struct {
+	Ready      bool            `json:"ready"`
+	Leaving    bool            `json:"leaving"`
+	Revisions  model.Revisions `json:"revisions"`
+	OwnedFlows int             `json:"owned_flows"`
+	Exceptions int             `json:"exceptions"`
+	// CopiedExceptions counts the exceptions in the copies of other owners' logs.
+	CopiedExceptions int            `json:"copied_exceptions"`
+	CachedFlows      int            `json:"cached_flows"`
+	Unacknowledged   int            `json:"unacknowledged_records"`
+	Members          []MemberStatus `json:"members"`
+	Targets          []TargetStatus `json:"targets"`
+}
+
+// MemberStatus is what an engine believes of one entry VM.
+type MemberStatus struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Owner       bool   `json:"owner"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// TargetStatus is what an engine knows of one target.
+type TargetStatus struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Leaving bool   `json:"leaving"`
+	// OpenFlows counts the flows that this daemon owns.
+	OpenFlows int `json:"open_flows"`
+}
+
+// Status returns what the engine tells operators.
+func (e *Engine) Status() Status {
+	e.control.Lock()
+	s := Status{Ready: e.ready && !e.leaving, Leaving: e.leaving}
+	e.control.Unlock()
+	s.OwnedFlows = e.table.Len()
+	s.Exceptions = e.log.Len()
+	s.CopiedExceptions = e.copies.Len()
+	s.CachedFlows = e.seen.Len()
+	s.Unacknowledged = e.log.Unacknowledged()
+	w := e.world.Load()
+	if w == nil {
+		return s
+	}
+	s.Revisions = w.snapshot.Revisions
+	for _, m := range w.view.Members() {
+		s.Members = append(s.Members, memberStatus(m))
+	}
+	for _, svc := range w.snapshot.Services {
+		for _, t := range svc.Targets {
+			s.Targets = append(s.Targets, e.targetStatus(t))
+		}
+	}
+	return s
+}
+
+func memberStatus(m membership.MemberView) MemberStatus {
+	return MemberStatus{
+		Name:        m.Entry.Name,
+		Zone:        m.Entry.Zone.String(),
+		State:       m.State.String(),
+		Owner:       m.Owner,
+		Incarnation: m.Incarnation,
+	}
+}
+
+func (e *Engine) targetStatus(t *model.Target) TargetStatus {
+	return TargetStatus{
+		Name:      t.Name,
+		Service:   t.Service,
+		Zone:      t.Zone.String(),
+		Leaving:   t.Leaving,
+		OpenFlows: e.loads.Open(t.ID),
+	}
+}
--- a/core/tick.go
+++ b/core/tick.go
@@ -18,6 +18,7 @@
 	if e.world.Load() == nil {
 		return out
 	}
+	e.settle(now)
 	if !now.Before(e.nextLog) {
 		e.nextLog = now.Add(e.cfg.LogInterval)
 		e.mark.Add(1)
@@ -95,6 +96,7 @@
 	e.arrangeCopies(now, next)
 	if owners {
 		e.unsettle(now)
+		e.inherit(now, next)
 	}
 	e.loads.SetOwners(countOwners(v))
 }
--- a/core/verdict.go
+++ b/core/verdict.go
@@ -37,6 +37,8 @@
 	Peer model.MachineID
 	// Hops is the number of daemons that will have passed the packet on.
 	Hops uint8
+	// FromTarget is true for a hop that carries a target's answer.
+	FromTarget bool
 	// RetryAfter is when a refused caller should come back; 0 where asking again is useless.
 	RetryAfter time.Duration
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,8 @@
 	fetchTimeout = 5 * time.Second
 	// goodbyes is how many times a stopping daemon tells its peers that it has left.
 	goodbyes = 3
+	// quietBeforeStop is how long no packet may come before a drained daemon stops.
+	quietBeforeStop = time.Second
 )
 
 // Bulk carries what is too large for datagrams between daemons.
--- /dev/null
+++ b/internal/daemon/metrics.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+)
+
+// meters are the daemon's own metrics.
+type meters struct {
+	forwarded       gometrics.Counter
+	returned        gometrics.Counter
+	hopsOut         gometrics.Counter
+	hopsIn          gometrics.Counter
+	controlSent     gometrics.Counter
+	controlReceived gometrics.Counter
+	sendErrors      gometrics.Counter
+	fetchErrors     gometrics.Counter
+	kinds           *metrics.KindCounters
+
+	// lastPacket is when the fabric last sent a batch here, in nanoseconds since 1970.
+	lastPacket atomic.Int64
+}
+
+func newMeters(s *metrics.Set) *meters {
+	return &meters{
+		forwarded:       s.Counter(metrics.Family{Name: "fireflypin_forwarded_packets_total", Help: "Packets sent to targets."}),
+		returned:        s.Counter(metrics.Family{Name: "fireflypin_returned_packets_total", Help: "Answers sent on to callers."}),
+		hopsOut:         s.Counter(metrics.Family{Name: "fireflypin_hops_sent_packets_total", Help: "Packets sent to their owners."}),
+		hopsIn:          s.Counter(metrics.Family{Name: "fireflypin_hops_received_packets_total", Help: "Packets received as their owner."}),
+		controlSent:     s.Counter(metrics.Family{Name: "fireflypin_control_sent_bytes_total", Help: "Payload of control datagrams sent to peers."}),
+		controlReceived: s.Counter(metrics.Family{Name: "fireflypin_control_received_bytes_total", Help: "Payload of control datagrams received from peers."}),
+		sendErrors:      s.Counter(metrics.Family{Name: "fireflypin_send_errors_total", Help: "Datagrams that the system refused to send."}),
+		fetchErrors:     s.Counter(metrics.Family{Name: "fireflypin_snapshot_fetch_errors_total", Help: "Requests for a peer's log that failed."}),
+		kinds:           s.KindCounters(metrics.Family{Name: "fireflypin_errors_total", Help: "Packets, flows, messages and lists that were not taken."}),
+	}
+}
+
+// registerEngine adds gauges that are read from the engine.
+func registerEngine(s *metrics.Set, e *core.Engine) {
+	gauge := func(name, help string, read func(core.Status) int) {
+		s.GaugeFunc(metrics.Family{Name: name, Help: help}, func() float64 { return float64(read(e.Status())) })
+	}
+	gauge("fireflypin_owned_flows", "Flows that this daemon owns.", func(st core.Status) int { return st.OwnedFlows })
+	gauge("fireflypin_exceptions", "Owned flows that the log names.", func(st core.Status) int { return st.Exceptions })
+	gauge("fireflypin_copied_exceptions", "Exceptions in the copies of other logs.", func(st core.Status) int { return st.CopiedExceptions })
+	gauge("fireflypin_cached_flows", "Flows of other owners whose way is cached.", func(st core.Status) int { return st.CachedFlows })
+	gauge("fireflypin_unacknowledged_records", "Log records that a peer has not applied yet.", func(st core.Status) int { return st.Unacknowledged })
+}
+
+// packetAt notes that packets came.
+func (m *meters) packetAt(now time.Time) {
+	m.lastPacket.Store(now.UnixNano())
+}
+
+// sinceLastPacket returns how long no packets came.
+func (m *meters) sinceLastPacket(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, m.lastPacket.Load()))
+}
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -86,6 +86,7 @@
 			return err
 		}
 		now := time.Now()
+		w.d.metrics.packetAt(now)
 		for i := range w.in[:n] {
 			handle(now, &w.in[i])
 		}
@@ -117,7 +118,7 @@
 		w.d.metrics.kinds.Add(kind, 1)
 		return
 	}
-	w.apply(w.d.engine.FromFabric(now, m.Addr, &w.meta), raw, false)
+	w.apply(w.d.engine.FromFabric(now, m.Addr, &w.meta), raw)
 }
 
 func (w *worker) handlePeer(now time.Time, m *udpio.Message) {
@@ -152,14 +153,14 @@
 	}
 	w.d.metrics.hopsIn.Inc(1)
 	if hop.FromTarget {
-		w.apply(w.d.engine.FromPeerAnswer(now, hop.Hops, &w.meta), raw, true)
+		w.apply(w.d.engine.FromPeerAnswer(now, hop.Hops, &w.meta), raw)
 		return
 	}
-	w.apply(w.d.engine.FromPeer(now, hop.Hops, &w.meta), raw, false)
+	w.apply(w.d.engine.FromPeer(now, hop.Hops, &w.meta), raw)
 }
 
 // apply carries out a verdict on the packet raw.
-func (w *worker) apply(v core.Verdict, raw []byte, fromTarget bool) {
+func (w *worker) apply(v core.Verdict, raw []byte) {
 	switch v.Op {
 	case core.OpForward:
 		w.d.metrics.forwarded.Inc(1)
@@ -168,7 +169,7 @@
 		w.d.metrics.returned.Inc(1)
 		w.toData = append(w.toData, udpio.Message{Buf: raw, N: len(raw), Addr: w.d.settings.Egress})
 	case core.OpHop:
-		w.hop(v, raw, fromTarget || v.FromTarget)
+		w.hop(v, raw)
 	case core.OpReset:
 		w.reset(v)
 	case core.OpResetTarget:
@@ -178,9 +179,9 @@
 	}
 }
 
-func (w *worker) hop(v core.Verdict, raw []byte, fromTarget bool) {
+func (w *worker) hop(v core.Verdict, raw []byte) {
 	w.d.metrics.hopsOut.Inc(1)
-	body := wire.HopMeta{Hops: v.Hops, FromTarget: fromTarget}.AppendTo(w.scratch.take()[:0])
+	body := wire.HopMeta{Hops: v.Hops, FromTarget: v.FromTarget}.AppendTo(w.scratch.take()[:0])
 	body = append(body, raw...)
 	datagram := w.sealer.AppendSealed(w.scratch.take()[:0], v.Peer, wire.KindHop, body)
 	w.toPeers = append(w.toPeers, udpio.Message{Buf: datagram, N: len(datagram), Addr: v.To})
--- a/internal/flow/copies.go
+++ b/internal/flow/copies.go
@@ -142,6 +142,22 @@
 	return target, found
 }
 
+// Each calls f for every exception of every copy, a copy at a time under its lock. f may not call the
+// copies.
+func (c *Copies) Each(f func(h model.FlowHash)) {
+	for _, cp := range c.current.Load().all() {
+		cp.each(f)
+	}
+}
+
+// Ended drops a flow that has ended from the copies of owners that are gone: their logs will never say
+// so themselves.
+func (c *Copies) Ended(h model.FlowHash) {
+	for _, cp := range c.current.Load().retired {
+		cp.drop(h)
+	}
+}
+
 // First returns the copy of the owner with the lowest rank, or nil where there is none; of one
 // owner's copies the latest counts.
 func (c *Copies) First(rank Rank) *Copy {
--- a/internal/flow/copy.go
+++ b/internal/flow/copy.go
@@ -13,6 +13,8 @@
 type Copy struct {
 	Owner       model.MachineID
 	Incarnation uint64
+	// Run identifies the owner's run in a Seen.
+	Run Run
 
 	mu         sync.RWMutex
 	next       uint64 // 0 until a snapshot was taken
@@ -31,7 +33,7 @@
 
 // newCopy returns a copy that still needs a snapshot.
 func newCopy(owner model.MachineID, incarnation uint64) *Copy {
-	return &Copy{Owner: owner, Incarnation: incarnation, exceptions: make(map[model.FlowHash]model.TargetID)}
+	return &Copy{Owner: owner, Incarnation: incarnation, Run: runOf(owner, incarnation), exceptions: make(map[model.FlowHash]model.TargetID)}
 }
 
 // Lookup returns the target of a flow that the owner's log names.
@@ -81,6 +83,20 @@
 	return Position{Synced: c.next != 0, NextSeq: c.next, Generation: c.generation, Echoed: c.echoed}
 }
 
+func (c *Copy) drop(h model.FlowHash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.exceptions, h)
+}
+
+func (c *Copy) each(f func(h model.FlowHash)) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	for h := range c.exceptions {
+		f(h)
+	}
+}
+
 // Len returns the number of exceptions in the copy.
 func (c *Copy) Len() int {
 	c.mu.RLock()
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -39,6 +39,7 @@
 
 // Entry is one owned flow.
 type Entry struct {
+	// Caller and Service are zero for a flow that is known from a log alone, until its first packet.
 	Caller  Endpoint
 	Service Endpoint
 	Target  model.TargetID
@@ -49,6 +50,11 @@
 	Exception bool
 }
 
+// Identified reports whether the flow's ends are known.
+func (e Entry) Identified() bool {
+	return e.Service != Endpoint{}
+}
+
 // Config sets how long flows are remembered.
 type Config struct {
 	// OpeningTimeout forgets a flow that never got past its SYN. Default 30 s.
--- a/internal/flow/log.go
+++ b/internal/flow/log.go
@@ -44,6 +44,7 @@
 	marks   []generationMark
 	live    map[model.FlowHash]model.TargetID
 	peers   map[model.MachineID]*logPeer
+	silent  bool
 }
 
 // generationMark says from which position on a generation is the log's.
@@ -178,6 +179,14 @@
 	l.trimAcknowledged()
 }
 
+// SetEchoing says whether marks are sent back. An owner that may not know some of its flows yet does not
+// echo, so that no peer takes the log for complete.
+func (l *Log) SetEchoing(echoing bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.silent = !echoing
+}
+
 // Batch returns the next batch for a peer, and false where nothing needs to be sent now.
 func (l *Log) Batch(now time.Time, peer model.MachineID) (wire.LogBatch, bool) {
 	l.mu.Lock()
@@ -194,7 +203,7 @@
 	}
 	from := max(p.sent, p.acked, l.first)
 	to := min(from+uint64(l.cfg.MaxRecordsPerBatch), l.head())
-	echoes := to == l.head() && p.mark > p.echoed
+	echoes := to == l.head() && !l.silent && p.mark > p.echoed
 	if from == to && !echoes {
 		return wire.LogBatch{}, false
 	}
@@ -212,7 +221,7 @@
 // cut builds a batch. Only a batch that reaches the log's end echoes the peer's mark: it then holds
 // every flow that was placed before the mark arrived.
 func (l *Log) cut(now time.Time, p *logPeer, from, to uint64) wire.LogBatch {
-	if to == l.head() {
+	if to == l.head() && !l.silent {
 		p.echoed = p.mark
 	}
 	p.sent = to
--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -11,6 +11,15 @@
 // that echoes a mark was cut after the owner had received it.
 type Mark uint64
 
+// Run identifies one run of an owner's process. An owner that restarts begins a new run: it does not
+// know what it owned before.
+type Run uint32
+
+// runOf mixes a machine and its incarnation to 32 bits.
+func runOf(id model.MachineID, incarnation uint64) Run {
+	return Run(uint64(id) ^ (incarnation * 0x9e3779b97f4a7c15 >> 32))
+}
+
 // Seen caches, for flows that other daemons own, since when this daemon has known them. It only
 // saves hops: a flow that is not in it goes by its owner, which is always right. It holds at most
 // two generations of entries per shard, so its memory is bounded.
@@ -28,7 +37,7 @@
 }
 
 type seenEntry struct {
-	owner model.MachineID
+	owner Run
 	// since is the mark at which the flow was first sent by this owner, cut to 32 bits.
 	since uint32
 	// lastHop is when a packet last went by the owner, in milliseconds since the epoch.
@@ -68,7 +77,7 @@
 // Direct reports whether a packet of the flow may go straight to its target: the flow was first
 // sent by this owner before the mark that the owner has echoed, and its last hop is recent. Where it
 // reports false, the caller hops the packet, and the cache has noted that.
-func (s *Seen) Direct(now time.Time, h model.FlowHash, owner model.MachineID, current, echoed Mark) bool {
+func (s *Seen) Direct(now time.Time, h model.FlowHash, owner Run, current, echoed Mark) bool {
 	ms := uint32(now.Sub(s.epoch) / time.Millisecond)
 	sh := &s.shards[shardIndex(h)]
 	sh.mu.Lock()
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -93,6 +93,17 @@
 	return e, ok
 }
 
+// Identify writes the ends of a flow that was known from a log alone.
+func (t *Table) Identify(h model.FlowHash, caller, service Endpoint) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.flows[h]; ok {
+		e.Caller, e.Service = caller, service
+		s.flows[h] = e
+	}
+}
+
 // SetException notes whether the owner's log names the flow.
 func (t *Table) SetException(h model.FlowHash, exception bool) {
 	s := &t.shards[shardIndex(h)]
