--- /dev/null
+++ b/internal/scenario/fault.go
@@ -0,0 +1,179 @@
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/standin"
+)
+
+// Fleet is what a fault needs of the daemons.
+type Fleet interface {
+	// Stop stops a daemon gracefully and returns when it has ended.
+	Stop(ctx context.Context, name string) error
+	// Kill ends a daemon without warning.
+	Kill(name string)
+}
+
+const (
+	// drainNotice is the time from the announcement that an entry VM leaves to the stop of its daemon.
+	drainNotice = time.Second
+	// killNotice is the time until the platform's list no longer names a VM that died.
+	killNotice = 10 * time.Second
+)
+
+// RunFaults applies the faults at their times until ctx ends. Each is reported as it happens.
+func (s *Site) RunFaults(ctx context.Context, faults []Fault, fleet Fleet, report func(Fault, error)) {
+	for _, f := range faults {
+		go func() {
+			if wait(ctx, f.At) {
+				report(f, s.apply(ctx, f, fleet))
+			}
+		}()
+	}
+}
+
+// wait returns false when ctx ends first.
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Site) apply(ctx context.Context, f Fault, fleet Fleet) error {
+	switch f.Kind {
+	case FaultKill:
+		return s.kill(ctx, f.Name, fleet)
+	case FaultDrain:
+		return s.drain(ctx, f.Name, fleet)
+	case FaultPause:
+		return s.pause(ctx, f)
+	case FaultPartition:
+		return s.partition(ctx, f)
+	case FaultPlatformDown:
+		s.setPlatform(s.Scenario.Zones, true)
+		s.after(ctx, f.For, func() { s.setPlatform(s.Scenario.Zones, false) })
+		return nil
+	case FaultLeave:
+		return s.leave(f)
+	case FaultLieIdle, FaultLieFull, FaultSilent:
+		return s.lie(ctx, f)
+	default:
+		return fmt.Errorf("apply fault: unknown kind %q", f.Kind)
+	}
+}
+
+// after calls f once a time has passed; never where it is 0.
+func (s *Site) after(ctx context.Context, d time.Duration, f func()) {
+	if d == 0 {
+		return
+	}
+	go func() {
+		if wait(ctx, d) {
+			f()
+		}
+	}()
+}
+
+func (s *Site) kill(ctx context.Context, name string, fleet Fleet) error {
+	s.Links.Kill(name)
+	fleet.Kill(name)
+	s.mu.Lock()
+	s.dead[name] = true
+	s.setFabricEntries()
+	s.mu.Unlock()
+	s.after(ctx, killNotice, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.published.removed[name] = true
+		_ = s.publish(standin.ListMachines)
+	})
+	return nil
+}
+
+func (s *Site) drain(ctx context.Context, name string, fleet Fleet) error {
+	if err := s.markLeaving(name, time.Time{}); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.setFabricEntries()
+	s.mu.Unlock()
+	if !wait(ctx, drainNotice) {
+		return ctx.Err()
+	}
+	return fleet.Stop(ctx, name)
+}
+
+func (s *Site) markLeaving(name string, by time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.published.leaving[name] = true
+	s.published.leaveBy[name] = by
+	return s.publish(standin.ListMachines)
+}
+
+func (s *Site) leave(f Fault) error {
+	var by time.Time
+	if f.For > 0 {
+		by = time.Now().Add(f.For)
+	}
+	return s.markLeaving(f.Name, by)
+}
+
+func (s *Site) pause(ctx context.Context, f Fault) error {
+	s.Links.Pause(f.Name)
+	s.after(ctx, f.For, func() { s.Links.Resume(f.Name) })
+	return nil
+}
+
+// partition cuts a zone from the others and from the platform.
+func (s *Site) partition(ctx context.Context, f Fault) error {
+	s.cut(f.Name, true)
+	s.after(ctx, f.For, func() { s.cut(f.Name, false) })
+	return nil
+}
+
+func (s *Site) cut(zone string, on bool) {
+	for _, other := range s.Scenario.Zones {
+		if other != zone {
+			s.Links.Cut(standin.Place(zone), standin.Place(other), on)
+		}
+	}
+	s.setPlatform([]string{zone}, on)
+}
+
+func (s *Site) setPlatform(zones []string, down bool) {
+	for _, zone := range zones {
+		if p := s.platform[zone]; p != nil {
+			p.SetFault(standin.PlatformFault{Down: down})
+		}
+	}
+}
+
+func (s *Site) lie(ctx context.Context, f Fault) error {
+	kinds := map[FaultKind]standin.Lie{
+		FaultLieIdle: standin.LieIdle,
+		FaultLieFull: standin.LieFull,
+		FaultSilent:  standin.LieSilent,
+	}
+	for _, t := range s.targets {
+		if t.plan.Name != f.Name {
+			continue
+		}
+		t.setLie(kinds[f.Kind])
+		s.after(ctx, f.For, func() { t.setLie(standin.LieNone) })
+		return nil
+	}
+	return fmt.Errorf("apply fault %s: no target %q", f.Kind, f.Name)
+}
+
+func (t *runningTarget) setLie(l standin.Lie) {
+	t.node.Do(func(time.Time) []standin.Datagram {
+		t.machine.SetLie(l)
+		return nil
+	})
+}
--- /dev/null
+++ b/internal/scenario/site.go
@@ -0,0 +1,449 @@
+package scenario
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/internal/standin"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// fabricPlace is the place of the fabric and of the callers.
+const fabricPlace standin.Place = "fabric"
+
+var loopback = netip.MustParseAddr("127.0.0.1")
+
+// Site is a scenario's stand-ins, started.
+type Site struct {
+	Scenario *Scenario
+	Links    *standin.Links
+	Entries  []EntryPlan
+	Egress   netip.AddrPort
+
+	seed     uint64
+	streams  uint64
+	gateway  netip.AddrPort // for packets of callers
+	returns  netip.AddrPort // for packets of targets
+	fabric   *standin.Fabric
+	nodes    []*standin.Node
+	fabNode  *standin.Node
+	targets  []*runningTarget
+	callers  []*runningCaller
+	platform map[string]*standin.Platform // by zone
+	urls     map[string]string            // of the platform, by zone
+	servers  []*http.Server
+
+	mu        sync.Mutex
+	published *Published
+	dead      map[string]bool
+}
+
+type runningTarget struct {
+	plan    TargetPlan
+	machine *standin.Target
+	node    *standin.Node
+}
+
+type runningCaller struct {
+	customer string
+	machine  *standin.Caller
+	node     *standin.Node
+}
+
+// Start starts everything but the callers and publishes the first lists.
+func Start(s *Scenario, seed uint64, network udpio.Network) (*Site, error) {
+	site := &Site{
+		Scenario: s,
+		seed:     seed,
+		platform: make(map[string]*standin.Platform),
+		urls:     make(map[string]string),
+		dead:     make(map[string]bool),
+	}
+	site.Links = standin.NewLinks(network, standin.LinksConfig{Between: s.between, Rand: site.source()})
+	if err := site.start(); err != nil {
+		site.Close()
+		return nil, fmt.Errorf("start scenario %s: %w", s.Name, err)
+	}
+	return site, nil
+}
+
+func (s *Scenario) between(a, b standin.Place) standin.LinkQuality {
+	switch {
+	case a == b:
+		return standin.LinkQuality{}
+	case a == fabricPlace || b == fabricPlace:
+		return standin.LinkQuality{Delay: s.Links.ClientDelay, Loss: s.Links.ClientLoss}
+	default:
+		return standin.LinkQuality{Delay: s.Links.ZoneDelay, Jitter: s.Links.ZoneJitter, Loss: s.Links.ZoneLoss}
+	}
+}
+
+// source returns a random source of its own for each caller of it.
+func (s *Site) source() *rand.Rand {
+	s.streams++
+	return rand.New(rand.NewPCG(s.seed, s.streams))
+}
+
+func (s *Site) start() error {
+	if err := s.startFabric(); err != nil {
+		return err
+	}
+	if err := s.startTargets(); err != nil {
+		return err
+	}
+	if err := s.startPlatform(); err != nil {
+		return err
+	}
+	if err := s.planEntries(); err != nil {
+		return err
+	}
+	return s.publishFirst()
+}
+
+func (s *Site) startFabric() error {
+	spray := standin.SprayPacket
+	if s.Scenario.Spray == "flow" {
+		spray = standin.SprayFlow
+	}
+	s.fabric = standin.NewFabric(standin.FabricConfig{
+		Spray:       spray,
+		DetectAfter: s.Scenario.Detect,
+		Returns:     s.Scenario.returns(),
+		Rand:        s.source(),
+	})
+	s.fabNode = standin.NewNode(s.Links.Network("fabric", fabricPlace), s.fabric)
+	s.nodes = append(s.nodes, s.fabNode)
+	anyPort := netip.AddrPortFrom(loopback, 0)
+	var errs [3]error
+	s.gateway, errs[0] = s.fabNode.Listen(anyPort, s.fabric.Handle)
+	s.returns, errs[1] = s.fabNode.Listen(anyPort, s.fabric.HandleTarget)
+	s.Egress, errs[2] = s.fabNode.Listen(anyPort, s.fabric.HandleEgress)
+	return errors.Join(errs[:]...)
+}
+
+// returns gives the way of the answers of each service address.
+func (s *Scenario) returns() map[netip.AddrPort]model.ReturnPath {
+	paths := make(map[netip.AddrPort]model.ReturnPath)
+	for _, svc := range s.Services {
+		path := model.ReturnDirect
+		if svc.Return == "through" {
+			path = model.ReturnThrough
+		}
+		for _, a := range svc.Addresses {
+			paths[netip.MustParseAddrPort(a)] = path
+		}
+	}
+	return paths
+}
+
+func (s *Site) startTargets() error {
+	for i := range s.Scenario.Services {
+		svc := &s.Scenario.Services[i]
+		for n := range svc.Targets {
+			plan := TargetPlan{
+				Name:    fmt.Sprintf("%s-%d", svc.Name, n+1),
+				Service: svc.Name,
+				Zone:    s.Scenario.zoneOf(n),
+				service: svc,
+			}
+			if err := s.startTarget(plan); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Site) startTarget(plan TargetPlan) error {
+	svc := plan.service
+	shed := standin.ShedAnswer
+	if svc.Shed == "reset" {
+		shed = standin.ShedReset
+	}
+	t := &runningTarget{plan: plan}
+	t.machine = standin.NewTarget(time.Now(), standin.TargetConfig{
+		Name: plan.Name, Gateway: s.returns, Slots: svc.Slots, MaxConnections: svc.MaxConnections,
+		ServiceTime: svc.ServiceTime, ColdFor: svc.ColdFor, Shed: shed, Rand: s.source(),
+	})
+	t.node = standin.NewNode(s.Links.Network(plan.Name, standin.Place(plan.Zone)), t.machine)
+	s.nodes = append(s.nodes, t.node)
+	var err error
+	if t.plan.Data, err = t.node.Listen(netip.AddrPortFrom(loopback, 0), nil); err != nil {
+		return err
+	}
+	if t.plan.Report, err = s.serve(t.serveReport()); err != nil {
+		return err
+	}
+	s.targets = append(s.targets, t)
+	return nil
+}
+
+// serveReport answers with the target's load report.
+func (t *runningTarget) serveReport() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		var report standin.LoadReport
+		t.node.Do(func(now time.Time) []standin.Datagram {
+			report = t.machine.Report(now)
+			return nil
+		})
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(report)
+	})
+}
+
+// serve starts an HTTP server on a free loopback port.
+func (s *Site) serve(h http.Handler) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return netip.AddrPort{}, fmt.Errorf("listen for HTTP: %w", err)
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	s.servers = append(s.servers, server)
+	go func() { _ = server.Serve(l) }()
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
+}
+
+// startPlatform starts one replica of the platform's service for each zone, so that a zone can be cut
+// from it.
+func (s *Site) startPlatform() error {
+	for _, zone := range s.Scenario.Zones {
+		p := standin.NewPlatform(standin.PlatformConfig{Rand: s.source()})
+		addr, err := s.serve(p)
+		if err != nil {
+			return err
+		}
+		s.platform[zone] = p
+		s.urls[zone] = "http://" + addr.String()
+	}
+	return nil
+}
+
+func (s *Site) planEntries() error {
+	for i := range s.Scenario.Entries {
+		e := EntryPlan{Name: fmt.Sprintf("e%d", i+1), Region: s.Scenario.Region, Zone: s.Scenario.zoneOf(i)}
+		for _, a := range []*netip.AddrPort{&e.Data, &e.Peer, &e.Bulk, &e.Ops} {
+			var err error
+			if *a, err = freePort(); err != nil {
+				return err
+			}
+		}
+		s.Entries = append(s.Entries, e)
+	}
+	return nil
+}
+
+// freePort returns a loopback port that is free for TCP and UDP now.
+func freePort() (netip.AddrPort, error) {
+	for range 100 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
+		}
+		addr := l.Addr().(*net.TCPAddr).AddrPort()
+		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		_ = l.Close()
+		if err == nil {
+			_ = u.Close()
+			return addr, nil
+		}
+	}
+	return netip.AddrPort{}, errors.New("find a free port: none is free for both TCP and UDP")
+}
+
+func (s *Site) publishFirst() error {
+	plans := make([]TargetPlan, 0, len(s.targets))
+	for _, t := range s.targets {
+		plans = append(plans, t.plan)
+	}
+	s.published = newPublished(s.Scenario, s.Entries, plans)
+	for _, name := range []standin.ListName{standin.ListCustomers, standin.ListPlans, standin.ListMachines} {
+		if err := s.publish(name); err != nil {
+			return err
+		}
+	}
+	s.setFabricEntries()
+	return nil
+}
+
+// publish puts the next revision of a list on every replica of the platform.
+func (s *Site) publish(name standin.ListName) error {
+	rev, data, err := s.published.Document(name)
+	if err != nil {
+		return err
+	}
+	for _, p := range s.platform {
+		p.Publish(name, rev, data)
+	}
+	return nil
+}
+
+// setFabricEntries tells the fabric which entry VMs are alive and not leaving.
+func (s *Site) setFabricEntries() {
+	var alive []netip.AddrPort
+	for _, e := range s.Entries {
+		if !s.dead[e.Name] && !s.published.leaving[e.Name] {
+			alive = append(alive, e.Data)
+		}
+	}
+	s.fabNode.Do(func(now time.Time) []standin.Datagram {
+		s.fabric.SetEntries(now, alive)
+		return nil
+	})
+}
+
+// PlatformURL returns the platform's service as a zone reaches it.
+func (s *Site) PlatformURL(zone string) string { return s.urls[zone] }
+
+// StartCallers starts the workloads.
+func (s *Site) StartCallers() error {
+	for i, customer := range s.Scenario.Customers {
+		workloads := s.Scenario.workloadsOf(customer.Name)
+		if len(workloads) == 0 {
+			continue
+		}
+		c := &runningCaller{customer: customer.Name}
+		c.machine = standin.NewCaller(time.Now(), standin.CallerConfig{
+			Name: customer.Name, Gateway: s.gateway, Sources: customer.sources(),
+			Workloads: workloads, IDBase: uint64(i+1) << 40, Rand: s.source(),
+		})
+		c.node = standin.NewNode(s.Links.Network("callers", fabricPlace), c.machine)
+		s.nodes = append(s.nodes, c.node)
+		if _, err := c.node.Listen(netip.AddrPortFrom(loopback, 0), nil); err != nil {
+			return err
+		}
+		s.callers = append(s.callers, c)
+	}
+	return nil
+}
+
+func (s *Scenario) workloadsOf(customer string) []standin.Workload {
+	var out []standin.Workload
+	for _, w := range s.Workloads {
+		if w.Customer != customer {
+			continue
+		}
+		out = append(out, standin.Workload{
+			Name: w.Name, Kind: w.Kind, Service: netip.MustParseAddrPort(s.service(w.Service).Addresses[0]),
+			Rate: w.Rate, Sessions: w.Sessions, Think: w.Think, Interval: w.Interval,
+			AnswerBytes: w.AnswerBytes, Deadline: w.Deadline,
+		})
+	}
+	return out
+}
+
+// sources returns the first addresses of the customer's prefix after its network address.
+func (c Customer) sources() []netip.Addr {
+	count := c.Sources
+	if count == 0 {
+		count = 4
+	}
+	addr := netip.MustParsePrefix(c.Prefix).Masked().Addr()
+	out := make([]netip.Addr, 0, count)
+	for range count {
+		addr = addr.Next()
+		out = append(out, addr)
+	}
+	return out
+}
+
+// StopCallers lets open sessions end, for at most the given time, and returns how many remain.
+func (s *Site) StopCallers(limit time.Duration) int {
+	for _, c := range s.callers {
+		c.node.Do(c.machine.Stop)
+	}
+	end := time.Now().Add(limit)
+	for s.OpenFlows() > 0 && time.Now().Before(end) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return s.OpenFlows()
+}
+
+// OpenFlows returns how many flows the callers hold.
+func (s *Site) OpenFlows() int {
+	open := 0
+	for _, c := range s.callers {
+		c.node.Do(func(time.Time) []standin.Datagram {
+			open += c.machine.Open()
+			return nil
+		})
+	}
+	return open
+}
+
+// TargetLoad is what a target really holds.
+type TargetLoad struct {
+	Name, Service, Zone string
+	Connections, Busy   int
+	Leaving             bool
+}
+
+// Loads returns what every target really holds.
+func (s *Site) Loads() []TargetLoad {
+	loads := make([]TargetLoad, 0, len(s.targets))
+	for _, t := range s.targets {
+		load := TargetLoad{Name: t.plan.Name, Service: t.plan.Service, Zone: t.plan.Zone, Leaving: s.leaving(t.plan.Name)}
+		t.node.Do(func(time.Time) []standin.Datagram {
+			load.Connections = t.machine.Connections()
+			load.Busy = t.machine.Busy()
+			return nil
+		})
+		loads = append(loads, load)
+	}
+	return loads
+}
+
+func (s *Site) leaving(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.published.leaving[name]
+}
+
+// History returns the records of all callers and targets.
+func (s *Site) History() history.History {
+	var h history.History
+	for _, c := range s.callers {
+		c.node.Do(func(time.Time) []standin.Datagram {
+			h.Add(c.machine.History())
+			return nil
+		})
+	}
+	for _, t := range s.targets {
+		t.node.Do(func(time.Time) []standin.Datagram {
+			h.Add(t.machine.History())
+			return nil
+		})
+	}
+	return h
+}
+
+// PlatformCounts returns the calls that the platform counted, over its replicas.
+func (s *Site) PlatformCounts() standin.PlatformCounts {
+	var sum standin.PlatformCounts
+	for _, p := range s.platform {
+		c := p.Counts()
+		sum.Calls += c.Calls
+		sum.Reads += c.Reads
+		sum.Watches += c.Watches
+		sum.OverBudget += c.OverBudget
+	}
+	return sum
+}
+
+// Close stops all stand-ins.
+func (s *Site) Close() {
+	for _, n := range s.nodes {
+		n.Close()
+	}
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/scenario/summary.go
@@ -0,0 +1,139 @@
+package scenario
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+)
+
+// Count is how often something named happened.
+type Count struct {
+	Name  string `json:"name"`
+	Count int    `json:"count"`
+}
+
+// Summary is what callers and targets recorded of a run.
+type Summary struct {
+	Requests int `json:"requests"`
+	Answered int `json:"answered"`
+	NotRun   int `json:"not_run"`
+	Unknown  int `json:"unknown"`
+
+	Flows      int `json:"flows"`
+	Finished   int `json:"finished"`
+	Refused    int `json:"refused"`
+	Unanswered int `json:"unanswered"`
+	Broken     int `json:"broken"`
+	// BrokenBy counts broken flows by cause and workload, RefusedBy refused ones by reason.
+	BrokenBy  []Count `json:"broken_by"`
+	RefusedBy []Count `json:"refused_by"`
+	// Violations are the promises that the records show as broken.
+	Violations []string `json:"violations"`
+}
+
+// Summarize counts a history.
+func Summarize(h history.History) Summary {
+	s := Summary{Requests: len(h.Outcomes), Flows: len(h.Flows)}
+	for _, o := range h.Outcomes {
+		s.addOutcome(o)
+	}
+	broken := make(map[string]int)
+	refused := make(map[string]int)
+	for _, f := range h.Flows {
+		s.addFlow(f, broken, refused)
+	}
+	s.BrokenBy = sortedCounts(broken)
+	s.RefusedBy = sortedCounts(refused)
+	for _, v := range history.Check(h) {
+		s.Violations = append(s.Violations, v.String())
+	}
+	return s
+}
+
+// Since keeps the flows and attempts that ended after a time, for counting without the warm-up. Runs
+// and receipts are kept whole.
+func Since(h history.History, start time.Time) history.History {
+	out := history.History{Runs: h.Runs, Receipts: h.Receipts}
+	for _, o := range h.Outcomes {
+		if !o.Done.Before(start) {
+			out.Outcomes = append(out.Outcomes, o)
+		}
+	}
+	for _, f := range h.Flows {
+		if !f.Ended.Before(start) {
+			out.Flows = append(out.Flows, f)
+		}
+	}
+	return out
+}
+
+func (s *Summary) addOutcome(o history.Outcome) {
+	switch o.Fate {
+	case history.FateAnswered:
+		s.Answered++
+	case history.FateNotRun:
+		s.NotRun++
+	case history.FateUnknown:
+		s.Unknown++
+	}
+}
+
+func (s *Summary) addFlow(f history.FlowEnd, broken, refused map[string]int) {
+	switch f.Result {
+	case history.FlowFinished:
+		s.Finished++
+	case history.FlowRefused:
+		s.Refused++
+		refused[reasonOf(f)]++
+	case history.FlowUnanswered:
+		s.Unanswered++
+	case history.FlowBroken:
+		s.Broken++
+		broken[f.Workload+"/"+f.Cause.String()+"/"+reasonOf(f)]++
+	}
+}
+
+func reasonOf(f history.FlowEnd) string {
+	if f.Reason == "" {
+		return "no_reason"
+	}
+	return f.Reason
+}
+
+func sortedCounts(counts map[string]int) []Count {
+	out := make([]Count, 0, len(counts))
+	for name, n := range counts {
+		out = append(out, Count{Name: name, Count: n})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
+
+// Right reports whether every request was answered and no promise was broken.
+func (s Summary) Right() bool {
+	return s.Answered > 0 && s.Answered == s.Requests &&
+		s.Broken == 0 && s.Unanswered == 0 && len(s.Violations) == 0
+}
+
+// Print writes the summary for a reader.
+func (s Summary) Print(w io.Writer) {
+	fmt.Fprintf(w, "requests  %d: answered %d, not run %d, unknown %d\n", s.Requests, s.Answered, s.NotRun, s.Unknown)
+	fmt.Fprintf(w, "flows     %d: finished %d, refused %d, unanswered %d, broken %d\n", s.Flows, s.Finished, s.Refused, s.Unanswered, s.Broken)
+	for _, c := range s.RefusedBy {
+		fmt.Fprintf(w, "refused   %s: %d\n", c.Name, c.Count)
+	}
+	for _, c := range s.BrokenBy {
+		fmt.Fprintf(w, "broken    %s: %d\n", c.Name, c.Count)
+	}
+	fmt.Fprintf(w, "promises broken: %d\n", len(s.Violations))
+	for i, v := range s.Violations {
+		if i == 10 {
+			fmt.Fprintf(w, "  ... and %d more\n", len(s.Violations)-i)
+			break
+		}
+		fmt.Fprintf(w, "  %s\n", v)
+	}
+}
