--- /dev/null
+++ b/internal/fleet/baselinemember.go
@@ -0,0 +1,163 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/internal/scenario"
+	"github.com/fireflypin/fireflypin/internal/standin"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+const (
+	baselineRetry  = 200 * time.Millisecond
+	baselineWatch  = "5s"
+	baselineCallBy = 10 * time.Second
+)
+
+// baselineMember is a Baseline with its socket and its watch of the platform.
+type baselineMember struct {
+	url    string
+	node   *standin.Node
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	client *http.Client
+	table  *Baseline
+
+	mu  sync.Mutex
+	rev model.Revisions
+}
+
+func startBaseline(site *scenario.Site, plan scenario.EntryPlan, network udpio.Network, table bool) (member, error) {
+	b := NewBaseline(BaselineConfig{Table: table, Egress: site.Egress})
+	m := &baselineMember{
+		url:    site.PlatformURL(plan.Zone),
+		node:   standin.NewNode(network, b),
+		client: &http.Client{Timeout: baselineCallBy},
+		table:  b,
+	}
+	if _, err := m.node.Listen(plan.Data, nil); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.cancel = cancel
+	m.wg.Add(1)
+	go m.follow(ctx)
+	return m, nil
+}
+
+// follow keeps the newest lists in force.
+func (m *baselineMember) follow(ctx context.Context) {
+	defer m.wg.Done()
+	for ctx.Err() == nil {
+		if err := m.refresh(ctx); err != nil {
+			select {
+			case <-time.After(baselineRetry):
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// refresh reads the lists, puts them in force and waits for a change.
+func (m *baselineMember) refresh(ctx context.Context) error {
+	var d lists.Documents
+	for kind, doc := range map[lists.Kind]*lists.Document{
+		lists.KindCustomers: &d.Customers,
+		lists.KindPlans:     &d.Plans,
+		lists.KindMachines:  &d.Machines,
+	} {
+		data, err := m.get(ctx, "/v1/lists/"+kind.String())
+		if err != nil {
+			return err
+		}
+		*doc = lists.Document{Name: kind.String(), Data: data}
+	}
+	snapshot, err := lists.Parse(d)
+	if err != nil {
+		return fmt.Errorf("read lists: %w", err)
+	}
+	m.node.Do(func(time.Time) []standin.Datagram {
+		m.table.SetSnapshot(snapshot)
+		return nil
+	})
+	m.mu.Lock()
+	m.rev = snapshot.Revisions
+	m.mu.Unlock()
+	return m.watch(ctx, snapshot.Revisions)
+}
+
+// watch returns once a list is newer than rev.
+func (m *baselineMember) watch(ctx context.Context, rev model.Revisions) error {
+	path := fmt.Sprintf("/v1/watch?customers=%d&plans=%d&machines=%d&wait=%s", rev.Customers, rev.Plans, rev.Machines, baselineWatch)
+	for {
+		data, err := m.get(ctx, path)
+		if err != nil {
+			return err
+		}
+		var now model.Revisions
+		if err := json.Unmarshal(data, &now); err != nil {
+			return fmt.Errorf("read watch: %w", err)
+		}
+		if !rev.Covers(now) {
+			return nil
+		}
+	}
+}
+
+func (m *baselineMember) get(ctx context.Context, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, m.url+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("ask platform: %w", err)
+	}
+	resp, err := m.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask platform: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("ask platform for %s: %s", path, resp.Status)
+	}
+	return io.ReadAll(resp.Body)
+}
+
+// Ready reports whether lists are in force.
+func (m *baselineMember) Ready() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.rev.Machines > 0
+}
+
+// Stop ends the member; it has nothing to hand over.
+func (m *baselineMember) Stop(context.Context) error {
+	m.Kill()
+	return nil
+}
+
+// Kill ends the member.
+func (m *baselineMember) Kill() {
+	m.cancel()
+	m.node.Close()
+	m.wg.Wait()
+}
+
+// Status returns the counters.
+func (m *baselineMember) Status() Status {
+	var st Status
+	m.node.Do(func(time.Time) []standin.Datagram {
+		st.Flows = len(m.table.flows)
+		st.Packets = m.table.packets
+		return nil
+	})
+	m.mu.Lock()
+	st.Revisions = m.rev
+	m.mu.Unlock()
+	return st
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,194 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/scenario"
+	"github.com/fireflypin/fireflypin/internal/standin"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Variant names what runs on the entry VMs.
+type Variant string
+
+// The variants.
+const (
+	// VariantDaemon is the product.
+	VariantDaemon Variant = "daemon"
+	// VariantTable hashes plainly and keeps a table of flows in each member.
+	VariantTable Variant = "table"
+	// VariantHash hashes each packet plainly and keeps nothing.
+	VariantHash Variant = "hash"
+)
+
+// Variants returns all of them.
+func Variants() []Variant {
+	return []Variant{VariantDaemon, VariantTable, VariantHash}
+}
+
+// State is what a member does.
+type State string
+
+// The states of a member.
+const (
+	StateStarting State = "starting"
+	StateReady    State = "ready"
+	StateStopping State = "stopping"
+	StateStopped  State = "stopped"
+	StateKilled   State = "killed"
+)
+
+// Status is what a member tells of itself.
+type Status struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+	// State is filled in by the fleet.
+	State State `json:"state"`
+	// Flows is the number of flows that the member owns or remembers, Exceptions those of them whose
+	// target differs from the default.
+	Flows      int `json:"flows"`
+	Exceptions int `json:"exceptions"`
+	// Packets counts packets from the fabric, Hops those that it passed to an owner.
+	Packets uint64 `json:"packets"`
+	Hops    uint64 `json:"hops"`
+	// ControlBytes counts bytes to other daemons apart from hopped packets.
+	ControlBytes uint64          `json:"control_bytes"`
+	Revisions    model.Revisions `json:"revisions"`
+}
+
+// member is one running daemon or baseline.
+type member interface {
+	// Ready reports whether it serves.
+	Ready() bool
+	// Stop stops it gracefully.
+	Stop(ctx context.Context) error
+	// Kill ends it at once.
+	Kill()
+	// Status returns its counters.
+	Status() Status
+}
+
+// slot is one entry VM of a fleet.
+type slot struct {
+	plan   scenario.EntryPlan
+	member member
+
+	mu    sync.Mutex
+	state State
+}
+
+func (s *slot) set(state State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state = state
+}
+
+func (s *slot) get() State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state
+}
+
+// Fleet is the members of one site.
+type Fleet struct {
+	slots []*slot
+}
+
+// Start starts a member on every entry VM of a site.
+func Start(site *scenario.Site, v Variant) (*Fleet, error) {
+	f := &Fleet{}
+	for _, plan := range site.Entries {
+		m, err := startMember(site, plan, v)
+		if err != nil {
+			f.Close()
+			return nil, fmt.Errorf("start %s as %s: %w", plan.Name, v, err)
+		}
+		f.slots = append(f.slots, &slot{plan: plan, member: m, state: StateStarting})
+	}
+	return f, nil
+}
+
+func startMember(site *scenario.Site, plan scenario.EntryPlan, v Variant) (member, error) {
+	network := site.Links.Network(plan.Name, standin.Place(plan.Zone))
+	if v == VariantDaemon {
+		return startDaemon(site, plan, network)
+	}
+	return startBaseline(site, plan, network, v == VariantTable)
+}
+
+const readyPoll = 20 * time.Millisecond
+
+// WaitReady waits until every member is ready.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	for _, s := range f.slots {
+		for !s.member.Ready() {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("wait until %s is ready: %w", s.plan.Name, ctx.Err())
+			case <-time.After(readyPoll):
+			}
+		}
+		s.set(StateReady)
+	}
+	return nil
+}
+
+// Stop stops a member gracefully.
+func (f *Fleet) Stop(ctx context.Context, name string) error {
+	s := f.find(name)
+	if s == nil {
+		return fmt.Errorf("stop %q: no such entry VM", name)
+	}
+	s.set(StateStopping)
+	err := s.member.Stop(ctx)
+	s.set(StateStopped)
+	return err
+}
+
+// Kill ends a member without warning.
+func (f *Fleet) Kill(name string) {
+	if s := f.find(name); s != nil {
+		s.set(StateKilled)
+		s.member.Kill()
+	}
+}
+
+func (f *Fleet) find(name string) *slot {
+	i := slices.IndexFunc(f.slots, func(s *slot) bool { return s.plan.Name == name })
+	if i < 0 {
+		return nil
+	}
+	return f.slots[i]
+}
+
+// Status returns the counters of all members.
+func (f *Fleet) Status() []Status {
+	out := make([]Status, 0, len(f.slots))
+	for _, s := range f.slots {
+		st := s.member.Status()
+		st.Name = s.plan.Name
+		st.Zone = s.plan.Zone
+		st.State = s.get()
+		out = append(out, st)
+	}
+	return out
+}
+
+// Close ends all members.
+func (f *Fleet) Close() {
+	for _, s := range f.slots {
+		if state := s.get(); state != StateStopped && state != StateKilled {
+			s.member.Kill()
+		}
+	}
+}
+
+// startDaemon starts the product.
+func startDaemon(_ *scenario.Site, _ scenario.EntryPlan, _ udpio.Network) (member, error) {
+	return nil, fmt.Errorf("not wired")
+}
