--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -1,4 +1,33 @@
-// Command fireflypin has no function yet.
+// Command fireflypin is the operator's tool: it checks lists, explains decisions, shows a fleet and
+// runs demos and measurements on loopback.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newRoot().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fireflypin:", err)
+		os.Exit(1)
+	}
+}
+
+func newRoot() *cli.Command {
+	return &cli.Command{
+		Name:  "fireflypin",
+		Usage: "operate and try out the fireflypin load balancer",
+		Commands: []*cli.Command{
+			newStandinCommand(),
+		},
+	}
+}
--- /dev/null
+++ b/cmd/fireflypin/standin.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflypin/fireflypin/internal/demo"
+)
+
+// newStandinCommand returns the command that runs a scenario's stand-ins for separate daemons.
+func newStandinCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "standin",
+		Usage: "run platform, fabric, targets and callers of a scenario for daemons in other processes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "scenario", Usage: "scenario `FILE`", Value: "scenarios/first.yaml"},
+			&cli.StringFlag{Name: "out", Usage: "`DIR` for the daemons' settings files", Value: "out/run"},
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the workloads", Value: 1},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return demo.Separate(ctx, demo.SeparateConfig{
+				Scenario: c.String("scenario"),
+				OutDir:   c.String("out"),
+				Seed:     c.Uint64("seed"),
+				Out:      os.Stdout,
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/demo/separate.go
@@ -0,0 +1,155 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/scenario"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+)
+
+// ErrNotRight is returned where a run ended, but not every request was answered rightly.
+var ErrNotRight = errors.New("not every request was answered rightly")
+
+const (
+	readyWait   = 15 * time.Second
+	readyPoll   = 50 * time.Millisecond
+	sessionsEnd = 8 * time.Second
+	// planFile is written last: whoever starts the daemons waits for it.
+	planFile = "entries"
+)
+
+// SeparateConfig configures Separate.
+type SeparateConfig struct {
+	// Scenario is the scenario's file.
+	Scenario string
+	// OutDir receives the daemons' settings files; it is created where it is missing.
+	OutDir string
+	Seed   uint64
+	// Out receives the report.
+	Out io.Writer
+}
+
+// Separate runs a scenario's stand-ins for daemons in processes of their own. It writes their settings
+// files and the list of their names, waits until all are ready, runs the workloads and reports. The
+// error is ErrNotRight where a request was not answered rightly.
+func Separate(ctx context.Context, cfg SeparateConfig) error {
+	s, err := scenario.Load(cfg.Scenario)
+	if err != nil {
+		return err
+	}
+	site, err := scenario.Start(s, cfg.Seed, udpio.System(udpio.Config{}))
+	if err != nil {
+		return err
+	}
+	defer site.Close()
+	if err := writeSettings(site, cfg.OutDir); err != nil {
+		return err
+	}
+	fmt.Fprintf(cfg.Out, "waiting for %d daemons\n", len(site.Entries))
+	if err := waitReady(ctx, site.Entries); err != nil {
+		return err
+	}
+	fmt.Fprintf(cfg.Out, "all daemons are ready; running %s for %v\n", s.Name, s.Warmup+s.Duration)
+	if err := runWorkloads(ctx, site, cfg.Out); err != nil {
+		return err
+	}
+	return report(site, cfg.Out)
+}
+
+// writeSettings writes one settings file a daemon, then the list of their names.
+func writeSettings(site *scenario.Site, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return fmt.Errorf("make directory for settings: %w", err)
+	}
+	names := ""
+	for _, e := range site.Entries {
+		data, err := site.Settings(e)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(filepath.Join(dir, e.Name+".yaml"), data, 0o644); err != nil {
+			return fmt.Errorf("write settings: %w", err)
+		}
+		names += e.Name + "\n"
+	}
+	temporary := filepath.Join(dir, planFile+".tmp")
+	if err := os.WriteFile(temporary, []byte(names), 0o644); err != nil {
+		return fmt.Errorf("write list of daemons: %w", err)
+	}
+	if err := os.Rename(temporary, filepath.Join(dir, planFile)); err != nil {
+		return fmt.Errorf("write list of daemons: %w", err)
+	}
+	return nil
+}
+
+// waitReady asks every daemon's /readyz until all answer 200.
+func waitReady(ctx context.Context, entries []scenario.EntryPlan) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	client := &http.Client{Timeout: time.Second}
+	for _, e := range entries {
+		for !isReady(ctx, client, e) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("wait for %s at %v/readyz: %w", e.Name, e.Ops, ctx.Err())
+			case <-time.After(readyPoll):
+			}
+		}
+	}
+	return nil
+}
+
+func isReady(ctx context.Context, client *http.Client, e scenario.EntryPlan) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Ops.String()+"/readyz", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// runWorkloads runs the callers for the scenario's time and prints how many flows are open.
+func runWorkloads(ctx context.Context, site *scenario.Site, out io.Writer) error {
+	if err := site.StartCallers(); err != nil {
+		return err
+	}
+	end := time.After(site.Scenario.Warmup + site.Scenario.Duration)
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-end:
+			if left := site.StopCallers(sessionsEnd); left > 0 {
+				fmt.Fprintf(out, "%d flows did not come to their end\n", left)
+			}
+			return nil
+		case <-second.C:
+			sum := scenario.Summarize(site.History())
+			fmt.Fprintf(out, "open flows %4d   answered %5d   broken %d\n", site.OpenFlows(), sum.Answered, sum.Broken)
+		}
+	}
+}
+
+func report(site *scenario.Site, out io.Writer) error {
+	sum := scenario.Summarize(site.History())
+	sum.Print(out)
+	counts := site.PlatformCounts()
+	fmt.Fprintf(out, "platform  %d calls: %d reads, %d watches\n", counts.Calls, counts.Reads, counts.Watches)
+	if !sum.Right() || site.OpenFlows() > 0 {
+		return ErrNotRight
+	}
+	return nil
+}
