--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -140,12 +140,20 @@
 func (s *Site) cut(zone string, on bool) {
 	for _, other := range s.Scenario.Zones {
 		if other != zone {
-			s.Links.Cut(standin.Place(zone), standin.Place(other), on)
+			s.cutPair(standin.Place(zone), standin.Place(other), on)
 		}
 	}
 	s.setPlatform([]string{zone}, on)
 }
 
+func (s *Site) cutPair(a, b standin.Place, on bool) {
+	s.Links.Cut(a, b, on)
+	s.fabNode.Do(func(time.Time) []standin.Datagram {
+		s.fabric.Cut(a, b, on)
+		return nil
+	})
+}
+
 func (s *Site) setPlatform(zones []string, down bool) {
 	for _, zone := range zones {
 		if p := s.platform[zone]; p != nil {
--- a/internal/scenario/site.go
+++ b/internal/scenario/site.go
@@ -118,6 +118,7 @@
 		Spray:       spray,
 		DetectAfter: s.Scenario.Detect,
 		Returns:     s.Scenario.returns(),
+		CallerPlace: func(a netip.Addr) standin.Place { return standin.Place(s.Scenario.CallerZone(a)) },
 		Rand:        s.source(),
 	})
 	s.fabNode = standin.NewNode(s.Links.Network("fabric", fabricPlace), s.fabric)
@@ -145,6 +146,12 @@
 	return paths
 }
 
+// CallerZone returns the zone of a caller's address: addresses lie in the zones in turn.
+func (s *Scenario) CallerZone(a netip.Addr) string {
+	last := a.AsSlice()
+	return s.zoneOf(int(last[len(last)-1]))
+}
+
 func (s *Site) startTargets() error {
 	for i := range s.Scenario.Services {
 		svc := &s.Scenario.Services[i]
@@ -180,6 +187,10 @@
 	if t.plan.Data, err = t.node.Listen(netip.AddrPortFrom(loopback, 0), nil); err != nil {
 		return err
 	}
+	s.fabNode.Do(func(time.Time) []standin.Datagram {
+		s.fabric.SetTarget(t.plan.Data, standin.Place(plan.Zone))
+		return nil
+	})
 	if t.plan.Report, err = s.serve(t.serveReport()); err != nil {
 		return err
 	}
@@ -288,10 +299,10 @@
 
 // setFabricEntries tells the fabric which entry VMs are alive and not leaving.
 func (s *Site) setFabricEntries() {
-	var alive []netip.AddrPort
+	var alive []standin.FabricEntry
 	for _, e := range s.Entries {
 		if !s.dead[e.Name] && !s.published.leaving[e.Name] {
-			alive = append(alive, e.Data)
+			alive = append(alive, standin.FabricEntry{Data: e.Data, Place: standin.Place(e.Zone)})
 		}
 	}
 	s.fabNode.Do(func(now time.Time) []standin.Datagram {
--- a/internal/standin/exchange_test.go
+++ b/internal/standin/exchange_test.go
@@ -46,7 +46,7 @@
 	tc.Name, tc.Gateway, tc.Rand = "t1", targetsAddr, source()
 	x := &exchange{now: testStart, rand: source()}
 	x.fabric = NewFabric(FabricConfig{Returns: map[netip.AddrPort]model.ReturnPath{serviceAddr: model.ReturnDirect}, Rand: source()})
-	x.fabric.SetEntries(x.now, []netip.AddrPort{targetAddr})
+	x.fabric.SetEntries(x.now, []FabricEntry{{Data: targetAddr}})
 	x.target = NewTarget(x.now, tc)
 	x.caller = NewCaller(x.now, CallerConfig{
 		Name: "c1", Gateway: callersAddr, Sources: []netip.Addr{netip.MustParseAddr("10.0.0.1")},
--- a/internal/standin/fabric.go
+++ b/internal/standin/fabric.go
@@ -6,8 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 )
@@ -31,6 +29,8 @@
 	DetectAfter time.Duration
 	// Loss is the share of packets that the fabric loses, 0 to 1; default 0.
 	Loss float64
+	// CallerPlace gives the place of a caller's address; nil means that all callers are everywhere.
+	CallerPlace func(netip.Addr) Place
 	// Returns says per service address which way answers of targets take; default direct.
 	Returns map[netip.AddrPort]model.ReturnPath
 	// MTU bounds inner packets in bytes; default 1500.
@@ -39,9 +39,15 @@
 	Rand *rand.Rand
 }
 
+// FabricEntry is an entry VM that packets are sprayed to.
+type FabricEntry struct {
+	Data  netip.AddrPort
+	Place Place
+}
+
 // fabricEntry is an entry VM as the fabric knows it.
 type fabricEntry struct {
-	data netip.AddrPort
+	FabricEntry
 	// until is when the fabric stops spraying to it; zero while it is alive.
 	until time.Time
 }
@@ -55,6 +61,11 @@
 	entries []fabricEntry
 	// callers holds where packets of each caller's address came from last.
 	callers map[netip.Addr]netip.AddrPort
+	// places holds where targets are, by their data address.
+	places map[netip.AddrPort]Place
+	cuts   map[placePair]bool
+	// reachable is reused by pick.
+	reachable []fabricEntry
 
 	sprayed, delivered, lost int
 }
@@ -67,18 +78,20 @@
 		cfg:     cfg,
 		dec:     packet.NewDecoder(packet.DecoderConfig{MTU: cfg.MTU}),
 		callers: make(map[netip.Addr]netip.AddrPort),
+		places:  make(map[netip.AddrPort]Place),
+		cuts:    make(map[placePair]bool),
 	}
 }
 
 // SetEntries names the entry VMs that are alive. The fabric goes on spraying to those that are missing
 // for DetectAfter.
-func (f *Fabric) SetEntries(now time.Time, alive []netip.AddrPort) {
+func (f *Fabric) SetEntries(now time.Time, alive []FabricEntry) {
 	kept := make([]fabricEntry, 0, len(alive))
 	for _, a := range alive {
-		kept = append(kept, fabricEntry{data: a})
+		kept = append(kept, fabricEntry{FabricEntry: a})
 	}
 	for _, e := range f.entries {
-		if slices.Contains(alive, e.data) {
+		if slices.Contains(alive, e.FabricEntry) {
 			continue
 		}
 		if e.until.IsZero() {
@@ -90,6 +103,13 @@
 	f.forgetDead(now)
 }
 
+// SetTarget tells where a target is.
+func (f *Fabric) SetTarget(data netip.AddrPort, p Place) { f.places[data] = p }
+
+// Cut cuts or heals the way between two places: packets of callers and targets at one are then sprayed
+// over the entry VMs that they still reach.
+func (f *Fabric) Cut(a, b Place, on bool) { f.cuts[pairOf(a, b)] = on }
+
 // SetLoss changes the share of packets that the fabric loses, 0 to 1.
 func (f *Fabric) SetLoss(loss float64) { f.cfg.Loss = loss }
 
@@ -106,10 +126,18 @@
 		return nil
 	}
 	f.callers[p.meta.Src.Addr()] = d.Addr
-	f.spray(p, d.Data)
+	f.spray(f.callerPlace(p.meta.Src.Addr()), p, d.Data)
 	return f.out.take()
 }
 
+// callerPlace returns where a caller is; empty where it is everywhere.
+func (f *Fabric) callerPlace(a netip.Addr) Place {
+	if f.cfg.CallerPlace == nil {
+		return ""
+	}
+	return f.cfg.CallerPlace(a)
+}
+
 // HandleTarget takes an answer of a target: it is sprayed over the entry VMs where the service's
 // answers pass them, and else delivered.
 func (f *Fabric) HandleTarget(_ time.Time, d Datagram) []Datagram {
@@ -117,10 +145,11 @@
 	if !ok {
 		return nil
 	}
+	place := f.places[d.Addr]
 	if f.cfg.Returns[p.meta.Src] == model.ReturnThrough {
-		f.spray(p, d.Data)
+		f.spray(place, p, d.Data)
 	} else {
-		f.deliver(p, d.Data)
+		f.deliver(place, p, d.Data)
 	}
 	return f.out.take()
 }
@@ -131,10 +160,19 @@
 	if !ok {
 		return nil
 	}
-	f.deliver(p, d.Data)
+	f.deliver(f.entryPlace(d.Addr), p, d.Data)
 	return f.out.take()
 }
 
+// entryPlace returns where the daemon is that sent from an address; empty where it is not known.
+func (f *Fabric) entryPlace(from netip.AddrPort) Place {
+	i := slices.IndexFunc(f.entries, func(e fabricEntry) bool { return e.Data == from })
+	if i < 0 {
+		return ""
+	}
+	return f.entries[i].Place
+}
+
 // take decodes a packet, unless the fabric loses it.
 func (f *Fabric) take(d Datagram) (decoded, bool) {
 	if f.cfg.Loss > 0 && f.cfg.Rand.Float64() < f.cfg.Loss {
@@ -144,32 +182,41 @@
 	return decode(f.dec, d.Data)
 }
 
-// deliver sends a packet to where its caller was last seen.
-func (f *Fabric) deliver(p decoded, data []byte) {
-	to, found := f.callers[p.meta.Dst.Addr()]
-	if !found {
+// deliver sends a packet from a place to where its caller was last seen.
+func (f *Fabric) deliver(from Place, p decoded, data []byte) {
+	caller := p.meta.Dst.Addr()
+	to, found := f.callers[caller]
+	if !found || f.cuts[pairOf(from, f.callerPlace(caller))] {
+		f.lost++
 		return
 	}
 	f.delivered++
 	f.out.add(to, slices.Clone(data))
 }
 
-// spray sends a packet to one of the entry VMs.
-func (f *Fabric) spray(p decoded, data []byte) {
-	if len(f.entries) == 0 {
+// spray sends a packet from a place to one of the entry VMs that the place reaches.
+func (f *Fabric) spray(from Place, p decoded, data []byte) {
+	f.reachable = f.reachable[:0]
+	for _, e := range f.entries {
+		if !f.cuts[pairOf(from, e.Place)] {
+			f.reachable = append(f.reachable, e)
+		}
+	}
+	if len(f.reachable) == 0 {
 		f.lost++
 		return
 	}
 	f.sprayed++
-	f.out.add(f.pick(p).data, slices.Clone(data))
+	f.out.add(f.pick(p).Data, slices.Clone(data))
 }
 
+// pick chooses one of the reachable entry VMs.
 func (f *Fabric) pick(p decoded) fabricEntry {
 	if f.cfg.Spray == SprayPacket {
-		return f.entries[f.cfg.Rand.IntN(len(f.entries))]
+		return f.reachable[f.cfg.Rand.IntN(len(f.reachable))]
 	}
-	flow := p.meta.Src.String() + p.meta.Dst.String()
-	return f.entries[xxhash.Sum64String(flow)%uint64(len(f.entries))]
+	key := packet.FlowKey{Caller: p.meta.Src, Service: p.meta.Dst}
+	return f.reachable[uint64(key.Hash())%uint64(len(f.reachable))]
 }
 
 // Tick forgets entry VMs whose time is over.
--- /dev/null
+++ b/internal/standin/target_test.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+)
+
+func reasons(h history.History) map[string]int {
+	counts := make(map[string]int)
+	for _, o := range h.Outcomes {
+		if o.Fate == history.FateNotRun {
+			counts[o.Reason]++
+		}
+	}
+	return counts
+}
+
+func causes(h history.History) map[history.Cause]int {
+	counts := make(map[history.Cause]int)
+	for _, f := range h.Flows {
+		if f.Result == history.FlowBroken {
+			counts[f.Cause]++
+		}
+	}
+	return counts
+}
+
+func TestTargetShedsTruthfully(t *testing.T) {
+	crowd := Workload{Name: "crowd", Kind: WorkloadHold, Rate: 200, Think: 10 * time.Millisecond}
+	Convey("A target that is past its limits says not run, never runs those, and serves the caller later", t, func() {
+		Convey("by an answer", func() {
+			x := newExchange(2, crowd, TargetConfig{Slots: 1, QueueLimit: 2, ServiceTime: 5 * time.Millisecond})
+			x.run(5 * time.Second)
+			h := x.finish()
+			So(history.Check(h), ShouldBeEmpty)
+			So(reasons(h)["shed"], ShouldBeGreaterThan, 0)
+			So(countResults(h)[history.FlowBroken], ShouldEqual, 0)
+		})
+		Convey("by a reset of the connection attempt", func() {
+			x := newExchange(2, crowd, TargetConfig{Slots: 1, QueueLimit: 2, ServiceTime: 5 * time.Millisecond, Shed: ShedReset})
+			x.run(5 * time.Second)
+			h := x.finish()
+			So(history.Check(h), ShouldBeEmpty)
+			So(countResults(h)[history.FlowRefused], ShouldBeGreaterThan, 0)
+			So(countResults(h)[history.FlowBroken], ShouldEqual, 0)
+		})
+		Convey("by its connection limit", func() {
+			x := newExchange(2, Workload{Name: "s", Kind: WorkloadStream, Sessions: 20}, TargetConfig{MaxConnections: 10})
+			x.run(3 * time.Second)
+			So(x.target.Connections(), ShouldEqual, 10)
+			So(history.Check(x.finish()), ShouldBeEmpty)
+		})
+	})
+}
+
+func TestDeadlinesAndCancellations(t *testing.T) {
+	slow := Workload{Name: "slow", Kind: WorkloadHold, Rate: 20, Deadline: 300 * time.Millisecond}
+	Convey("A request past its deadline is cancelled, and what was not begun is told so", t, func() {
+		x := newExchange(3, slow, TargetConfig{Slots: 1, QueueLimit: 1000, ServiceTime: 200 * time.Millisecond})
+		// Cancellations arrive in another order than their requests, so that some find them still queued.
+		x.jitter = 80 * time.Millisecond
+		x.run(5 * time.Second)
+		h := x.finish()
+		So(history.Check(h), ShouldBeEmpty)
+		So(reasons(h)["cancelled"]+reasons(h)["deadline"], ShouldBeGreaterThan, 0)
+		aborted := 0
+		for _, r := range h.Runs {
+			if r.Aborted {
+				aborted++
+			}
+		}
+		So(aborted, ShouldBeGreaterThan, 0)
+	})
+}
+
+func TestSilence(t *testing.T) {
+	streams := Workload{Name: "s", Kind: WorkloadStream, Sessions: 4, Interval: 200 * time.Millisecond, Deadline: 2 * time.Second}
+	Convey("A flow that goes silent is found by its caller while others go on", t, func() {
+		x := newExchange(4, streams, TargetConfig{})
+		x.run(5 * time.Second)
+		x.target.SilenceFlow(x.target.Flows()[0])
+		x.run(30 * time.Second)
+		So(causes(x.caller.History()), ShouldResemble, map[history.Cause]int{history.CauseTimedOut: 1})
+		So(len(x.caller.Flows("s")), ShouldEqual, 4)
+	})
+	Convey("A target that answers nothing reports as if it were well", t, func() {
+		x := newExchange(4, streams, TargetConfig{})
+		x.run(3 * time.Second)
+		x.target.SetLie(LieSilent)
+		x.run(30 * time.Second)
+		So(causes(x.caller.History())[history.CauseTimedOut], ShouldEqual, 4)
+		So(x.target.Report(x.now).Shedding, ShouldBeFalse)
+	})
+}
+
+func TestReportsAndColdStart(t *testing.T) {
+	w := Workload{Name: "s", Kind: WorkloadStream, Sessions: 5}
+	Convey("Reports tell the truth or the set lie", t, func() {
+		x := newExchange(5, w, TargetConfig{ColdFor: 10 * time.Second})
+		x.run(5 * time.Second)
+		So(x.target.Report(x.now).Connections, ShouldEqual, 5)
+		So(x.target.Report(x.now).Warming, ShouldBeTrue)
+		x.run(6 * time.Second)
+		So(x.target.Report(x.now).Warming, ShouldBeFalse)
+		x.target.SetLie(LieFull)
+		So(x.target.Report(x.now), ShouldResemble, LoadReport{Connections: 2000, BusySlots: 3, Shedding: true})
+		x.target.SetLie(LieIdle)
+		So(x.target.Report(x.now), ShouldResemble, LoadReport{})
+	})
+}
+
+func TestFabricForgetsEntryVMs(t *testing.T) {
+	Convey("The fabric sprays to an entry VM that died until it notices", t, func() {
+		x := newExchange(6, Workload{Name: "h", Kind: WorkloadHold, Rate: 1}, TargetConfig{})
+		other := netip.MustParseAddrPort("127.0.0.1:11")
+		x.fabric.SetEntries(x.now, []FabricEntry{{Data: targetAddr}, {Data: other}})
+		x.fabric.SetEntries(x.now, []FabricEntry{{Data: targetAddr}})
+		So(len(x.fabric.entries), ShouldEqual, 2)
+		So(x.fabric.Next(), ShouldEqual, x.now.Add(time.Second))
+		x.fabric.Tick(x.now.Add(time.Second))
+		So(len(x.fabric.entries), ShouldEqual, 1)
+	})
+}
+
+func TestFabricSpraysOnOneSideOfACut(t *testing.T) {
+	Convey("While zones are cut, a caller's packets go to the entry VMs of its side only", t, func() {
+		x := newExchange(7, Workload{Name: "h", Kind: WorkloadHold, Rate: 100}, TargetConfig{})
+		other := netip.MustParseAddrPort("127.0.0.1:11")
+		x.fabric.SetEntries(x.now, []FabricEntry{{Data: targetAddr, Place: "a"}, {Data: other, Place: "b"}})
+		x.fabric.cfg.CallerPlace = func(netip.Addr) Place { return "a" }
+		x.fabric.Cut("b", "a", true)
+		x.run(2 * time.Second)
+		h := x.finish()
+		So(countResults(h), ShouldResemble, map[history.FlowResult]int{history.FlowFinished: len(h.Flows)})
+		So(len(h.Flows), ShouldBeGreaterThan, 100)
+	})
+}
