Judge targets by probes, shared results and own evidence

Two probers a target by rendezvous order, hysteresis, summaries of 5 to 12 bytes for heartbeats, own unanswered attempts outweigh a good probe, at most half of a service put aside.

--- /dev/null
+++ b/internal/health/monitor.go
@@ -0,0 +1,435 @@
+package health
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+// Result is the outcome of one probe.
+type Result struct {
+	Target model.TargetID
+	OK     bool
+	// Report is what the target told; valid while OK.
+	Report placement.Report
+}
+
+// Change is a target that was put aside or taken back.
+type Change struct {
+	Target *model.Target
+	Down   bool
+	Reason Reason
+}
+
+// Status is a target's state as operators see it.
+type Status struct {
+	Target *model.Target
+	Down   bool
+	Reason Reason
+	// Seen is what the load table knows of the target.
+	Seen placement.Observation
+	// Since is the time of the last change of Down; zero when there was none.
+	Since time.Time
+}
+
+// Monitor holds the health of all targets. It does no I/O and reads no clock. Its methods may be called
+// by several goroutines; none of them is called per packet.
+type Monitor struct {
+	mu       sync.Mutex
+	cfg      Config
+	self     model.MachineID
+	loads    *placement.LoadTable
+	owners   int
+	services []*model.Service
+	targets  map[model.TargetID]*state
+	// rotation is where the next AppendTo starts.
+	rotation int
+	probed   []model.TargetID
+}
+
+// state is what the monitor knows of one target.
+type state struct {
+	target *model.Target
+	// probing is true while this daemon probes the target; probeDown, good and bad are its verdict and
+	// the results in a row; nextProbe is when the next one starts.
+	probing   bool
+	probeDown bool
+	good, bad int
+	nextProbe time.Time
+	report    placement.Report
+	peers     map[model.MachineID]heard
+	// holdUntil and hold are the time aside by own evidence and its length.
+	holdUntil time.Time
+	hold      time.Duration
+	missesAt  int
+	down      bool
+	reason    Reason
+	since     time.Time
+}
+
+// heard is what another daemon told of a target.
+type heard struct {
+	summary Summary
+	at      time.Time
+}
+
+// New returns a monitor of the daemon self that keeps loads up to date.
+func New(cfg Config, self model.MachineID, loads *placement.LoadTable) *Monitor {
+	return &Monitor{
+		cfg:     cfg.WithDefaults(),
+		self:    self,
+		loads:   loads,
+		owners:  1,
+		targets: make(map[model.TargetID]*state),
+	}
+}
+
+// SetTargets takes the services of the lists in force. Targets that stay keep their state.
+func (m *Monitor) SetTargets(services []*model.Service) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	next := make(map[model.TargetID]*state)
+	for _, svc := range services {
+		for _, t := range svc.Targets {
+			s := m.targets[t.ID]
+			if s == nil {
+				s = &state{peers: make(map[model.MachineID]heard)}
+			}
+			s.target = t
+			next[t.ID] = s
+		}
+	}
+	m.services = services
+	m.targets = next
+	m.listProbed()
+}
+
+// SetLive takes the live daemons of each zone and says which targets this daemon probes from now on.
+// owners is the number of live and ready daemons that place flows.
+func (m *Monitor) SetLive(live func(z model.Zone) []model.MachineID, owners int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.owners = max(owners, 1)
+	for _, s := range m.targets {
+		s.probing = s.target.Report.IsValid() && IsProber(m.self, s.target.ID, live(s.target.Zone), m.cfg.Probers)
+	}
+	m.listProbed()
+}
+
+func (m *Monitor) listProbed() {
+	m.probed = m.probed[:0]
+	for id, s := range m.targets {
+		if s.probing {
+			m.probed = append(m.probed, id)
+		}
+	}
+	slices.Sort(m.probed)
+}
+
+// Due appends to buf the targets whose probe is to start now and plans the next ones. First probes are
+// spread over one interval by target id.
+func (m *Monitor) Due(now time.Time, buf []*model.Target) []*model.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, id := range m.probed {
+		s := m.targets[id]
+		if s.nextProbe.IsZero() {
+			s.nextProbe = now.Add(time.Duration(id) % m.cfg.Interval)
+		}
+		if s.nextProbe.After(now) {
+			continue
+		}
+		s.nextProbe = now.Add(m.cfg.Interval)
+		buf = append(buf, s.target)
+	}
+	return buf
+}
+
+// HandleProbe takes the result of an own probe.
+func (m *Monitor) HandleProbe(now time.Time, r Result) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.targets[r.Target]
+	if s == nil {
+		return
+	}
+	s.count(r.OK, m.cfg)
+	if r.OK {
+		r.Report.At = now
+		m.takeReport(s, r.Report)
+	}
+}
+
+// count applies the hysteresis to one probe result.
+func (s *state) count(ok bool, cfg Config) {
+	if !ok {
+		s.good = 0
+		s.bad++
+		s.probeDown = s.probeDown || s.bad >= cfg.DownAfter
+		return
+	}
+	s.bad = 0
+	s.good++
+	if s.good >= cfg.UpAfter {
+		s.probeDown = false
+	}
+}
+
+// HandleSummaries takes a heartbeat section of another daemon.
+func (m *Monitor) HandleSummaries(now time.Time, from model.MachineID, summaries []Summary) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, sum := range summaries {
+		s := m.targets[sum.Target]
+		if s == nil || from == m.self {
+			continue
+		}
+		s.peers[from] = heard{summary: sum, at: now}
+		if sum.Reported {
+			m.takeReport(s, reportOf(now, sum))
+		}
+	}
+}
+
+func reportOf(now time.Time, sum Summary) placement.Report {
+	return placement.Report{
+		Connections: int(sum.Connections),
+		BusySlots:   int(sum.BusySlots),
+		Shedding:    sum.Shedding,
+		Warming:     sum.Warming,
+		At:          now.Add(-sum.Age),
+	}
+}
+
+// takeReport passes a report on unless what the fleet knows contradicts it.
+func (m *Monitor) takeReport(s *state, r placement.Report) {
+	if r.At.Before(s.report.At) {
+		return
+	}
+	s.report = r
+	if m.doubt(s) == ReasonNone {
+		m.loads.SetReport(s.target.ID, r)
+		return
+	}
+	m.loads.DropReport(s.target.ID)
+}
+
+// reportSlack is the number of open flows by which a report may lag without being doubted.
+const reportSlack = 32
+
+// doubt returns why the last report cannot be right, or ReasonNone.
+func (m *Monitor) doubt(s *state) Reason {
+	if s.report.At.IsZero() {
+		return ReasonNone
+	}
+	open := m.loads.Open(s.target.ID)
+	if 2*s.report.Connections+reportSlack < open {
+		return ReasonReportTooLow
+	}
+	limit := float64(s.target.MaxConnections)
+	full := limit > 0 && float64(s.report.Connections) >= limit
+	if full && float64(open*m.owners) < limit*m.cfg.FullDoubt {
+		return ReasonReportTooHigh
+	}
+	return ReasonNone
+}
+
+// Tick judges every target anew, keeps the load table up to date and returns what changed.
+func (m *Monitor) Tick(now time.Time) []Change {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var changes []Change
+	for _, svc := range m.services {
+		changes = append(changes, m.judge(now, svc)...)
+	}
+	return changes
+}
+
+// verdict is a target with the reason to put it aside, if any.
+type verdict struct {
+	state  *state
+	reason Reason
+	// certainty orders targets: own evidence before probes before hearsay.
+	certainty int
+}
+
+func (m *Monitor) judge(now time.Time, svc *model.Service) []Change {
+	var bad []verdict
+	var changes []Change
+	present := 0
+	for _, t := range svc.Targets {
+		s := m.targets[t.ID]
+		if t.Leaving {
+			changes = m.settle(now, s, false, ReasonLeaving, changes)
+			continue
+		}
+		present++
+		v := m.verdict(now, s)
+		if v.certainty > 0 {
+			bad = append(bad, v)
+			continue
+		}
+		changes = m.settle(now, s, false, v.reason, changes)
+	}
+	slices.SortFunc(bad, func(a, b verdict) int {
+		return cmp.Or(cmp.Compare(b.certainty, a.certainty), cmp.Compare(a.state.target.ID, b.state.target.ID))
+	})
+	aside := int(m.cfg.PanicShare * float64(present))
+	for i, v := range bad {
+		if i < aside {
+			changes = m.settle(now, v.state, true, v.reason, changes)
+			continue
+		}
+		changes = m.settle(now, v.state, false, ReasonPanic, changes)
+	}
+	return changes
+}
+
+// settle stores a target's state and appends a change when it is one.
+func (m *Monitor) settle(now time.Time, s *state, down bool, reason Reason, changes []Change) []Change {
+	s.reason = reason
+	if s.down == down {
+		return changes
+	}
+	s.down = down
+	s.since = now
+	m.loads.SetDown(s.target.ID, down)
+	return append(changes, Change{Target: s.target, Down: down, Reason: reason})
+}
+
+// The certainties of a verdict.
+const (
+	certaintyNone = iota
+	certaintyPeers
+	certaintyProbes
+	certaintyOwn
+)
+
+func (m *Monitor) verdict(now time.Time, s *state) verdict {
+	own := m.loads.Evidence(s.target.ID)
+	m.holdSilent(now, s, own)
+	if now.Before(s.holdUntil) {
+		return verdict{state: s, reason: ReasonSilent, certainty: certaintyOwn}
+	}
+	answers := !own.LastAnswer.IsZero() && now.Sub(own.LastAnswer) < m.cfg.AnswerLifetime
+	down, silent := m.opinions(now, s)
+	switch {
+	case answers && (down || silent):
+		return verdict{state: s, reason: ReasonAnswersAnyway}
+	case down:
+		return verdict{state: s, reason: ReasonProbesFail, certainty: certaintyProbes}
+	case silent:
+		return verdict{state: s, reason: ReasonPeersSilent, certainty: certaintyPeers}
+	default:
+		return verdict{state: s, reason: m.doubt(s)}
+	}
+}
+
+// holdSilent starts a hold when enough attempts in a row got no answer. The hold doubles when the
+// target is still silent once it is tried again, and starts anew after an answer.
+func (m *Monitor) holdSilent(now time.Time, s *state, own placement.Evidence) {
+	if own.MissesInRow == 0 {
+		s.hold = 0
+		s.missesAt = 0
+		s.holdUntil = time.Time{}
+		return
+	}
+	if now.Before(s.holdUntil) || own.MissesInRow-s.missesAt < m.cfg.SilentAfter {
+		return
+	}
+	s.hold = min(max(2*s.hold, m.cfg.Hold), m.cfg.MaxHold)
+	s.holdUntil = now.Add(s.hold)
+	s.missesAt = own.MissesInRow
+}
+
+// opinions returns whether most probers hold the target to be down, and whether two or more other
+// daemons found it silent.
+func (m *Monitor) opinions(now time.Time, s *state) (down, silent bool) {
+	votes, downs, silents := 0, 0, 0
+	if s.probing && s.good+s.bad > 0 {
+		votes++
+		downs += one(s.probeDown)
+	}
+	for from, h := range s.peers {
+		if now.Sub(h.at) >= m.cfg.ResultLifetime {
+			delete(s.peers, from)
+			continue
+		}
+		votes += one(h.summary.Probed)
+		downs += one(h.summary.Probed && h.summary.ProbeDown)
+		silents += one(h.summary.Silent)
+	}
+	return downs*2 > votes, silents >= 2
+}
+
+func one(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// AppendTo appends summaries for a heartbeat to dst, at most limit bytes of them: targets that own
+// evidence speaks against, then the probed ones in turn. The next call goes on where this one ended.
+func (m *Monitor) AppendTo(now time.Time, dst []byte, limit int) []byte {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	end := len(dst) + limit
+	for _, svc := range m.services {
+		for _, t := range svc.Targets {
+			s := m.targets[t.ID]
+			if !s.probing && now.Before(s.holdUntil) && len(dst)+maxSummaryBytes <= end {
+				dst = s.summary(now).AppendTo(dst)
+			}
+		}
+	}
+	for n := 0; n < len(m.probed) && len(dst)+maxSummaryBytes <= end; n++ {
+		id := m.probed[m.rotation%len(m.probed)]
+		m.rotation++
+		dst = m.targets[id].summary(now).AppendTo(dst)
+	}
+	return dst
+}
+
+func (s *state) summary(now time.Time) Summary {
+	sum := Summary{
+		Target:    s.target.ID,
+		Probed:    s.probing && s.good+s.bad > 0,
+		ProbeDown: s.probeDown,
+		Silent:    now.Before(s.holdUntil),
+	}
+	if !s.probing || s.report.At.IsZero() {
+		return sum
+	}
+	sum.Reported = true
+	sum.Shedding = s.report.Shedding
+	sum.Warming = s.report.Warming
+	sum.Connections = uint32(max(s.report.Connections, 0))
+	sum.BusySlots = uint8(min(max(s.report.BusySlots, 0), 255))
+	sum.Age = now.Sub(s.report.At)
+	return sum
+}
+
+// Statuses returns the state of every target in the order of the services.
+func (m *Monitor) Statuses(now time.Time) []Status {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var all []Status
+	for _, svc := range m.services {
+		for _, t := range svc.Targets {
+			s := m.targets[t.ID]
+			all = append(all, Status{
+				Target: t,
+				Down:   s.down,
+				Reason: s.reason,
+				Seen:   m.loads.Observe(now, t.ID),
+				Since:  s.since,
+			})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/health/prober.go
@@ -0,0 +1,113 @@
+package health
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+const (
+	// maxReportBytes bounds the body of a load report.
+	maxReportBytes = 4096
+	// proberPoll is how often the prober looks for probes that are due.
+	proberPoll = 100 * time.Millisecond
+)
+
+// ProberConfig configures a Prober. Zero values take the defaults.
+type ProberConfig struct {
+	// Timeout is the time after which a probe has failed; default 500 ms.
+	Timeout time.Duration
+	// Parallel bounds the probes under way; default 32.
+	Parallel int
+}
+
+// Prober makes a Monitor's probes over HTTP.
+type Prober struct {
+	cfg     ProberConfig
+	monitor *Monitor
+	client  *http.Client
+}
+
+// NewProber returns a prober for a monitor.
+func NewProber(cfg ProberConfig, monitor *Monitor) *Prober {
+	setDuration(&cfg.Timeout, 500*time.Millisecond)
+	setInt(&cfg.Parallel, 32)
+	return &Prober{cfg: cfg, monitor: monitor, client: &http.Client{
+		Timeout: cfg.Timeout,
+		Transport: &http.Transport{
+			MaxIdleConnsPerHost: 1,
+			IdleConnTimeout:     time.Minute,
+		},
+	}}
+}
+
+// Run probes until ctx ends and waits for the probes under way.
+func (p *Prober) Run(ctx context.Context) {
+	ticker := time.NewTicker(proberPoll)
+	defer ticker.Stop()
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, p.cfg.Parallel)
+	var due []*model.Target
+	for {
+		due = p.monitor.Due(time.Now(), due[:0])
+		for _, t := range due {
+			slots <- struct{}{}
+			running.Go(func() {
+				p.probe(ctx, t)
+				<-slots
+			})
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Prober) probe(ctx context.Context, t *model.Target) {
+	report, err := p.read(ctx, t)
+	if ctx.Err() != nil {
+		return
+	}
+	p.monitor.HandleProbe(time.Now(), Result{Target: t.ID, OK: err == nil, Report: report})
+}
+
+// loadReport is the JSON body that a target answers with.
+type loadReport struct {
+	Connections int  `json:"connections"`
+	BusySlots   int  `json:"busy_slots"`
+	Shedding    bool `json:"shedding"`
+	Warming     bool `json:"warming"`
+}
+
+func (p *Prober) read(ctx context.Context, t *model.Target) (placement.Report, error) {
+	url := "http://" + t.Report.String() + "/"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return placement.Report{}, fmt.Errorf("build probe of %s: %w", url, err)
+	}
+	resp, err := p.client.Do(req)
+	if err != nil {
+		return placement.Report{}, fmt.Errorf("probe %s: %w", url, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return placement.Report{}, fmt.Errorf("probe %s: status %d", url, resp.StatusCode)
+	}
+	var r loadReport
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(&r); err != nil {
+		return placement.Report{}, fmt.Errorf("decode load report of %s: %w", url, err)
+	}
+	return placement.Report{
+		Connections: r.Connections, BusySlots: r.BusySlots, Shedding: r.Shedding, Warming: r.Warming,
+	}, nil
+}
--- /dev/null
+++ b/internal/health/summary.go
@@ -0,0 +1,114 @@
+package health
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Summary is what a daemon tells others of one target.
+type Summary struct {
+	Target model.TargetID
+	// Probed is true when the sender probes the target; ProbeDown is its verdict then.
+	Probed, ProbeDown bool
+	// Silent is true while the sender's own connection attempts got no answer.
+	Silent bool
+	// Reported is true when the fields below it hold a load report.
+	Reported          bool
+	Shedding, Warming bool
+	Connections       uint32
+	BusySlots         uint8
+	// Age is the time since the report was read, in steps of SummaryAgeStep, at most 255 of them.
+	Age time.Duration
+}
+
+// SummaryAgeStep is the resolution of Summary.Age.
+const SummaryAgeStep = 50 * time.Millisecond
+
+// maxSummaryBytes is the length of the longest encoded Summary.
+const maxSummaryBytes = 4 + 1 + binary.MaxVarintLen32 + 2
+
+const (
+	bitProbed = 1 << iota
+	bitProbeDown
+	bitSilent
+	bitReported
+	bitShedding
+	bitWarming
+)
+
+func (s Summary) flags() byte {
+	return flag(s.Probed, bitProbed) |
+		flag(s.ProbeDown, bitProbeDown) |
+		flag(s.Silent, bitSilent) |
+		flag(s.Reported, bitReported) |
+		flag(s.Shedding, bitShedding) |
+		flag(s.Warming, bitWarming)
+}
+
+func flag(set bool, bit byte) byte {
+	if set {
+		return bit
+	}
+	return 0
+}
+
+// AppendTo appends the encoded summary to dst: 5 bytes, and 3 to 7 more with a report.
+func (s Summary) AppendTo(dst []byte) []byte {
+	dst = binary.BigEndian.AppendUint32(dst, uint32(s.Target))
+	dst = append(dst, s.flags())
+	if !s.Reported {
+		return dst
+	}
+	dst = binary.AppendUvarint(dst, uint64(s.Connections))
+	steps := min(max(s.Age/SummaryAgeStep, 0), 255)
+	return append(dst, s.BusySlots, byte(steps))
+}
+
+// DecodeSummaries appends the summaries of a heartbeat section to dst and returns it. A malformed
+// section gives errkind.PeerMalformed and the summaries before the fault.
+func DecodeSummaries(dst []Summary, b []byte) ([]Summary, errkind.Kind) {
+	for len(b) > 0 {
+		s, n := decodeSummary(b)
+		if n == 0 {
+			return dst, errkind.PeerMalformed
+		}
+		dst = append(dst, s)
+		b = b[n:]
+	}
+	return dst, errkind.None
+}
+
+// decodeSummary returns the first summary of b and its length, 0 when it is malformed.
+func decodeSummary(b []byte) (Summary, int) {
+	if len(b) < 5 {
+		return Summary{}, 0
+	}
+	f := b[4]
+	s := Summary{
+		Target:    model.TargetID(binary.BigEndian.Uint32(b)),
+		Probed:    f&bitProbed != 0,
+		ProbeDown: f&bitProbeDown != 0,
+		Silent:    f&bitSilent != 0,
+		Reported:  f&bitReported != 0,
+		Shedding:  f&bitShedding != 0,
+		Warming:   f&bitWarming != 0,
+	}
+	if s.Target == 0 || f >= bitWarming<<1 {
+		return Summary{}, 0
+	}
+	if !s.Reported {
+		return s, 5
+	}
+	connections, n := binary.Uvarint(b[5:])
+	end := 5 + n + 2
+	if n <= 0 || connections > 1<<32-1 || len(b) < end {
+		return Summary{}, 0
+	}
+	s.Connections = uint32(connections)
+	s.BusySlots = b[end-2]
+	s.Age = time.Duration(b[end-1]) * SummaryAgeStep
+	return s, end
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -65,10 +65,18 @@
 	update  sync.Mutex
 }
 
+// Evidence is what this daemon's own connection attempts to a target met.
+type Evidence struct {
+	// MissesInRow is the number of attempts without an answer since the last answer.
+	MissesInRow int
+	// LastAnswer is the time of the last answer; zero when there was none.
+	LastAnswer time.Time
+}
+
 type targetLoad struct {
 	mu         sync.Mutex
 	open       int
-	opened     int
+	evidence   Evidence
 	report     Report
 	reportOpen int
 	unanswered float64
@@ -130,10 +138,7 @@
 
 // Opened counts a flow that this owner placed on the target.
 func (l *LoadTable) Opened(id model.TargetID) {
-	l.with(id, func(t *targetLoad) {
-		t.open++
-		t.opened++
-	})
+	l.with(id, func(t *targetLoad) { t.open++ })
 }
 
 // Closed counts the end of a flow that this owner had placed on the target.
@@ -154,6 +159,11 @@
 	})
 }
 
+// DropReport forgets a target's load report.
+func (l *LoadTable) DropReport(id model.TargetID) {
+	l.with(id, func(t *targetLoad) { t.report = Report{} })
+}
+
 // SetDown puts a target aside or takes it back.
 func (l *LoadTable) SetDown(id model.TargetID, down bool) {
 	l.with(id, func(t *targetLoad) { t.down = down })
@@ -163,6 +173,7 @@
 func (l *LoadTable) Answered(now time.Time, id model.TargetID, d time.Duration) {
 	l.with(id, func(t *targetLoad) {
 		t.noteAttempt(now, 0)
+		t.evidence = Evidence{LastAnswer: now}
 		if t.handshake == 0 {
 			t.handshake = d
 			return
@@ -173,7 +184,17 @@
 
 // Unanswered notes that the target shed a connection attempt or left it unanswered.
 func (l *LoadTable) Unanswered(now time.Time, id model.TargetID) {
-	l.with(id, func(t *targetLoad) { t.noteAttempt(now, 1) })
+	l.with(id, func(t *targetLoad) {
+		t.noteAttempt(now, 1)
+		t.evidence.MissesInRow++
+	})
+}
+
+// Evidence returns what own connection attempts to the target met.
+func (l *LoadTable) Evidence(id model.TargetID) Evidence {
+	var e Evidence
+	l.with(id, func(t *targetLoad) { e = t.evidence })
+	return e
 }
 
 // Open implements Loads.
