Wire the daemon's modules and the fireflypind command

Cause: the daemon must run as a process with settings, signals and exit codes. Ruled out: a module per package in the injector; only the process's modules are wired, decisions are not.

--- a/cmd/fireflypind/main.go
+++ b/cmd/fireflypind/main.go
@@ -1,4 +1,88 @@
-// Command fireflypind has no function yet.
+// Command fireflypind runs the daemon of one entry VM.
+//
+// Exit codes: 0 after a graceful stop (SIGTERM or SIGINT), 1 when the daemon failed, 2 when its
+// settings or its command line are wrong.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflypin/fireflypin/internal/daemon"
+	"github.com/fireflypin/fireflypin/internal/ops"
+	"github.com/fireflypin/fireflypin/internal/settings"
+)
+
+const (
+	exitFailed = 1
+	exitUsage  = 2
+
+	// opsShutdownTimeout bounds the wait for operators' requests under way.
+	opsShutdownTimeout = time.Second
+)
+
+// errUsage marks faults of the settings or the command line.
+var errUsage = errors.New("wrong settings")
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := newCommand().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "fireflypind:", err)
+	}
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errUsage):
+		return exitUsage
+	default:
+		return exitFailed
+	}
+}
+
+func newCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "fireflypind",
+		Usage: "balance the packets that the fabric hands to this entry VM",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Usage: "settings `FILE` in YAML", Required: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c.String("config"))
+		},
+	}
+}
+
+// run serves until ctx ends and returns after the graceful stop.
+func run(ctx context.Context, path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return errors.Join(errUsage, err)
+	}
+	injector := daemon.Wire(daemon.Options{Settings: s, LogTo: os.Stderr, Now: time.Now()})
+	d, err := do.Invoke[*daemon.Daemon](injector)
+	if err != nil {
+		return errors.Join(errUsage, err)
+	}
+	server := do.MustInvoke[*ops.Server](injector)
+	if err := server.Listen(); err != nil {
+		return err
+	}
+	err = d.Run(ctx)
+	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), opsShutdownTimeout)
+	defer cancel()
+	return errors.Join(err, server.Shutdown(shutdownCtx))
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,16 +167,17 @@
 	}
 }
 
-func (d *Daemon) workers() int {
-	if d.settings.Workers > 0 {
-		return d.settings.Workers
+// workerCount returns the number of goroutines that read the data address.
+func workerCount(s *settings.Settings) int {
+	if s.Workers > 0 {
+		return s.Workers
 	}
 	return runtime.GOMAXPROCS(0)
 }
 
 func (d *Daemon) listen() (*sockets, error) {
 	s := &sockets{}
-	for range d.workers() {
+	for range workerCount(d.settings) {
 		conn, err := d.network.Listen(d.settings.Data)
 		if err != nil {
 			s.close()
--- /dev/null
+++ b/internal/daemon/report.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"errors"
+
+	"github.com/fireflypin/fireflypin/core"
+)
+
+// errNotReady is what /readyz says while the daemon owns no flows.
+var errNotReady = errors.New("not caught up with the peers yet, or leaving")
+
+// Report is what /status serves.
+type Report struct {
+	Name            string `json:"name"`
+	Zone            string `json:"zone"`
+	Incarnation     uint64 `json:"incarnation"`
+	ForwardedTotal  int64  `json:"forwarded_total"`
+	ReturnedTotal   int64  `json:"returned_total"`
+	HopsSentTotal   int64  `json:"hops_sent_total"`
+	ControlSentByte int64  `json:"control_sent_bytes_total"`
+	core.Status
+}
+
+// Ready implements ops.Readiness.
+func (d *Daemon) Ready() error {
+	if !d.ready.Load() {
+		return errNotReady
+	}
+	return nil
+}
+
+// Status implements ops.StatusSource.
+func (d *Daemon) Status() any {
+	return d.Report()
+}
+
+// Report returns what the daemon tells of itself.
+func (d *Daemon) Report() Report {
+	return Report{
+		Name:            d.settings.Name,
+		Zone:            d.settings.Zone.String(),
+		Incarnation:     d.incarnation,
+		ForwardedTotal:  d.metrics.forwarded.Count(),
+		ReturnedTotal:   d.metrics.returned.Count(),
+		HopsSentTotal:   d.metrics.hopsOut.Count(),
+		ControlSentByte: d.metrics.controlSent.Count(),
+		Status:          d.engine.Status(),
+	}
+}
--- /dev/null
+++ b/internal/daemon/wiring.go
@@ -0,0 +1,131 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/do/v2"
+
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/ops"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/internal/wire"
+)
+
+// Options are what a process gives the wiring besides the settings.
+type Options struct {
+	Settings *settings.Settings
+	// LogTo receives the log lines.
+	LogTo io.Writer
+	// Network replaces the system's sockets where it is set.
+	Network udpio.Network
+	// Now is the start of the process.
+	Now time.Time
+}
+
+// Wire returns an injector with one constructor for each module of the process.
+func Wire(o Options) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, o)
+	do.ProvideValue(i, o.Settings)
+	do.ProvideValue(i, metrics.NewSet())
+	do.Provide(i, newLogger)
+	do.Provide(i, newNetwork)
+	do.Provide(i, newKeys)
+	do.Provide(i, newBulk)
+	do.Provide(i, newLists)
+	do.Provide(i, newDaemon)
+	do.Provide(i, newOps)
+	return i
+}
+
+func newLogger(i do.Injector) (*log.Logger, error) {
+	o := do.MustInvoke[Options](i)
+	logger := log.NewWithOptions(o.LogTo, log.Options{
+		Level:           o.Settings.LogLevel,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		Formatter:       log.LogfmtFormatter,
+	})
+	return logger.With("entry", o.Settings.Name), nil
+}
+
+func newNetwork(i do.Injector) (udpio.Network, error) {
+	o := do.MustInvoke[Options](i)
+	if o.Network != nil {
+		return o.Network, nil
+	}
+	logger := do.MustInvoke[*log.Logger](i)
+	return udpio.System(udpio.Config{
+		Workers: workerCount(o.Settings),
+		OnFallback: func(r udpio.Report) {
+			logger.Warn("system call not available", "op", "listen", "event", "fallback",
+				"fallback", r.Fallback.String(), "cause", r.Cause)
+		},
+	}), nil
+}
+
+// loopbackSecret authenticates datagrams of daemons that talk over loopback alone and have no key file.
+const loopbackSecret = "fireflypin daemons on loopback only"
+
+func newKeys(i do.Injector) (wire.KeyringProvider, error) {
+	s := do.MustInvoke[*settings.Settings](i)
+	if len(s.KeyFiles) == 0 {
+		ring, err := wire.NewKeyring(0, wire.Key{ID: 0, Secret: []byte(loopbackSecret)})
+		if err != nil {
+			return nil, fmt.Errorf("make the loopback key: %w", err)
+		}
+		return wire.NewKeyStore(ring), nil
+	}
+	ring, err := wire.LoadKeyring(s.KeyFiles[0])
+	if err != nil {
+		return nil, fmt.Errorf("load keys: %w", err)
+	}
+	return wire.NewKeyStore(ring), nil
+}
+
+func newDaemon(i do.Injector) (*Daemon, error) {
+	o := do.MustInvoke[Options](i)
+	bulk, err := do.Invoke[Bulk](i)
+	if err != nil {
+		return nil, err
+	}
+	lists, err := do.Invoke[Lists](i)
+	if err != nil {
+		return nil, err
+	}
+	keys, err := do.Invoke[wire.KeyringProvider](i)
+	if err != nil {
+		return nil, err
+	}
+	d := New(Deps{
+		Settings: o.Settings,
+		Network:  do.MustInvoke[udpio.Network](i),
+		Bulk:     bulk,
+		Lists:    lists,
+		Keys:     keys,
+		Metrics:  do.MustInvoke[*metrics.Set](i),
+		Log:      do.MustInvoke[*log.Logger](i),
+		Now:      o.Now,
+	})
+	registerEngine(do.MustInvoke[*metrics.Set](i), d.engine)
+	return d, nil
+}
+
+func newOps(i do.Injector) (*ops.Server, error) {
+	d, err := do.Invoke[*Daemon](i)
+	if err != nil {
+		return nil, err
+	}
+	set := do.MustInvoke[*metrics.Set](i)
+	set.RegisterProcess()
+	return ops.NewServer(ops.Config{
+		Addr:    d.settings.Ops,
+		Metrics: set,
+		Ready:   d,
+		Status:  d,
+	}), nil
+}
