Keep flows whole over pauses, loss and long partitions

An owner decided on flows that it did not know although they had been placed beyond the partition, and resolved them with the wrong generation. Ruled out: a fixed settle time (2 s): logs of the other side were not known by then. Withholding the echo while settling: two owners that both settle would wait for each other. Change: batches say whether their log is complete; an owner settles when every other owner's log was written after the change and its generation's lists are held; unknown flows go to the owner that appeared; long after a cut they are first tried beyond it; open flows do not age while a zone is unreachable; the predecessor's own log and generation come first.

--- a/core/config.go
+++ b/core/config.go
@@ -28,9 +28,15 @@
 	// LogInterval is the time between two batches of the log to one peer. A longer one costs fewer
 	// bytes, lets young flows hop for longer and risks more exceptions in a crash. Default 500 ms.
 	LogInterval time.Duration
-	// SettleTime is how long after a change of the members an owner leaves flows that it does not know
-	// to the daemon that owned them before. Default 2 s.
+	// SettleTime is how long after a change of the owners an owner waits at most for the other logs; until
+	// then it leaves flows that it does not know to the daemon that owned them before. Default 30 s.
 	SettleTime time.Duration
+	// LateAfter is how long after a zone became unreachable a flow that is unknown here counts as possibly
+	// placed beyond the partition. Default 10 s.
+	LateAfter time.Duration
+	// LatePatience is how long the packets of such a flow are sent beyond the partition before this daemon
+	// decides. Default 1 s.
+	LatePatience time.Duration
 	// SnapshotInterval is the least time between two requests for the same owner's snapshot. Default 1 s.
 	SnapshotInterval time.Duration
 	// FleetScope is how many entry VMs the list may hold for the log to go to all of them. In a larger
@@ -53,7 +59,9 @@
 
 const (
 	defaultLogInterval      = 500 * time.Millisecond
-	defaultSettleTime       = 2 * time.Second
+	defaultSettleTime       = 30 * time.Second
+	defaultLateAfter        = 10 * time.Second
+	defaultLatePatience     = time.Second
 	defaultSnapshotInterval = time.Second
 	defaultFleetScope       = 16
 	defaultBackups          = 1
@@ -63,6 +71,8 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.LogInterval, defaultLogInterval)
 	setDefault(&c.SettleTime, defaultSettleTime)
+	setDefault(&c.LateAfter, defaultLateAfter)
+	setDefault(&c.LatePatience, defaultLatePatience)
 	setDefault(&c.SnapshotInterval, defaultSnapshotInterval)
 	setDefault(&c.FleetScope, defaultFleetScope)
 	setDefault(&c.Backups, defaultBackups)
--- a/core/engine.go
+++ b/core/engine.go
@@ -30,10 +30,11 @@
 	placing sync.RWMutex
 	// mark is the current flow.Mark.
 	mark atomic.Uint64
-	// settled is when the last change of the members has settled, in nanoseconds after the epoch.
-	settled atomic.Int64
+	// unsettled is true from a change of the owners until the other logs are known as of after it.
+	unsettled atomic.Bool
 
 	delegated delegation
+	late      lateFlows
 
 	// control guards everything below.
 	control sync.Mutex
@@ -42,8 +43,13 @@
 	ready   bool
 	leaving bool
 	turn    uint64
-	nextLog time.Time
-	fetches map[model.MachineID]time.Time
+	// lastTick is the time of the last tick.
+	lastTick time.Time
+	nextLog  time.Time
+	// settleMark is the mark at the last change of the owners; settleBy ends the wait for other logs.
+	settleMark flow.Mark
+	settleBy   time.Time
+	fetches    map[model.MachineID]time.Time
 }
 
 // New returns an engine without lists; it drops every packet until HandleLists was called.
@@ -61,6 +67,7 @@
 		log:     flow.NewLog(cfg.Log, model.Generation{}),
 		copies:  flow.NewCopies(cfg.Flow.IdleTimeout),
 		loads:   placement.NewLoadTable(),
+		late:    lateFlows{since: make(map[model.FlowHash]time.Time)},
 		fetches: make(map[model.MachineID]time.Time),
 	}
 }
@@ -70,11 +77,6 @@
 	return e.lease.Valid(now)
 }
 
-// settledAt returns when the last change of the members has settled.
-func (e *Engine) settledAt() time.Time {
-	return e.cfg.Epoch.Add(time.Duration(e.settled.Load()))
-}
-
 // Ready reports whether this daemon owns flows.
 func (e *Engine) Ready() bool {
 	e.control.Lock()
--- a/core/engine_test.go
+++ b/core/engine_test.go
@@ -1,10 +1,14 @@
 package core
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
 )
 
 func TestPacketsOfAFlowReachOneTarget(t *testing.T) {
@@ -97,3 +101,136 @@
 		}
 	})
 }
+
+// cutZone severs one zone from the others.
+func cutZone(name string) func(a, b *model.EntryVM) bool {
+	return func(a, b *model.EntryVM) bool {
+		return (a.Zone.Name == name) != (b.Zone.Name == name)
+	}
+}
+
+// probeSide sends one packet of every flow to daemons of one side of a cut.
+func (f *fleet) probeSide(flows []testFlow, inside func(n *node) bool) outcome {
+	return f.probeBy(flows, func() int { return f.upNodeOf(inside) })
+}
+
+func TestPartitionOfAZone(t *testing.T) {
+	Convey("While a zone is cut off and after it heals, no flow changes its target, also when lists change on one side", t, func() {
+		f := newFleet(t, 6, testLists(1, 8, 14))
+		f.startAll()
+		flows := f.openMany(1500)
+		f.run(2 * time.Second)
+		f.cut = cutZone("a")
+		inside := func(n *node) bool { return n.entry.Zone.Name == "a" }
+		outside := func(n *node) bool { return !inside(n) }
+		f.run(10 * time.Second)
+		f.lists = testLists(2, 8, 15)
+		for i, n := range f.nodes {
+			if outside(n) {
+				f.publishTo(i)
+			}
+		}
+		for range 25 {
+			f.run(2 * time.Second)
+			So(f.probeSide(flows[:700], inside), ShouldResemble, outcome{right: 700})
+			So(f.probeSide(flows[700:], outside), ShouldResemble, outcome{right: 800})
+		}
+		f.cut = nil
+		for i := range f.nodes {
+			f.publishTo(i)
+		}
+		for range 40 {
+			f.run(250 * time.Millisecond)
+			So(f.probe(flows).wrong, ShouldEqual, 0)
+		}
+		So(f.probe(flows), ShouldResemble, outcome{right: len(flows)})
+	})
+}
+
+func TestPausedDaemonDecidesNothing(t *testing.T) {
+	for _, d := range []time.Duration{time.Second, 10 * time.Second, 60 * time.Second} {
+		Convey("A daemon that was paused for "+d.String()+" places nothing from old beliefs and sends no flow astray", t, func() {
+			f := newFleet(t, 7, testLists(1, 8, 14))
+			f.startAll()
+			flows := f.openMany(1000)
+			f.run(2 * time.Second)
+			f.pause(2)
+			f.lists = testLists(2, 8, 16)
+			for i := range f.nodes {
+				f.publishTo(i)
+			}
+			f.run(d + time.Second)
+			more := f.openMore(1000, 1000)
+			f.run(time.Second)
+			f.resume(2)
+			// Packets that waited in the sockets come before the first tick.
+			for i := range 500 {
+				v := f.nodes[2].engine.FromFabric(f.now, netip.AddrPort{}, &packet.Meta{
+					Src: callerOf(5000 + i), Dst: testService, Flags: packet.SYN, HopLimit: 64,
+				})
+				So(v.Op, ShouldBeIn, OpHop, OpDrop)
+			}
+			all := append(flows, more...)
+			o := f.probeAt(2, all)
+			So(o.wrong, ShouldEqual, 0)
+			f.publishTo(2)
+			for range 30 {
+				f.run(200 * time.Millisecond)
+				So(f.probe(all).wrong, ShouldEqual, 0)
+			}
+			So(f.probe(all), ShouldResemble, outcome{right: len(all)})
+			So(f.nodes[2].engine.Ready(), ShouldBeTrue)
+		})
+	}
+}
+
+func TestLossyAndSlowLinks(t *testing.T) {
+	Convey("With 5 % loss and jitter between daemons, no packet of a flow goes astray", t, func() {
+		f := newFleet(t, 8, testLists(1, 8, 14))
+		f.loss, f.latency, f.jitter = 0.05, 5*time.Millisecond, 40*time.Millisecond
+		f.startAll()
+		flows := f.openMany(2000)
+		for range 30 {
+			So(f.probe(flows), ShouldResemble, outcome{right: len(flows)})
+			f.run(300 * time.Millisecond)
+		}
+	})
+}
+
+func TestFlowsOpenedDuringAPartition(t *testing.T) {
+	Convey("Flows opened on both sides of a long partition keep their targets when it heals", t, func() {
+		f := newFleet(t, 9, testLists(1, 8, 14))
+		f.startAll()
+		inside := func(n *node) bool { return n.entry.Zone.Name == "a" }
+		outside := func(n *node) bool { return !inside(n) }
+		f.cut = cutZone("a")
+		f.run(20 * time.Second)
+		f.lists = testLists(2, 8, 16)
+		for i, n := range f.nodes {
+			if outside(n) {
+				f.publishTo(i)
+			}
+		}
+		in := f.openOn(0, 500, inside)
+		out := f.openOn(500, 1000, outside)
+		for range 20 {
+			f.run(time.Minute)
+			So(f.probeSide(in, inside), ShouldResemble, outcome{right: len(in)})
+			So(f.probeSide(out, outside), ShouldResemble, outcome{right: len(out)})
+		}
+		f.cut = nil
+		all := append(in, out...)
+		for range 50 {
+			So(f.probe(all).wrong, ShouldEqual, 0)
+			f.run(100 * time.Millisecond)
+		}
+		for i := range f.nodes {
+			f.publishTo(i)
+		}
+		for range 50 {
+			So(f.probe(all).wrong, ShouldEqual, 0)
+			f.run(200 * time.Millisecond)
+		}
+		So(f.probe(all), ShouldResemble, outcome{right: len(all)})
+	})
+}
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -269,20 +269,35 @@
 
 // open sends a SYN to a random daemon.
 func (f *fleet) open(i int) (testFlow, Verdict) {
+	return f.openAt(i, f.upNode())
+}
+
+func (f *fleet) openAt(i, at int) (testFlow, Verdict) {
 	c := callerOf(i)
-	v := f.arrive(f.upNode(), packet.Meta{Src: c, Dst: testService, Flags: packet.SYN, HopLimit: 64})
+	v := f.arrive(at, packet.Meta{Src: c, Dst: testService, Flags: packet.SYN, HopLimit: 64})
 	return testFlow{caller: c, target: v.To}, v
 }
 
 // openMany opens flows and fails the test where one is not placed.
 func (f *fleet) openMany(n int) []testFlow {
+	return f.openMore(0, n)
+}
+
+// openMore opens n flows from a first caller on. A SYN that is lost on its way is repeated.
+func (f *fleet) openMore(first, n int) []testFlow {
 	flows := make([]testFlow, 0, n)
 	for i := range n {
-		fl, v := f.open(i)
+		fl, v := f.open(first + i)
+		for tries := 1; v.Op == OpDrop && tries < 5; tries++ {
+			f.run(time.Second)
+			fl, v = f.open(first + i)
+		}
 		if v.Op != OpForward {
-			f.t.Fatalf("flow %d was not placed: op %d, %v", i, v.Op, v.Kind)
+			f.t.Fatalf("flow %d was not placed: op %d, %v", first+i, v.Op, v.Kind)
 		}
 		flows = append(flows, fl)
+		// The caller's answer to the target's SYN-ACK.
+		f.probe(flows[len(flows)-1:])
 		if i%50 == 49 {
 			f.run(fleetStep)
 		}
@@ -290,14 +305,50 @@
 	return flows
 }
 
+// openOn opens flows at the daemons of one side of a cut.
+func (f *fleet) openOn(first, n int, side func(n *node) bool) []testFlow {
+	flows := make([]testFlow, 0, n)
+	for i := range n {
+		fl, v := f.openAt(first+i, f.upNodeOf(side))
+		if v.Op != OpForward {
+			f.t.Fatalf("flow %d was not placed: op %d, %v", first+i, v.Op, v.Kind)
+		}
+		flows = append(flows, fl)
+		f.probeBy(flows[len(flows)-1:], func() int { return f.upNodeOf(side) })
+	}
+	return flows
+}
+
+func (f *fleet) upNodeOf(side func(n *node) bool) int {
+	at := f.upNode()
+	for !side(f.nodes[at]) {
+		at = f.upNode()
+	}
+	return at
+}
+
 // outcome counts what became of one packet of every flow.
 type outcome struct{ right, wrong, dropped int }
 
 // probe sends one packet of every flow to random daemons.
 func (f *fleet) probe(flows []testFlow) outcome {
+	o := f.probeBy(flows, f.upNode)
+	if o.wrong > 0 {
+		f.explain(flows, 2)
+	}
+	return o
+}
+
+// probeAt sends one packet of every flow to one daemon.
+func (f *fleet) probeAt(at int, flows []testFlow) outcome {
+	return f.probeBy(flows, func() int { return at })
+}
+
+// probeBy sends one packet of every flow to the daemon that pick names.
+func (f *fleet) probeBy(flows []testFlow, pick func() int) outcome {
 	var o outcome
 	for _, fl := range flows {
-		v := f.arrive(f.upNode(), packet.Meta{Src: fl.caller, Dst: testService, Flags: packet.ACK, HopLimit: 64})
+		v := f.arrive(pick(), packet.Meta{Src: fl.caller, Dst: testService, Flags: packet.ACK, HopLimit: 64})
 		switch {
 		case v.Op != OpForward:
 			o.dropped++
--- a/core/owner.go
+++ b/core/owner.go
@@ -83,7 +83,7 @@
 	if st == nil {
 		return nil, errkind.NoTargetReachable
 	}
-	if a.now.Before(e.settledAt()) {
+	if e.unsettled.Load() {
 		// A predecessor may have placed the flow on its default target just now.
 		if t := st.Default(a.hash); t != nil && !t.Leaving {
 			return t, errkind.None
@@ -129,8 +129,8 @@
 // carryOn takes in a flow that this daemon owns but does not know: a predecessor placed it, or the
 // packet is a stray one.
 func (e *Engine) carryOn(w *world, a *arrival) Verdict {
-	if next := e.nextOwner(w, a); next != nil && e.delegate(a) {
-		return hopTo(next, a.hops)
+	if former := e.formerOwner(w, a); former != nil {
+		return hopTo(former, a.hops)
 	}
 	t := e.resolve(w, a)
 	if t == nil {
@@ -144,31 +144,26 @@
 	return e.enter(w, a, t, flow.StateOpening)
 }
 
-// nextOwner returns the daemon that owned the flow before, as far as the view tells, while hops
-// remain.
-func (e *Engine) nextOwner(w *world, a *arrival) *model.EntryVM {
-	if a.hops >= maxHops {
-		return nil
-	}
-	var buf [maxOwners]*model.EntryVM
-	for _, o := range w.owners(a.hash, buf[:0]) {
-		if o.ID != e.cfg.Self {
-			return o
-		}
-	}
-	return nil
+// resolve returns the target of a flow that a predecessor placed. The predecessor is the daemon, live or
+// not, that comes first in the flow's order but for this one.
+func (e *Engine) resolve(w *world, a *arrival) *model.Target {
+	return e.resolveFrom(w, a, e.copies.First(e.rank(w, a.hash)))
 }
 
-// resolve returns the target of a flow that a predecessor placed: the one that a log names, else the
+// resolveFrom returns the target that the predecessor's log names, or else another log, or else the
 // default of the predecessor's generation.
-func (e *Engine) resolve(w *world, a *arrival) *model.Target {
-	rank := e.rank(w, a.hash)
-	if id, ok := e.copies.Find(a.hash, rank); ok {
+func (e *Engine) resolveFrom(w *world, a *arrival, predecessor *flow.Copy) *model.Target {
+	if predecessor != nil {
+		if id, ok := predecessor.Lookup(a.hash); ok {
+			return w.targets[id]
+		}
+	}
+	if id, ok := e.copies.Find(a.hash, e.rank(w, a.hash)); ok {
 		return w.targets[id]
 	}
 	route := w.newest()
-	if cp := e.copies.First(rank); cp != nil {
-		if r := w.routeOf(cp.Position().Generation); r != nil {
+	if predecessor != nil {
+		if r := w.routeOf(predecessor.Position().Generation); r != nil {
 			route = r
 		}
 	}
--- a/core/tick.go
+++ b/core/tick.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -18,6 +20,7 @@
 	if e.world.Load() == nil {
 		return out
 	}
+	e.lastTick = now
 	e.settle(now)
 	if !now.Before(e.nextLog) {
 		e.nextLog = now.Add(e.cfg.LogInterval)
@@ -30,12 +33,15 @@
 	return out
 }
 
-// expire forgets silent flows, a shard a tick, and old copies.
+// expire forgets silent flows, a shard a tick, and old copies. While a zone is unreachable, open flows
+// are kept: their packets may arrive beyond the partition.
 func (e *Engine) expire(now time.Time) {
 	e.turn++
-	for _, x := range e.table.Expire(now, e.turn) {
+	keepOpen := e.world.Load().hidden != nil
+	for _, x := range e.table.Expire(now, e.turn, keepOpen) {
 		e.ended(x.Hash, x.Entry)
 	}
+	e.forgetLate(now)
 	e.copies.Expire(now)
 }
 
@@ -90,12 +96,12 @@
 	if w == nil || w.view.Version == v.Version {
 		return
 	}
-	owners := ownersChanged(w.view, v)
-	next := w.withView(v)
+	changed, appeared := compareOwners(w.view, v)
+	next := w.withView(now, v)
 	e.world.Store(next)
 	e.arrangeCopies(now, next)
-	if owners {
-		e.unsettle(now)
+	if changed {
+		e.unsettle(now, appeared)
 		e.inherit(now, next)
 	}
 	e.loads.SetOwners(countOwners(v))
@@ -182,17 +188,21 @@
 
 // caughtUp reports whether every log that this daemon follows has a snapshot here.
 func (e *Engine) caughtUp() bool {
+	here := func(m membership.MemberView) bool { return m.Here }
+	return lo.EveryBy(e.followed(here), func(cp *flow.Copy) bool { return cp.Position().Synced })
+}
+
+// followed returns the copies of the logs that this daemon takes from the members that count.
+func (e *Engine) followed(counts func(membership.MemberView) bool) []*flow.Copy {
 	w := e.world.Load()
+	var copies []*flow.Copy
 	for _, m := range w.view.Members() {
-		if !m.Here || m.Entry.ID == e.cfg.Self || !e.takesLog(w, m.Entry.ID, e.cfg.Self) {
+		if !counts(m) || !e.takesLog(w, m.Entry.ID, e.cfg.Self) {
 			continue
 		}
-		cp := e.copies.Of(m.Entry.ID)
-		if cp == nil || !cp.Position().Synced {
-			return false
-		}
+		copies = append(copies, e.copies.Ensure(e.lastTick, m.Entry.ID, m.Incarnation))
 	}
-	return true
+	return lo.Compact(copies)
 }
 
 // Leave starts the planned stop: this daemon owns no flows from now on and goes on passing packets.
@@ -220,18 +230,22 @@
 	return e.handleMembers(now, e.members.SetLeft(now))
 }
 
-// ownersChanged reports whether flows may have other owners in b than in a.
-func ownersChanged(a, b *membership.View) bool {
-	ma, mb := a.Members(), b.Members()
-	if len(ma) != len(mb) {
-		return true
+// compareOwners reports whether flows may have other owners in b than in a, and which daemons became
+// owners, or became them anew.
+func compareOwners(a, b *membership.View) (changed bool, appeared []model.MachineID) {
+	for _, m := range a.Members() {
+		if now, ok := b.Member(m.Entry.ID); m.Owner && (!ok || !now.Owner) {
+			changed = true
+		}
 	}
-	for i := range ma {
-		if ma[i].Entry.ID != mb[i].Entry.ID || ma[i].Owner != mb[i].Owner || ma[i].Incarnation != mb[i].Incarnation {
-			return true
+	for _, m := range b.Members() {
+		before, ok := a.Member(m.Entry.ID)
+		if m.Owner && (!ok || !before.Owner || before.Incarnation != m.Incarnation) {
+			changed = true
+			appeared = append(appeared, m.Entry.ID)
 		}
 	}
-	return false
+	return changed, appeared
 }
 
 func countOwners(v *membership.View) int {
--- a/core/world.go
+++ b/core/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/model"
@@ -20,7 +21,9 @@
 	targets map[model.TargetID]*model.Target
 	byData  map[netip.AddrPort]*model.Target
 	view    *membership.View
-	zones   zoneOrder
+	// hidden is nil while every zone is reachable.
+	hidden *hidden
+	zones  zoneOrder
 }
 
 // route resolves the default targets of one generation.
@@ -94,9 +97,10 @@
 }
 
 // withView returns a world with another view of the members.
-func (w *world) withView(v *membership.View) *world {
+func (w *world) withView(now time.Time, v *membership.View) *world {
 	next := *w
 	next.view = v
+	next.hidden = newHidden(now, v, w.hidden)
 	return &next
 }
 
--- a/internal/flow/copies.go
+++ b/internal/flow/copies.go
@@ -89,6 +89,7 @@
 		}
 		cp.mu.Lock()
 		cp.retiredAt = time.Time{}
+		cp.ackDue = true
 		cp.mu.Unlock()
 		next.live[owner] = cp
 	}
--- a/internal/flow/copy.go
+++ b/internal/flow/copy.go
@@ -19,7 +19,8 @@
 	mu         sync.RWMutex
 	next       uint64 // 0 until a snapshot was taken
 	generation model.Generation
-	echoed     Mark
+	echoed     Mark // highest mark that a complete log has echoed
+	heard      Mark // highest mark that the log has echoed
 	exceptions map[model.FlowHash]model.TargetID
 	// ackDue is true while a batch has not been acknowledged.
 	ackDue bool
@@ -68,8 +69,12 @@
 	Synced     bool
 	NextSeq    uint64
 	Generation model.Generation
-	// Echoed is the highest mark of this daemon that the copy covers.
+	// Echoed is the highest mark of this daemon that the copy covers: it names every exception among the
+	// flows that the owner had when it received the mark.
 	Echoed Mark
+	// Heard is the highest mark of this daemon that the owner had received when it wrote what the copy
+	// holds.
+	Heard Mark
 }
 
 // Position returns how far the copy goes.
@@ -80,7 +85,7 @@
 }
 
 func (c *Copy) position() Position {
-	return Position{Synced: c.next != 0, NextSeq: c.next, Generation: c.generation, Echoed: c.echoed}
+	return Position{Synced: c.next != 0, NextSeq: c.next, Generation: c.generation, Echoed: c.echoed, Heard: c.heard}
 }
 
 func (c *Copy) drop(h model.FlowHash) {
@@ -124,7 +129,10 @@
 	}
 	c.next = end
 	c.generation = b.Generation
-	c.echoed = max(c.echoed, Mark(b.Echo))
+	c.heard = max(c.heard, Mark(b.Echo))
+	if b.Complete {
+		c.echoed = max(c.echoed, Mark(b.Echo))
+	}
 	return true
 }
 
--- a/internal/flow/log.go
+++ b/internal/flow/log.go
@@ -44,7 +44,8 @@
 	marks   []generationMark
 	live    map[model.FlowHash]model.TargetID
 	peers   map[model.MachineID]*logPeer
-	silent  bool
+	// incomplete is true while the owner may not know all flows that it owns.
+	incomplete bool
 }
 
 // generationMark says from which position on a generation is the log's.
@@ -179,12 +180,17 @@
 	l.trimAcknowledged()
 }
 
-// SetEchoing says whether marks are sent back. An owner that may not know some of its flows yet does not
-// echo, so that no peer takes the log for complete.
-func (l *Log) SetEchoing(echoing bool) {
+// SetComplete says whether the log names every exception among the flows of this owner. Peers rely on
+// a complete log alone; when it becomes complete, they are told again how far it covers their marks.
+func (l *Log) SetComplete(complete bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.silent = !echoing
+	if l.incomplete && complete {
+		for _, p := range l.peers {
+			p.echoed = 0
+		}
+	}
+	l.incomplete = !complete
 }
 
 // Batch returns the next batch for a peer, and false where nothing needs to be sent now.
@@ -203,7 +209,7 @@
 	}
 	from := max(p.sent, p.acked, l.first)
 	to := min(from+uint64(l.cfg.MaxRecordsPerBatch), l.head())
-	echoes := to == l.head() && !l.silent && p.mark > p.echoed
+	echoes := to == l.head() && p.mark > p.echoed
 	if from == to && !echoes {
 		return wire.LogBatch{}, false
 	}
@@ -221,7 +227,7 @@
 // cut builds a batch. Only a batch that reaches the log's end echoes the peer's mark: it then holds
 // every flow that was placed before the mark arrived.
 func (l *Log) cut(now time.Time, p *logPeer, from, to uint64) wire.LogBatch {
-	if to == l.head() && !l.silent {
+	if to == l.head() {
 		p.echoed = p.mark
 	}
 	p.sent = to
@@ -232,6 +238,7 @@
 		Records:    append([]wire.Record(nil), l.records[from-l.first:to-l.first]...),
 		Generation: l.generationAt(to),
 		Echo:       p.echoed,
+		Complete:   !l.incomplete,
 	}
 }
 
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -122,14 +122,17 @@
 }
 
 // Expire forgets the flows of one shard that were silent for longer than their state allows. Calls
-// with a counter that grows by one visit every shard in turn.
-func (t *Table) Expire(now time.Time, turn uint64) []Expired {
+// with a counter that grows by one visit every shard in turn. With keepOpen, open flows stay.
+func (t *Table) Expire(now time.Time, turn uint64, keepOpen bool) []Expired {
 	s := &t.shards[turn%shardCount]
 	ms := t.millis(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var gone []Expired
 	for h, e := range s.flows {
+		if keepOpen && e.State == StateOpen {
+			continue
+		}
 		if ms-e.LastSeen > t.cfg.timeout(e.State) {
 			gone = append(gone, Expired{Hash: h, Entry: e})
 			delete(s.flows, h)
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -200,11 +200,14 @@
 	// NextSeq is the number that the owner's next record gets. It is above
 	// FirstSeq + len(Records) when more batches follow.
 	NextSeq uint64
-	// Generation is the one that the owner's defaults come from.
+	// Generation is the one that the owner's defaults came from after the last record of the batch.
 	Generation model.Generation
 	// Echo is the newest LogAck.Mark of the receiver that the owner had seen when it built the batch.
 	// It proves to the receiver how fresh the batch is.
-	Echo    uint64
+	Echo uint64
+	// Complete is true when the log names every exception among the flows that the owner had when it
+	// received the echoed mark. It is false while the owner is still taking over flows of others.
+	Complete bool
 	Records []Record
 }
 
@@ -228,6 +231,7 @@
 	dst = binary.AppendUvarint(dst, b.Generation.Plans)
 	dst = binary.AppendUvarint(dst, b.Generation.Machines)
 	dst = binary.AppendUvarint(dst, b.Echo)
+	dst = append(dst, boolBit(b.Complete, 0))
 	dst = binary.AppendUvarint(dst, uint64(len(b.Records)))
 	var known targetIndex
 	for _, r := range b.Records {
@@ -246,6 +250,11 @@
 	b.Generation.Plans = d.uvarint()
 	b.Generation.Machines = d.uvarint()
 	b.Echo = d.uvarint()
+	flags := d.byte()
+	if flags > 1 {
+		d.failed = true
+	}
+	b.Complete = flags == 1
 	b.Records = b.Records[:0]
 	n := d.count(minRecordBytes)
 	if b.NextSeq < b.FirstSeq || b.NextSeq-b.FirstSeq < uint64(n) {
