--- /dev/null
+++ b/packet/fuzz_test.go
@@ -0,0 +1,82 @@
+package packet
+
+import (
+	"testing"
+
+	"github.com/gopacket/gopacket/layers"
+
+	"github.com/fireflypin/fireflypin/errkind"
+)
+
+// FuzzDecode checks that no input makes the decoder fail, and that a packet which it takes can be built
+// again from its Meta.
+func FuzzDecode(f *testing.F) {
+	seeds := [][]byte{
+		packet4(),
+		packet6(),
+		withOptions(packet4(), []byte{1, 1, 1, 0}),
+		withExtension(packet6(), layers.IPProtocolIPv6HopByHop),
+		withExtension(packet6(), layers.IPProtocolIPv6Destination),
+		withExtension(packet6(), layers.IPProtocolIPv6Fragment),
+		withTCPOptions(packet6(), []byte{2, 4, 5, 180}),
+		AppendReset(nil, &Meta{Src: caller4, Dst: service4, Flags: SYN}, "not run"),
+	}
+	for _, s := range seeds {
+		f.Add(s)
+	}
+	d, again := NewDecoder(DecoderConfig{}), NewDecoder(DecoderConfig{})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m Meta
+		if d.Decode(b, &m) != errkind.None {
+			return
+		}
+		if m.Len != len(b) || m.PayloadLen < 0 || m.PayloadLen > m.Len-ipv4HeaderSize-tcpHeaderSize {
+			t.Fatalf("lengths of %d bytes decode to %+v", len(b), m)
+		}
+		built := AppendTCP(nil, m.Src, m.Dst, m.Flags, m.Seq, m.Ack, b[len(b)-m.PayloadLen:])
+		var back Meta
+		if kind := again.Decode(built, &back); kind != errkind.None {
+			t.Fatalf("%+v built again is %v", m, kind)
+		}
+		want := m
+		want.HopLimit, want.Len = builtHopLimit, len(built)
+		if back != want {
+			t.Fatalf("decoded %+v, built again %+v", want, back)
+		}
+		checkForwarded(t, d, b, m)
+		checkReset(t, d, &m)
+	})
+}
+
+// checkForwarded lowers the hop limit and expects the same packet or a looping one.
+func checkForwarded(t *testing.T, d *Decoder, b []byte, m Meta) {
+	forwarded := append([]byte(nil), b...)
+	DecrementHopLimit(forwarded)
+	var next Meta
+	kind := d.Decode(forwarded, &next)
+	m.HopLimit--
+	if m.HopLimit < minForwardHopLimit {
+		if kind != errkind.PacketLooping {
+			t.Fatalf("hop limit %d is %v", m.HopLimit, kind)
+		}
+		return
+	}
+	if kind != errkind.None || next != m {
+		t.Fatalf("forwarded %+v decodes to %v %+v", m, kind, next)
+	}
+}
+
+// checkReset expects that a reset of the packet is a good packet back to its source.
+func checkReset(t *testing.T, d *Decoder, m *Meta) {
+	b := AppendReset(nil, m, "not run")
+	if m.Flags.Has(RST) {
+		if b != nil {
+			t.Fatalf("reset of a reset: %x", b)
+		}
+		return
+	}
+	var reset Meta
+	if kind := d.Decode(b, &reset); kind != errkind.None || reset.Src != m.Dst || reset.Dst != m.Src || !reset.Flags.Has(RST) {
+		t.Fatalf("reset of %+v is %v %+v", m, kind, reset)
+	}
+}
