--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -39,16 +39,22 @@
 
 // Entry is one owned flow.
 type Entry struct {
+	// Caller and Service are zero for a flow that is known from a log alone, until its first packet.
 	Caller  Endpoint
 	Service Endpoint
 	Target  model.TargetID
-	// LastSeen is in seconds since the table's epoch.
+	// LastSeen is when the last packet came, in milliseconds since the table's epoch, cut to 32 bits.
 	LastSeen uint32
 	State    State
 	// Exception is true while the owner's log names the flow.
 	Exception bool
 }
 
+// Identified reports whether the flow's ends are known.
+func (e Entry) Identified() bool {
+	return e.Service != Endpoint{}
+}
+
 // Config sets how long flows are remembered.
 type Config struct {
 	// OpeningTimeout forgets a flow that never got past its SYN. Default 30 s.
@@ -74,14 +80,14 @@
 	return c
 }
 
-// timeout returns how long a flow in a state may be silent, in seconds.
+// timeout returns how long a flow in a state may be silent, in milliseconds.
 func (c Config) timeout(s State) uint32 {
 	switch s {
 	case StateOpening:
-		return uint32(c.OpeningTimeout / time.Second)
+		return uint32(c.OpeningTimeout / time.Millisecond)
 	case StateClosing:
-		return uint32(c.ClosingTimeout / time.Second)
+		return uint32(c.ClosingTimeout / time.Millisecond)
 	default:
-		return uint32(c.IdleTimeout / time.Second)
+		return uint32(c.IdleTimeout / time.Millisecond)
 	}
 }
