--- /dev/null
+++ b/internal/relay/forward_bench_test.go
@@ -0,0 +1,205 @@
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"io"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/fireflypin/fireflypin/internal/daemon"
+	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+const (
+	benchFlows   = 4096
+	benchBatch   = 64
+	benchPayload = 100
+)
+
+var (
+	loopback     = netip.MustParseAddrPort("127.0.0.1:0")
+	benchService = netip.MustParseAddrPort("192.0.2.10:443")
+)
+
+// fixedLists puts one snapshot in force.
+type fixedLists struct{ snapshot *model.Snapshot }
+
+func (l fixedLists) Run(ctx context.Context, adopt func(*model.Snapshot)) error {
+	adopt(l.snapshot)
+	<-ctx.Done()
+	return nil
+}
+
+// freeAddr returns an address that nothing listens on.
+func freeAddr(b *testing.B) netip.AddrPort {
+	c, err := udpio.System(udpio.Config{}).Listen(loopback)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr()
+}
+
+// benchLists names one entry VM and one target, which receives at sink.
+func benchLists(b *testing.B, data, peer, sink netip.AddrPort) *model.Snapshot {
+	doc := func(name, text string) lists.Document { return lists.Document{Name: name, Data: []byte(text)} }
+	s, err := lists.Parse(lists.Documents{
+		Customers: doc("customers.yaml", `
+kind: customers
+revision: 1
+customers: [{name: estate, plan: desk, prefixes: [10.0.0.0/8]}]
+`),
+		Plans: doc("plans.yaml", `
+kind: plans
+revision: 1
+services: [{name: booking, addresses: ["192.0.2.10:443"], return: direct, margin: 0.05, ramp: 30s}]
+plans: [{name: desk, services: [booking], new_flows_per_second: 100000, open_flows: 100000, on_revoke: finish}]
+`),
+		Machines: doc("machines.yaml", `
+kind: machines
+revision: 1
+entries: [{name: e1, region: south, zone: a, data: "`+data.String()+`", peer: "`+peer.String()+`", bulk: "127.0.0.1:9", ops: "127.0.0.1:8", state: live}]
+endpoints: [{name: p1, region: south, zone: a, state: live, targets: [{name: t1, service: booking, data: "`+sink.String()+`", weight: 1, max_connections: 100000, slots: 3}]}]
+`),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	return s
+}
+
+// startDaemon runs the daemon's forwarding path in this process and returns its data address.
+func startDaemon(b *testing.B, sink netip.AddrPort) netip.AddrPort {
+	data, peer := freeAddr(b), freeAddr(b)
+	ring, err := wire.NewKeyring(1, wire.Key{ID: 1, Secret: make([]byte, wire.MinSecretBytes)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	d := daemon.New(daemon.Deps{
+		Settings: &settings.Settings{
+			Name: "e1", Zone: model.Zone{Region: "south", Name: "a"},
+			Data: data, Peer: peer, Egress: sink, Workers: 1, MTU: settings.DefaultMTU,
+			HeartbeatInterval: settings.DefaultHeartbeatInterval, LogBatchInterval: settings.DefaultLogBatchInterval,
+			FlowIdleTimeout: settings.DefaultFlowIdleTimeout, DrainTimeout: time.Second,
+		},
+		Network: udpio.System(udpio.Config{}),
+		Lists:   fixedLists{benchLists(b, data, peer, sink)},
+		Keys:    wire.NewKeyStore(ring),
+		Metrics: metrics.NewSet(),
+		Log:     log.New(io.Discard),
+		Now:     time.Now(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx) }()
+	b.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	for !d.Engine().Ready() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return data
+}
+
+// startRelay runs the bare relay and returns its address.
+func startRelay(b *testing.B, sink netip.AddrPort) netip.AddrPort {
+	r, err := New(Config{Network: udpio.System(udpio.Config{}), Listen: loopback, To: sink})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go r.Run()
+	b.Cleanup(func() { r.Close() })
+	return r.Addr()
+}
+
+// flowPackets returns one packet for each flow.
+func flowPackets(flags packet.Flags) [][]byte {
+	packets := make([][]byte, benchFlows)
+	payload := make([]byte, benchPayload)
+	for i := range packets {
+		var ip [4]byte
+		binary.BigEndian.PutUint32(ip[:], 10<<24|uint32(i))
+		src := netip.AddrPortFrom(netip.AddrFrom4(ip), 40000)
+		packets[i] = packet.AppendTCP(nil, src, benchService, flags, 1, 1, payload)
+	}
+	return packets
+}
+
+// exchanger sends batches through a forwarder and reads them from the sink.
+type exchanger struct {
+	b            *testing.B
+	source, sink udpio.Conn
+	out, in      []udpio.Message
+	next         int
+}
+
+func newExchanger(b *testing.B) *exchanger {
+	network := udpio.System(udpio.Config{})
+	x := &exchanger{b: b, out: make([]udpio.Message, benchBatch), in: make([]udpio.Message, benchBatch)}
+	for _, conn := range []*udpio.Conn{&x.source, &x.sink} {
+		c, err := network.Listen(loopback)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { c.Close() })
+		*conn = c
+	}
+	for i := range x.in {
+		x.in[i].Buf = make([]byte, 2048)
+	}
+	return x
+}
+
+// exchange sends the next batch of packets and waits until all have come through.
+func (x *exchanger) exchange(via netip.AddrPort, packets [][]byte) {
+	for i := range x.out {
+		p := packets[x.next%len(packets)]
+		x.next++
+		x.out[i] = udpio.Message{Buf: p, N: len(p), Addr: via}
+	}
+	if _, err := x.source.WriteBatch(x.out); err != nil {
+		x.b.Fatal(err)
+	}
+	for rest := benchBatch; rest > 0; {
+		n, err := x.sink.ReadBatch(x.in[:rest])
+		if err != nil {
+			x.b.Fatal(err)
+		}
+		rest -= n
+	}
+}
+
+func benchmarkThrough(b *testing.B, start func(*testing.B, netip.AddrPort) netip.AddrPort) {
+	x := newExchanger(b)
+	via := start(b, x.sink.LocalAddr())
+	for range benchFlows / benchBatch {
+		x.exchange(via, flowPackets(packet.SYN))
+	}
+	packets := flowPackets(packet.ACK)
+	runtime.GC()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range (b.N + benchBatch - 1) / benchBatch {
+		x.exchange(via, packets)
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "packets/s")
+}
+
+// BenchmarkRelay passes packets through the bare relay; one operation is one packet.
+func BenchmarkRelay(b *testing.B) { benchmarkThrough(b, startRelay) }
+
+// BenchmarkForward passes packets of open flows through the daemon that owns them.
+func BenchmarkForward(b *testing.B) { benchmarkThrough(b, startDaemon) }
