--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -28,6 +28,8 @@
 		Usage: "operate and try out the fireflypin load balancer",
 		Commands: []*cli.Command{
 			newStandinCommand(),
+			newRelayCommand(),
+			newMeasureCommand(),
 		},
 	}
 }
