--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,78 @@
+package settings
+
+// Key describes one key of the settings file for the operator's page and for reloading.
+type Key struct {
+	Name string
+	// Unit is the unit or shape of the value.
+	Unit string
+	// Default is the value of an absent key; "required" where there is none.
+	Default string
+	// Reloadable is true where a running daemon takes a new value without a restart.
+	Reloadable bool
+	Effect     string
+}
+
+// Keys returns every key of the settings file. It is the only place that says which may be reloaded.
+func Keys() []Key {
+	return []Key{
+		{"name", "name", "required", false, "the entry VM's name in the list of machines"},
+		{"region", "name", "required", false, "the region of the entry VM"},
+		{"zone", "name", "required", false, "the availability zone of the entry VM"},
+		{"data", "address:port", "required", false, "UDP socket for IP-in-UDP packets from the fabric and from endpoints"},
+		{"peer", "address:port", "required", false, "UDP socket for datagrams of other daemons"},
+		{"bulk", "address:port", "required", false, "TCP socket for calls of other daemons"},
+		{"egress", "address:port", "required", false, "receiver of IP-in-UDP packets that carry answers to callers"},
+		{"ops", "address:port", "127.0.0.1:9650", false, "TCP socket for metrics, health and status over HTTP"},
+		{"platform.url", "URL", "required without lists", false, "the platform's service that publishes the lists"},
+		{"platform.watch_wait", "duration, 1s to 10m", "30s", true, "how long one watch call waits for a change"},
+		{"platform.call_timeout", "duration, 100ms to 1m", "5s", true, "how long a call may take; a watch gets it on top of its wait"},
+		{"platform.calls_per_second", "calls per second, 0.01 to 1000", "1", true, "this daemon's own call budget over time"},
+		{"platform.call_burst", "calls, 4 to 1000", "6", true, "calls that may be made at once out of the budget"},
+		{"lists.customers", "path", "required without platform", false, "local file in place of the platform's list of customers"},
+		{"lists.plans", "path", "required without platform", false, "local file in place of the platform's list of plans"},
+		{"lists.machines", "path", "required without platform", false, "local file in place of the platform's list of machines"},
+		{"key_files", "list of 1 or 2 paths", "none; required beyond loopback", true, "shared keys of datagrams between daemons: the first signs, all verify"},
+		{"tls.cert_file", "path", "none; required beyond loopback", true, "certificate for calls between daemons"},
+		{"tls.key_file", "path", "required with tls", true, "private key of the certificate"},
+		{"tls.ca_file", "path", "required with tls", true, "authorities that sign the daemons' certificates"},
+		{"workers", "goroutines, 0 to 1024", "0", false, "goroutines that move packets; 0 takes one for each processor"},
+		{"mtu", "bytes, 576 to 65000", "1472", false, "largest inner packet that is passed on"},
+		{"heartbeat_interval", "duration, 50ms to 10s", "1s", false, "time between two heartbeats to a peer"},
+		{"log_batch_interval", "duration, 1ms to 5s", "50ms", false, "longest wait of an exception before it is sent to peers"},
+		{"flow_idle_timeout", "duration, 10s to 24h", "15m", true, "time without packets after which a flow is forgotten"},
+		{"drain_timeout", "duration, 1s to 1h", "30s", true, "longest wait for hand-over in a planned stop"},
+		{"log_level", "debug, info, warn or error", "info", true, "least severe level that is logged"},
+	}
+}
+
+// Changed returns the keys whose values differ between two settings, apart for those that a running
+// daemon takes over and those that need a restart.
+func Changed(old, now *Settings) (reloadable, restart []string) {
+	before, after := values(old), values(now)
+	for i, k := range Keys() {
+		switch {
+		case before[i] == after[i]:
+		case k.Reloadable:
+			reloadable = append(reloadable, k.Name)
+		default:
+			restart = append(restart, k.Name)
+		}
+	}
+	return reloadable, restart
+}
+
+// Reload returns the settings in force after a reload: the old ones with the reloadable values of the
+// new ones.
+func Reload(old, now *Settings) *Settings {
+	s := *old
+	s.Platform.WatchWait = now.Platform.WatchWait
+	s.Platform.CallTimeout = now.Platform.CallTimeout
+	s.Platform.CallsPerSecond = now.Platform.CallsPerSecond
+	s.Platform.CallBurst = now.Platform.CallBurst
+	s.KeyFiles = now.KeyFiles
+	s.TLS = now.TLS
+	s.FlowIdleTimeout = now.FlowIdleTimeout
+	s.DrainTimeout = now.DrainTimeout
+	s.LogLevel = now.LogLevel
+	return &s
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,129 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/yamldoc"
+)
+
+const minimal = `name: entry-1
+region: r
+zone: a
+data: 127.0.0.1:7001
+peer: 127.0.0.1:7002
+bulk: 127.0.0.1:7003
+egress: 127.0.0.1:7009
+platform:
+  url: http://127.0.0.1:8500
+`
+
+const full = minimal + `  watch_wait: 20s
+  call_timeout: 2s
+  calls_per_second: 2.5
+  call_burst: 9
+ops: 127.0.0.1:7004
+key_files: [new.key, /etc/old.key]
+tls: {cert_file: a.pem, key_file: a.key, ca_file: ca.pem}
+workers: 2
+mtu: 1400
+heartbeat_interval: 2s
+log_batch_interval: 20ms
+flow_idle_timeout: 10m
+drain_timeout: 15s
+log_level: debug
+`
+
+func parse(text string) (*Settings, error) {
+	return Parse(yamldoc.Document{Name: "/etc/fireflypin/s.yaml", Data: []byte(text)})
+}
+
+func TestMinimalSettings(t *testing.T) {
+	Convey("A minimal file on loopback gets every default", t, func() {
+		s, err := parse(minimal)
+		So(err, ShouldBeNil)
+		So(s.Ops, ShouldResemble, DefaultOps)
+		So(s.MTU, ShouldEqual, DefaultMTU)
+		So(s.HeartbeatInterval, ShouldEqual, time.Second)
+		So(s.Platform.CallBurst, ShouldEqual, DefaultCallBurst)
+		So(s.LogLevel, ShouldEqual, log.InfoLevel)
+		So(s.Secure(), ShouldBeFalse)
+		So(s.UsesPlatform(), ShouldBeTrue)
+	})
+}
+
+func TestFullSettings(t *testing.T) {
+	Convey("Every key is read; relative paths start at the file's directory", t, func() {
+		s, err := parse(full)
+		So(err, ShouldBeNil)
+		So(s.KeyFiles, ShouldResemble, []string{"/etc/fireflypin/new.key", "/etc/old.key"})
+		So(s.TLS.CAFile, ShouldEqual, "/etc/fireflypin/ca.pem")
+		So(s.Platform.CallsPerSecond, ShouldEqual, 2.5)
+		So(s.LogBatchInterval, ShouldEqual, 20*time.Millisecond)
+		So(s.LogLevel, ShouldEqual, log.DebugLevel)
+		So(s.Secure(), ShouldBeTrue)
+	})
+	Convey("Local files can take the platform's place", t, func() {
+		text := strings.Split(minimal, "platform:")[0] + "lists: {customers: c.yaml, plans: p.yaml, machines: m.yaml}\n"
+		s, err := parse(text)
+		So(err, ShouldBeNil)
+		So(s.UsesPlatform(), ShouldBeFalse)
+		So(s.Lists.Machines, ShouldEqual, "/etc/fireflypin/m.yaml")
+	})
+}
+
+func TestFaultsOfSettings(t *testing.T) {
+	cases := []struct{ what, old, new, want string }{
+		{"unknown key", "mtu: 1400", "mtuu: 1400", "mtuu: unknown key"},
+		{"wrong unit", "drain_timeout: 15s", "drain_timeout: 15", `drain_timeout: "15" has no unit`},
+		{"out of range", "heartbeat_interval: 2s", "heartbeat_interval: 2h", "heartbeat_interval: 2h0m0s is out of range"},
+		{"missing", "region: r\n", "", "region: missing"},
+		{"url", "http://127.0.0.1:8500", "127.0.0.1:8500", "platform.url: "},
+		{"both sources", "workers: 2", "lists: {customers: a, plans: b, machines: c}", "lists: cannot be used together with platform"},
+		{"no source", "platform:\n  url: http://127.0.0.1:8500\n  watch_wait: 20s\n  call_timeout: 2s\n  calls_per_second: 2.5\n  call_burst: 9\n", "", "platform: missing; give platform or lists"},
+		{"same socket", "peer: 127.0.0.1:7002", "peer: 127.0.0.1:7001", "peer: 127.0.0.1:7001 is the data address too"},
+		{"no key beyond loopback", "key_files: [new.key, /etc/old.key]\n", "", "key_files: missing"},
+		{"no TLS beyond loopback", "tls: {cert_file: a.pem, key_file: a.key, ca_file: ca.pem}\n", "", "tls: missing"},
+		{"half TLS", ", ca_file: ca.pem", "", "tls.ca_file: missing"},
+		{"three keys", "[new.key, /etc/old.key]", "[a, b, c]", "at most 2 keys"},
+		{"log level", "log_level: debug", "log_level: loud", `"loud" is not one of`},
+	}
+	Convey("Each fault is reported with line and key", t, func() {
+		for _, c := range cases {
+			text := strings.Replace(full, "bulk: 127.0.0.1:7003", "bulk: 192.0.2.1:7003", 1)
+			So(text, ShouldContainSubstring, c.old)
+			_, err := parse(strings.Replace(text, c.old, c.new, 1))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, c.want)
+		}
+	})
+	Convey("All faults come at once", t, func() {
+		_, err := parse("colour: red\n")
+		So(len(err.(yamldoc.Findings)), ShouldEqual, 9)
+	})
+}
+
+func TestReload(t *testing.T) {
+	Convey("A reload takes over exactly the reloadable keys", t, func() {
+		old, _ := parse(minimal)
+		now, _ := parse(full)
+		reloadable, restart := Changed(old, now)
+		So(reloadable, ShouldContain, "log_level")
+		So(restart, ShouldContain, "workers")
+
+		merged := Reload(old, now)
+		_, stillOld := Changed(merged, now)
+		So(stillOld, ShouldResemble, restart)
+		stillNew, none := Changed(old, merged)
+		So(stillNew, ShouldResemble, reloadable)
+		So(none, ShouldBeEmpty)
+	})
+	Convey("Every key of the table has a value to compare", t, func() {
+		s, _ := parse(full)
+		So(len(values(s)), ShouldEqual, len(Keys()))
+	})
+}
--- /dev/null
+++ b/internal/settings/values.go
@@ -0,0 +1,22 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// values returns the settings as text in the order of Keys.
+func values(s *Settings) []string {
+	all := []any{
+		s.Name, s.Zone.Region, s.Zone.Name, s.Data, s.Peer, s.Bulk, s.Egress, s.Ops,
+		s.Platform.URL, s.Platform.WatchWait, s.Platform.CallTimeout, s.Platform.CallsPerSecond, s.Platform.CallBurst,
+		s.Lists.Customers, s.Lists.Plans, s.Lists.Machines,
+		strings.Join(s.KeyFiles, "\x00"), s.TLS.CertFile, s.TLS.KeyFile, s.TLS.CAFile,
+		s.Workers, s.MTU, s.HeartbeatInterval, s.LogBatchInterval, s.FlowIdleTimeout, s.DrainTimeout, s.LogLevel,
+	}
+	texts := make([]string, len(all))
+	for i, v := range all {
+		texts[i] = fmt.Sprint(v)
+	}
+	return texts
+}
--- a/internal/yamldoc/open.go
+++ b/internal/yamldoc/open.go
@@ -122,29 +122,27 @@
 	token.MappingKeyType: "a complex key",
 }
 
-// checkTokens reports refused parts of YAML and nesting beyond the bound, before a parser that
-// recurses sees them.
+// checkTokens reports what a parser must not see: refused parts of YAML, a second document, nesting
+// beyond the bound, which the parser follows by recursion, and mappings with more than maxKeys keys, on
+// which it spends time that grows with the square of their number.
 func (r *report) checkTokens(tokens token.Tokens) bool {
-	flow, line, entries := 0, 0, 0
+	var s shape
 	for _, t := range tokens {
 		if what, bad := refused[t.Type]; bad {
 			r.add(t.Position.Line, "", "%s (%q) is not allowed here", what, t.Value)
 			return false
 		}
-		if t.Position.Line != line {
-			line, entries = t.Position.Line, 0
-		}
-		switch t.Type {
-		case token.MappingStartType, token.SequenceStartType:
-			flow++
-		case token.MappingEndType, token.SequenceEndType:
-			flow--
-		case token.SequenceEntryType:
-			entries++
-		}
-		if flow > maxNesting || entries > maxNesting || t.Position.IndentLevel > maxNesting {
+		s.add(t)
+		switch {
+		case s.documents > 1:
+			r.add(t.Position.Line, "", "the file must hold exactly one YAML document")
+			return false
+		case s.depth() > maxNesting:
 			r.add(t.Position.Line, "", "values are nested deeper than %d levels", maxNesting)
 			return false
+		case s.keys() > maxKeys:
+			r.add(t.Position.Line, "", "a mapping has more than %d keys", maxKeys)
+			return false
 		}
 	}
 	return true
--- a/internal/yamldoc/yamldoc_test.go
+++ b/internal/yamldoc/yamldoc_test.go
@@ -1,6 +1,7 @@
 package yamldoc
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -62,6 +63,14 @@
 	})
 }
 
+func manyLines(format string, n int) string {
+	var b strings.Builder
+	for i := range n {
+		fmt.Fprintf(&b, format, i)
+	}
+	return b.String()
+}
+
 func TestDocumentsThatAreRefusedWhole(t *testing.T) {
 	cases := []struct{ what, text, want string }{
 		{"empty", "", "exactly one YAML document"},
@@ -76,6 +85,10 @@
 		{"deep flow", "rows: " + strings.Repeat("[", 200_000), "nested deeper"},
 		{"deep mappings", "rows: " + strings.Repeat("{a: ", 100_000), "nested deeper"},
 		{"deep entries", "rows:\n" + strings.Repeat("- ", 200_000), "nested deeper"},
+		{"many keys", manyLines("k%d: v\n", 40_000), "more than 64 keys"},
+		{"many keys in brackets", "rows: [{" + manyLines("k%d: v, ", 40_000) + "}]", "more than 64 keys"},
+		{"many keys with lists", manyLines("k%d:\n- a\n", 40_000), "more than 64 keys"},
+		{"many documents", manyLines("---\nk%d: v\n", 40_000), "exactly one YAML document"},
 		{"too large", "name: " + strings.Repeat("a", MaxBytes), "at most 1048576"},
 		{"no text", "name: \xff\xfe", "not UTF-8"},
 	}
