Admit flows by source prefix, service and plan

bart holds the prefixes; each customer carries a bit set of the services that its plan allows, so that a lookup costs one trie walk, one map access and one bit.

--- /dev/null
+++ b/internal/admission/table.go
@@ -0,0 +1,156 @@
+package admission
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gaissmai/bart"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+const wordBits = 64
+
+// Table answers admission questions for one Snapshot. Any number of goroutines may use it.
+type Table struct {
+	snapshot  *model.Snapshot
+	customers bart.Table[*customerEntry]
+	services  map[netip.AddrPort]serviceEntry
+}
+
+type customerEntry struct {
+	customer *model.Customer
+	allowed  serviceSet
+}
+
+type serviceEntry struct {
+	service *model.Service
+	index   uint32 // of the service in the Snapshot
+}
+
+// serviceSet holds one bit for each service of the Snapshot.
+type serviceSet []uint64
+
+func (s serviceSet) add(i uint32)      { s[i/wordBits] |= 1 << (i % wordBits) }
+func (s serviceSet) has(i uint32) bool { return s[i/wordBits]&(1<<(i%wordBits)) != 0 }
+
+// NewTable builds the table of a Snapshot.
+func NewTable(s *model.Snapshot) *Table {
+	t := &Table{
+		snapshot: s,
+		services: make(map[netip.AddrPort]serviceEntry, len(s.Services)),
+	}
+	indexes := t.addServices(s.Services)
+	sets := planSets(s.Plans, indexes)
+	for _, c := range s.Customers {
+		entry := &customerEntry{customer: c, allowed: sets[c.Plan]}
+		for _, p := range c.Prefixes {
+			t.customers.Insert(p, entry)
+		}
+	}
+	return t
+}
+
+func (t *Table) addServices(services []*model.Service) map[*model.Service]uint32 {
+	indexes := make(map[*model.Service]uint32, len(services))
+	for i, s := range services {
+		indexes[s] = uint32(i)
+		for _, a := range s.Addresses {
+			t.services[a] = serviceEntry{service: s, index: uint32(i)}
+		}
+	}
+	return indexes
+}
+
+func planSets(plans []*model.Plan, indexes map[*model.Service]uint32) map[*model.Plan]serviceSet {
+	words := (len(indexes) + wordBits - 1) / wordBits
+	sets := make(map[*model.Plan]serviceSet, len(plans))
+	for _, p := range plans {
+		set := make(serviceSet, words)
+		for _, s := range p.Services {
+			set.add(indexes[s])
+		}
+		sets[p] = set
+	}
+	return sets
+}
+
+// Revisions names the lists that the table was built from; a nil table has none.
+func (t *Table) Revisions() model.Revisions {
+	if t == nil {
+		return model.Revisions{}
+	}
+	return t.snapshot.Revisions
+}
+
+// Admit returns the customer of a caller, the service behind a destination and errkind.None when the
+// customer's plan allows the service. Otherwise the kind says why not, and the customer and the service
+// are those that could be found, or nil. It allocates nothing. A nil table refuses with errkind.NotReady.
+func (t *Table) Admit(caller netip.Addr, destination netip.AddrPort) (*model.Customer, *model.Service, errkind.Kind) {
+	if t == nil {
+		return nil, nil, errkind.NotReady
+	}
+	to, known := t.services[destination]
+	if !known {
+		return t.customer(caller), nil, errkind.NoSuchService
+	}
+	from, known := t.customers.Lookup(caller)
+	if !known {
+		return nil, to.service, errkind.UnknownCustomer
+	}
+	if !from.allowed.has(to.index) {
+		return from.customer, to.service, errkind.PlanForbids
+	}
+	return from.customer, to.service, errkind.None
+}
+
+func (t *Table) customer(caller netip.Addr) *model.Customer {
+	entry, known := t.customers.Lookup(caller)
+	if !known {
+		return nil
+	}
+	return entry.customer
+}
+
+// Revocation says what becomes of an open flow that the table in force no longer allows.
+type Revocation struct {
+	// Reason is why a new flow of the same kind would be refused now.
+	Reason errkind.Kind
+	// On is RevokeFinish to let the flow end by itself or RevokeReset to reset it after Grace.
+	On    model.OnRevoke
+	Grace time.Duration
+}
+
+// Revoked reports whether a flow that the table before admitted is no longer allowed, and what becomes
+// of it. The customer's plan in force decides; where the customer is gone, its plan before does.
+func (t *Table) Revoked(before *Table, caller netip.Addr, destination netip.AddrPort) (Revocation, bool) {
+	now, service, reason := t.Admit(caller, destination)
+	was, formerService, refused := before.Admit(caller, destination)
+	if refused != errkind.None {
+		return Revocation{}, false
+	}
+	if reason == errkind.None && service.Name == formerService.Name {
+		return Revocation{}, false
+	}
+	if reason == errkind.None {
+		// The address serves another service now; the flow belongs to the former one.
+		reason = errkind.PermissionRevoked
+	}
+	decides := was.Plan
+	if now != nil {
+		decides = now.Plan
+	}
+	return Revocation{Reason: reason, On: decides.OnRevoke, Grace: decides.RevokeGrace}, true
+}
+
+// Moved reports whether a destination belonged to another service in the table before, so that the open
+// flows to it must stay with the former service's targets.
+func (t *Table) Moved(before *Table, destination netip.AddrPort) bool {
+	if t == nil || before == nil {
+		return false
+	}
+	was, existed := before.services[destination]
+	now, exists := t.services[destination]
+	return existed && exists && was.service.Name != now.service.Name
+}
--- /dev/null
+++ b/internal/admission/table_test.go
@@ -0,0 +1,201 @@
+package admission
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+var (
+	bookingAddress  = netip.MustParseAddrPort("198.51.100.10:443")
+	booking6Address = netip.MustParseAddrPort("[2001:db8::10]:443")
+	brochureAddress = netip.MustParseAddrPort("198.51.100.11:443")
+)
+
+type world struct {
+	booking, brochures *model.Service
+	gold, silver       *model.Plan
+	customers          []*model.Customer
+}
+
+func newWorld() *world {
+	w := &world{
+		booking:   &model.Service{Name: "booking", Addresses: []netip.AddrPort{bookingAddress, booking6Address}},
+		brochures: &model.Service{Name: "brochures", Addresses: []netip.AddrPort{brochureAddress}},
+	}
+	w.gold = &model.Plan{Name: "gold", Services: []*model.Service{w.booking, w.brochures}}
+	w.silver = &model.Plan{Name: "silver", Services: []*model.Service{w.booking}}
+	w.customers = []*model.Customer{
+		{Name: "quinta", Plan: w.gold, Prefixes: prefixes("192.0.2.0/24", "2001:db8:1::/48")},
+		{Name: "desk", Plan: w.silver, Prefixes: prefixes("192.0.2.128/25", "2001:db8:1:2::/64")},
+	}
+	return w
+}
+
+func (w *world) table() *Table {
+	return NewTable(model.NewSnapshot(model.Revisions{}, w.customers, []*model.Plan{w.gold, w.silver},
+		[]*model.Service{w.booking, w.brochures}, nil, nil))
+}
+
+func prefixes(texts ...string) []netip.Prefix {
+	all := make([]netip.Prefix, len(texts))
+	for i, text := range texts {
+		all[i] = netip.MustParsePrefix(text)
+	}
+	return all
+}
+
+func TestAdmit(t *testing.T) {
+	cases := []struct {
+		from              string
+		to                netip.AddrPort
+		customer, service string
+		kind              errkind.Kind
+	}{
+		{"192.0.2.1", bookingAddress, "quinta", "booking", errkind.None},
+		{"192.0.2.1", brochureAddress, "quinta", "brochures", errkind.None},
+		{"192.0.2.129", bookingAddress, "desk", "booking", errkind.None},
+		{"192.0.2.129", brochureAddress, "desk", "brochures", errkind.PlanForbids},
+		{"2001:db8:1::7", booking6Address, "quinta", "booking", errkind.None},
+		{"2001:db8:1:2::7", brochureAddress, "desk", "brochures", errkind.PlanForbids},
+		{"203.0.113.1", bookingAddress, "", "booking", errkind.UnknownCustomer},
+		{"::ffff:192.0.2.1", bookingAddress, "", "booking", errkind.UnknownCustomer},
+		{"192.0.2.1", netip.MustParseAddrPort("198.51.100.10:80"), "quinta", "", errkind.NoSuchService},
+		{"203.0.113.1", netip.MustParseAddrPort("198.51.100.10:80"), "", "", errkind.NoSuchService},
+	}
+	Convey("The longest prefix names the customer, its plan decides and the default is to refuse", t, func() {
+		table := newWorld().table()
+		for _, c := range cases {
+			customer, service, kind := table.Admit(netip.MustParseAddr(c.from), c.to)
+			So(kind, ShouldEqual, c.kind)
+			So(customerName(customer), ShouldEqual, c.customer)
+			So(serviceName(service), ShouldEqual, c.service)
+		}
+	})
+	Convey("Without lists nothing is admitted", t, func() {
+		_, _, kind := (*Table)(nil).Admit(netip.MustParseAddr("192.0.2.1"), bookingAddress)
+		So(kind, ShouldEqual, errkind.NotReady)
+		_, _, kind = NewTable(model.NewSnapshot(model.Revisions{}, nil, nil, nil, nil, nil)).Admit(netip.MustParseAddr("192.0.2.1"), bookingAddress)
+		So(kind, ShouldEqual, errkind.NoSuchService)
+	})
+	Convey("An admission allocates nothing", t, func() {
+		table, from := newWorld().table(), netip.MustParseAddr("192.0.2.1")
+		So(testing.AllocsPerRun(100, func() { table.Admit(from, bookingAddress) }), ShouldEqual, 0)
+	})
+}
+
+func customerName(c *model.Customer) string {
+	if c == nil {
+		return ""
+	}
+	return c.Name
+}
+
+func serviceName(s *model.Service) string {
+	if s == nil {
+		return ""
+	}
+	return s.Name
+}
+
+func TestRevoked(t *testing.T) {
+	caller := netip.MustParseAddr("192.0.2.1")
+	Convey("A flow that is still allowed is not revoked", t, func() {
+		_, revoked := newWorld().table().Revoked(newWorld().table(), caller, brochureAddress)
+		So(revoked, ShouldBeFalse)
+	})
+	Convey("The plan in force decides over a flow that it no longer allows", t, func() {
+		w := newWorld()
+		w.gold.Services = []*model.Service{w.booking}
+		w.gold.OnRevoke, w.gold.RevokeGrace = model.RevokeReset, 3*time.Second
+		r, revoked := w.table().Revoked(newWorld().table(), caller, brochureAddress)
+		So(revoked, ShouldBeTrue)
+		So(r, ShouldResemble, Revocation{Reason: errkind.PlanForbids, On: model.RevokeReset, Grace: 3 * time.Second})
+	})
+	Convey("A customer that is gone is judged by its plan before", t, func() {
+		before, w := newWorld(), newWorld()
+		before.gold.OnRevoke = model.RevokeReset
+		w.customers = w.customers[1:]
+		r, revoked := w.table().Revoked(before.table(), caller, bookingAddress)
+		So(revoked, ShouldBeTrue)
+		So(r, ShouldResemble, Revocation{Reason: errkind.UnknownCustomer, On: model.RevokeReset})
+	})
+	Convey("A flow that was never allowed is not revoked again", t, func() {
+		_, revoked := newWorld().table().Revoked(newWorld().table(), netip.MustParseAddr("192.0.2.200"), brochureAddress)
+		So(revoked, ShouldBeFalse)
+	})
+	Convey("An address that moves to another allowed service revokes the flows of the former one", t, func() {
+		w := newWorld()
+		w.booking.Addresses, w.brochures.Addresses = w.brochures.Addresses, w.booking.Addresses
+		before, now := newWorld().table(), w.table()
+		r, revoked := now.Revoked(before, caller, bookingAddress)
+		So(revoked, ShouldBeTrue)
+		So(r.Reason, ShouldEqual, errkind.PermissionRevoked)
+		So(now.Moved(before, bookingAddress), ShouldBeTrue)
+		So(before.Moved(before, bookingAddress), ShouldBeFalse)
+		So(now.Moved(nil, bookingAddress), ShouldBeFalse)
+	})
+}
+
+// largeTable holds n prefixes, a quarter of them IPv6, and 680 services, all allowed by one plan.
+func largeTable(n int) (*Table, []netip.Addr, []netip.AddrPort) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	plan := &model.Plan{Name: "all"}
+	destinations := make([]netip.AddrPort, 680)
+	for i := range destinations {
+		destinations[i] = netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, byte(i >> 8), byte(i)}), 443)
+		plan.Services = append(plan.Services, &model.Service{Name: fmt.Sprint("s", i), Addresses: destinations[i : i+1]})
+	}
+	callers := make([]netip.Addr, 4096)
+	customers := make([]*model.Customer, 1000)
+	for i := range customers {
+		customers[i] = &model.Customer{Name: fmt.Sprint("c", i), Plan: plan}
+	}
+	for i := range n {
+		p := randomPrefix(rng, i%4 == 0)
+		callers[i%len(callers)] = p.Addr()
+		c := customers[i%len(customers)]
+		c.Prefixes = append(c.Prefixes, p)
+	}
+	s := model.NewSnapshot(model.Revisions{}, customers, []*model.Plan{plan}, plan.Services, nil, nil)
+	return NewTable(s), callers, destinations
+}
+
+func randomPrefix(rng *rand.Rand, v6 bool) netip.Prefix {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], rng.Uint64())
+	if v6 {
+		b[0], b[1] = 0x20, 0x01
+		return netip.PrefixFrom(netip.AddrFrom16(b), 32+rng.IntN(32)).Masked()
+	}
+	return netip.PrefixFrom(netip.AddrFrom4([4]byte(b[:4])), 16+rng.IntN(14)).Masked()
+}
+
+func BenchmarkAdmit100000Prefixes(b *testing.B) {
+	table, callers, destinations := largeTable(100_000)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		_, _, kind := table.Admit(callers[i%len(callers)], destinations[i%len(destinations)])
+		if kind != errkind.None {
+			b.Fatal(kind)
+		}
+		i++
+	}
+}
+
+func BenchmarkNewTable100000Prefixes(b *testing.B) {
+	table, _, _ := largeTable(100_000)
+	b.ReportAllocs()
+	for b.Loop() {
+		NewTable(table.snapshot)
+	}
+}
