--- /dev/null
+++ b/internal/bench/force.go
@@ -0,0 +1,121 @@
+package bench
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/fleet"
+	"github.com/fireflypin/fireflypin/internal/scenario"
+	"github.com/fireflypin/fireflypin/internal/standin"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// forcePoll is how often the members' revisions are compared with what was published.
+const forcePoll = 10 * time.Millisecond
+
+// InForce is how long a published change took until every ready member had it in force.
+type InForce struct {
+	List     string  `json:"list"`
+	Revision uint64  `json:"revision"`
+	Seconds  float64 `json:"seconds"`
+	// Complete is false where the run ended first; Seconds is then the time until its end.
+	Complete bool `json:"complete"`
+}
+
+// forceWatch follows published changes until every ready member shows them.
+type forceWatch struct {
+	site  *scenario.Site
+	fleet *fleet.Fleet
+
+	mu      sync.Mutex
+	skipped int
+	done    []InForce
+	pending []scenario.Change
+}
+
+// watchForce follows the changes that are published from now on.
+func watchForce(ctx context.Context, site *scenario.Site, f *fleet.Fleet) *forceWatch {
+	w := &forceWatch{site: site, fleet: f, skipped: len(site.Changes())}
+	go w.run(ctx)
+	return w
+}
+
+func (w *forceWatch) run(ctx context.Context) {
+	ticker := time.NewTicker(forcePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			w.poll(now)
+		}
+	}
+}
+
+func (w *forceWatch) poll(now time.Time) {
+	changes := w.site.Changes()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pending = append(w.pending, changes[w.skipped:]...)
+	w.skipped = len(changes)
+	if len(w.pending) == 0 {
+		return
+	}
+	lowest := lowestRevisions(w.fleet.Status())
+	var waiting []scenario.Change
+	for _, c := range w.pending {
+		if revisionOf(lowest, c.List) < c.Revision {
+			waiting = append(waiting, c)
+			continue
+		}
+		w.done = append(w.done, inForce(c, now, true))
+	}
+	w.pending = waiting
+}
+
+func inForce(c scenario.Change, now time.Time, complete bool) InForce {
+	return InForce{List: string(c.List), Revision: c.Revision, Seconds: now.Sub(c.At).Seconds(), Complete: complete}
+}
+
+// results returns all changes followed so far.
+func (w *forceWatch) results(now time.Time) []InForce {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	out := append([]InForce(nil), w.done...)
+	for _, c := range w.pending {
+		out = append(out, inForce(c, now, false))
+	}
+	return out
+}
+
+// lowestRevisions returns the lowest revision of each list over the ready members.
+func lowestRevisions(members []fleet.Status) model.Revisions {
+	var lowest model.Revisions
+	first := true
+	for _, m := range members {
+		if m.State != fleet.StateReady {
+			continue
+		}
+		if first {
+			lowest, first = m.Revisions, false
+			continue
+		}
+		lowest.Customers = min(lowest.Customers, m.Revisions.Customers)
+		lowest.Plans = min(lowest.Plans, m.Revisions.Plans)
+		lowest.Machines = min(lowest.Machines, m.Revisions.Machines)
+	}
+	return lowest
+}
+
+func revisionOf(r model.Revisions, list standin.ListName) uint64 {
+	switch list {
+	case standin.ListCustomers:
+		return r.Customers
+	case standin.ListPlans:
+		return r.Plans
+	default:
+		return r.Machines
+	}
+}
--- /dev/null
+++ b/internal/bench/result.go
@@ -0,0 +1,225 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/samber/lo"
+
+	"github.com/fireflypin/fireflypin/internal/fleet"
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/internal/scenario"
+)
+
+const (
+	per100k = 100_000
+	// latencyMax bounds the latency histograms, in microseconds.
+	latencyMax     = int64(10 * time.Minute / time.Microsecond)
+	latencyDigits  = 3
+	tailPercentile = 99
+)
+
+// Result is what one run measured.
+type Result struct {
+	Scenario string        `json:"scenario"`
+	Variant  fleet.Variant `json:"variant"`
+	Seed     uint64        `json:"seed"`
+	Seconds  float64       `json:"seconds"`
+	// Flows counts the flows that ended in the counted time and those open at its end.
+	Flows int `json:"flows"`
+	// BrokenPer100k is the number of broken flows per 100,000 of them.
+	BrokenPer100k float64 `json:"broken_per_100k"`
+	// BrokenOneSide counts broken flows whose caller and target lie in one zone.
+	BrokenOneSide int              `json:"broken_one_side"`
+	Summary       scenario.Summary `json:"summary"`
+	Imbalance     []Imbalance      `json:"imbalance"`
+	Latencies     []Latency        `json:"latencies"`
+	// HopShare is the share of packets from the fabric that a daemon passed to another, 0 to 1.
+	HopShare float64 `json:"hop_share"`
+	// ExceptionShare is the mean share of open flows that are exceptions, 0 to 1.
+	ExceptionShare float64 `json:"exception_share"`
+	// ControlBytesPerSecond is the mean of what one daemon sent to others, without hopped packets.
+	ControlBytesPerSecond float64 `json:"control_bytes_per_second"`
+	// ProcessCPU is the mean number of cores that the whole process used, with the stand-ins.
+	ProcessCPU float64   `json:"process_cpu"`
+	InForce    []InForce `json:"in_force"`
+	Samples    []Sample  `json:"samples,omitempty"`
+}
+
+// Imbalance is how unevenly one service's targets were loaded over the counted time.
+type Imbalance struct {
+	Service string `json:"service"`
+	// FlowsMean and FlowsWorst are the mean and the largest max/mean of open flows over the samples.
+	FlowsMean  float64 `json:"flows_mean"`
+	FlowsWorst float64 `json:"flows_worst"`
+	// ReportedMean is the mean max/mean of reported connections.
+	ReportedMean float64 `json:"reported_mean"`
+	// BusyMaxOverMean is the max/mean of each target's mean number of busy slots.
+	BusyMaxOverMean float64 `json:"busy_max_over_mean"`
+}
+
+// Latency is the distribution of the time from a request to its whole answer, in milliseconds.
+type Latency struct {
+	Workload string  `json:"workload"`
+	Count    int64   `json:"count"`
+	P50      float64 `json:"p50_ms"`
+	P99      float64 `json:"p99_ms"`
+	Max      float64 `json:"max_ms"`
+}
+
+// result stops the callers and sums up the run.
+func (r *run) result() *Result {
+	counted := time.Now()
+	seconds := counted.Sub(r.started).Seconds()
+	cpu := processCPU() - r.cpu
+	last := r.fleet.Status()
+	open := r.site.OpenFlows()
+	force := r.force.results(counted)
+	r.site.StopCallers(sessionsEnd)
+	h := scenario.Since(r.site.History(), r.started)
+	res := &Result{
+		Scenario:              r.cfg.Scenario.Name,
+		Variant:               r.cfg.Variant,
+		Seed:                  r.cfg.Seed,
+		Seconds:               seconds,
+		Summary:               scenario.Summarize(h),
+		Flows:                 len(h.Flows),
+		BrokenOneSide:         r.brokenOneSide(h),
+		Imbalance:             imbalances(r.samples),
+		Latencies:             latencies(h),
+		HopShare:              hopShare(r.first, last),
+		ExceptionShare:        exceptionShare(r.samples),
+		ControlBytesPerSecond: controlRate(r.first, last, seconds),
+		ProcessCPU:            cpu.Seconds() / seconds,
+		InForce:               force,
+		Samples:               r.samples,
+	}
+	res.BrokenPer100k = per100k * float64(res.Summary.Broken) / float64(max(res.Flows, open, 1))
+	return res
+}
+
+// brokenOneSide counts broken flows whose caller and target lie in one zone.
+func (r *run) brokenOneSide(h history.History) int {
+	zones := make(map[string]string)
+	for _, l := range r.site.Loads() {
+		zones[l.Name] = l.Zone
+	}
+	receipts := lo.SliceToMap(h.Receipts, func(rc history.Receipt) (string, string) {
+		return fmt.Sprint(rc.Flow), zones[rc.Target]
+	})
+	return lo.CountBy(h.Flows, func(f history.FlowEnd) bool {
+		if f.Result != history.FlowBroken {
+			return false
+		}
+		return receipts[fmt.Sprint(f.Flow)] == r.cfg.Scenario.CallerZone(f.Flow.Caller.Addr())
+	})
+}
+
+func imbalances(samples []Sample) []Imbalance {
+	if len(samples) == 0 {
+		return nil
+	}
+	out := make([]Imbalance, 0, len(samples[0].Services))
+	for i, svc := range samples[0].Services {
+		series := lo.Map(samples, func(s Sample, _ int) ServiceSample { return s.Services[i] })
+		out = append(out, imbalanceOf(svc.Name, series))
+	}
+	return out
+}
+
+func imbalanceOf(name string, series []ServiceSample) Imbalance {
+	flows := lo.Map(series, func(s ServiceSample, _ int) float64 { return s.FlowsMaxOverMean })
+	reported := lo.Map(series, func(s ServiceSample, _ int) float64 { return s.ReportedMaxOverMean })
+	busy := make([]int, len(series[0].busy))
+	for _, s := range series {
+		for i, n := range s.busy {
+			busy[i] += n
+		}
+	}
+	return Imbalance{
+		Service:         name,
+		FlowsMean:       lo.Mean(flows),
+		FlowsWorst:      lo.Max(flows),
+		ReportedMean:    lo.Mean(reported),
+		BusyMaxOverMean: maxOverMean(busy),
+	}
+}
+
+func latencies(h history.History) []Latency {
+	histograms := make(map[string]*hdrhistogram.Histogram)
+	for _, o := range h.Outcomes {
+		if o.Fate != history.FateAnswered {
+			continue
+		}
+		if histograms[o.Workload] == nil {
+			histograms[o.Workload] = hdrhistogram.New(1, latencyMax, latencyDigits)
+		}
+		_ = histograms[o.Workload].RecordValue(o.Done.Sub(o.Sent).Microseconds())
+	}
+	names := lo.Keys(histograms)
+	slices.Sort(names)
+	return lo.Map(names, func(name string, _ int) Latency { return latencyOf(name, histograms[name]) })
+}
+
+func latencyOf(name string, hist *hdrhistogram.Histogram) Latency {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Latency{
+		Workload: name,
+		Count:    hist.TotalCount(),
+		P50:      ms(hist.ValueAtPercentile(50)),
+		P99:      ms(hist.ValueAtPercentile(tailPercentile)),
+		Max:      ms(hist.Max()),
+	}
+}
+
+func hopShare(first, last []fleet.Status) float64 {
+	var packets, hops uint64
+	for i := range last {
+		packets += last[i].Packets - first[i].Packets
+		hops += last[i].Hops - first[i].Hops
+	}
+	return float64(hops) / float64(max(packets, 1))
+}
+
+func exceptionShare(samples []Sample) float64 {
+	shares := lo.Map(samples, func(s Sample, _ int) float64 {
+		exceptions := lo.SumBy(s.Members, func(m fleet.Status) int { return m.Exceptions })
+		return float64(exceptions) / float64(max(s.OpenFlows, 1))
+	})
+	return lo.Mean(shares)
+}
+
+func controlRate(first, last []fleet.Status, seconds float64) float64 {
+	var bytes uint64
+	for i := range last {
+		bytes += last[i].ControlBytes - first[i].ControlBytes
+	}
+	return float64(bytes) / seconds / float64(len(last))
+}
+
+// Print writes the result for a reader.
+func (r *Result) Print(w io.Writer) {
+	fmt.Fprintf(w, "\n%s, %s, seed %d, %.1f s counted\n", r.Scenario, r.Variant, r.Seed, r.Seconds)
+	r.Summary.Print(w)
+	fmt.Fprintf(w, "broken    %.1f per 100,000 flows, %d with caller and target in one zone\n", r.BrokenPer100k, r.BrokenOneSide)
+	for _, i := range r.Imbalance {
+		fmt.Fprintf(w, "imbalance %-12s flows %.3f (worst %.3f), reported %.3f, busy slots %.3f\n",
+			i.Service, i.FlowsMean, i.FlowsWorst, i.ReportedMean, i.BusyMaxOverMean)
+	}
+	for _, l := range r.Latencies {
+		fmt.Fprintf(w, "latency   %-12s n %d, p50 %.1f ms, p99 %.1f ms, max %.1f ms\n", l.Workload, l.Count, l.P50, l.P99, l.Max)
+	}
+	fmt.Fprintf(w, "daemons   hops %.2f %% of packets, exceptions %.2f %% of flows, control %.0f B/s each\n",
+		100*r.HopShare, 100*r.ExceptionShare, r.ControlBytesPerSecond)
+	fmt.Fprintf(w, "process   %.2f cores with the stand-ins\n", r.ProcessCPU)
+	for _, c := range r.InForce {
+		state := "in force everywhere after"
+		if !c.Complete {
+			state = "not in force everywhere within"
+		}
+		fmt.Fprintf(w, "change    %s revision %d %s %.2f s\n", c.List, c.Revision, state, c.Seconds)
+	}
+}
--- /dev/null
+++ b/internal/bench/run.go
@@ -0,0 +1,138 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/fleet"
+	"github.com/fireflypin/fireflypin/internal/scenario"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+)
+
+const (
+	defaultSampleEvery = 500 * time.Millisecond
+	readyWait          = 20 * time.Second
+	// sessionsEnd bounds the wait for open sessions after the counted time.
+	sessionsEnd = 10 * time.Second
+)
+
+// Config configures Run.
+type Config struct {
+	Scenario *scenario.Scenario
+	// Variant is what runs on the entry VMs; default the daemon.
+	Variant fleet.Variant
+	// Seed fixes workloads and random choices of the stand-ins.
+	Seed uint64
+	// SampleEvery is the time between two samples; default 500 ms.
+	SampleEvery time.Duration
+	// OnSample, where set, is called with each sample as it is taken.
+	OnSample func(Sample)
+	// OnFault, where set, is called when a fault was applied.
+	OnFault func(scenario.Fault, error)
+}
+
+func (c Config) withDefaults() Config {
+	if c.Variant == "" {
+		c.Variant = fleet.VariantDaemon
+	}
+	if c.SampleEvery == 0 {
+		c.SampleEvery = defaultSampleEvery
+	}
+	if c.OnSample == nil {
+		c.OnSample = func(Sample) {}
+	}
+	if c.OnFault == nil {
+		c.OnFault = func(scenario.Fault, error) {}
+	}
+	return c
+}
+
+// run is one measurement under way.
+type run struct {
+	cfg     Config
+	site    *scenario.Site
+	fleet   *fleet.Fleet
+	started time.Time
+	cpu     time.Duration
+	first   []fleet.Status
+	samples []Sample
+	force   *forceWatch
+}
+
+// Run runs a scenario once and measures it.
+func Run(ctx context.Context, cfg Config) (*Result, error) {
+	cfg = cfg.withDefaults()
+	site, err := scenario.Start(cfg.Scenario, cfg.Seed, udpio.System(udpio.Config{}))
+	if err != nil {
+		return nil, err
+	}
+	defer site.Close()
+	f, err := fleet.Start(site, cfg.Variant)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	r := &run{cfg: cfg, site: site, fleet: f}
+	if err := r.begin(ctx); err != nil {
+		return nil, fmt.Errorf("run scenario %s with %s: %w", cfg.Scenario.Name, cfg.Variant, err)
+	}
+	if err := r.measure(ctx); err != nil {
+		return nil, fmt.Errorf("run scenario %s with %s: %w", cfg.Scenario.Name, cfg.Variant, err)
+	}
+	return r.result(), nil
+}
+
+// begin waits for the fleet, starts the callers and lets them warm up.
+func (r *run) begin(ctx context.Context) error {
+	ready, cancel := context.WithTimeout(ctx, readyWait)
+	defer cancel()
+	if err := r.fleet.WaitReady(ready); err != nil {
+		return err
+	}
+	if err := r.site.StartCallers(); err != nil {
+		return err
+	}
+	return pause(ctx, r.cfg.Scenario.Warmup)
+}
+
+// measure samples until the scenario's time is over, with its faults, and lets open sessions end.
+func (r *run) measure(ctx context.Context) error {
+	r.started = time.Now()
+	r.cpu = processCPU()
+	r.first = r.fleet.Status()
+	faults, stop := context.WithCancel(ctx)
+	defer stop()
+	r.force = watchForce(faults, r.site, r.fleet)
+	r.site.RunFaults(faults, r.cfg.Scenario.Faults, r.fleet, r.cfg.OnFault)
+	end := r.started.Add(r.cfg.Scenario.Duration)
+	for time.Now().Before(end) {
+		if err := pause(ctx, r.cfg.SampleEvery); err != nil {
+			return err
+		}
+		s := r.sample()
+		r.samples = append(r.samples, s)
+		r.cfg.OnSample(s)
+	}
+	return nil
+}
+
+// pause waits, or returns the error of ctx when that ends first.
+func pause(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// processCPU returns the processor time that this process has used.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
--- /dev/null
+++ b/internal/bench/sample.go
@@ -0,0 +1,99 @@
+package bench
+
+import (
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/fireflypin/fireflypin/internal/fleet"
+	"github.com/fireflypin/fireflypin/internal/scenario"
+)
+
+// Sample is the state of a run at one time.
+type Sample struct {
+	// AtSeconds is the time since the end of the warm-up.
+	AtSeconds float64         `json:"at_seconds"`
+	Members   []fleet.Status  `json:"members"`
+	Services  []ServiceSample `json:"services"`
+	OpenFlows int             `json:"open_flows"`
+	Answered  int             `json:"answered"`
+	Refused   int             `json:"refused"`
+	Broken    int             `json:"broken"`
+}
+
+// ServiceSample is the load of one service's targets at one time.
+type ServiceSample struct {
+	Name    string `json:"name"`
+	Targets int    `json:"targets"`
+	Open    int    `json:"open"`
+	Busy    int    `json:"busy"`
+	// FlowsMaxOverMean is the fullest target's open flows over the mean; 0 where none is open.
+	FlowsMaxOverMean float64 `json:"flows_max_over_mean"`
+	// ReportedMaxOverMean is the same of the connections that the targets report.
+	ReportedMaxOverMean float64 `json:"reported_max_over_mean"`
+	// PerTarget is the number of open flows of each target, in the order of the list.
+	PerTarget []int `json:"per_target"`
+	Broken    int   `json:"broken"`
+	Refused   int   `json:"refused"`
+
+	busy []int
+}
+
+func (r *run) sample() Sample {
+	tally := scenario.Tally(r.site.CallerHistory())
+	s := Sample{
+		AtSeconds: time.Since(r.started).Seconds(),
+		Members:   r.fleet.Status(),
+		OpenFlows: r.site.OpenFlows(),
+		Answered:  tally.Answered,
+		Refused:   tally.Refused,
+		Broken:    tally.Broken,
+	}
+	loads := r.site.Loads()
+	for _, svc := range r.cfg.Scenario.Services {
+		own := lo.Filter(loads, func(l scenario.TargetLoad, _ int) bool { return l.Service == svc.Name })
+		sample := sampleService(svc.Name, own)
+		sample.Broken, sample.Refused = r.endsOf(svc.Name, tally)
+		s.Services = append(s.Services, sample)
+	}
+	return s
+}
+
+// endsOf returns how many flows of a service broke and were refused.
+func (r *run) endsOf(service string, t scenario.Summary) (broken, refused int) {
+	for _, w := range r.cfg.Scenario.Workloads {
+		if w.Service == service {
+			broken += t.ByWorkload[w.Name].Broken
+			refused += t.ByWorkload[w.Name].Refused
+		}
+	}
+	return broken, refused
+}
+
+// sampleService sums up the loads of a service's targets. Leaving targets don't count for the balance.
+func sampleService(name string, loads []scenario.TargetLoad) ServiceSample {
+	staying := lo.Reject(loads, func(l scenario.TargetLoad, _ int) bool { return l.Leaving })
+	connections := func(l scenario.TargetLoad, _ int) int { return l.Connections }
+	reported := func(l scenario.TargetLoad, _ int) int { return l.Reported.Connections }
+	busy := func(l scenario.TargetLoad, _ int) int { return l.Busy }
+	s := ServiceSample{
+		Name:      name,
+		Targets:   len(loads),
+		PerTarget: lo.Map(loads, connections),
+		busy:      lo.Map(loads, busy),
+	}
+	s.Open = lo.Sum(s.PerTarget)
+	s.Busy = lo.Sum(s.busy)
+	s.FlowsMaxOverMean = maxOverMean(lo.Map(staying, connections))
+	s.ReportedMaxOverMean = maxOverMean(lo.Map(staying, reported))
+	return s
+}
+
+// maxOverMean returns the largest count over the mean; 0 where all are 0.
+func maxOverMean(counts []int) float64 {
+	sum := lo.Sum(counts)
+	if sum == 0 {
+		return 0
+	}
+	return float64(lo.Max(counts)) * float64(len(counts)) / float64(sum)
+}
--- a/internal/demo/separate.go
+++ b/internal/demo/separate.go
@@ -137,7 +137,7 @@
 			}
 			return nil
 		case <-second.C:
-			sum := scenario.Summarize(site.History())
+			sum := scenario.Tally(site.CallerHistory())
 			fmt.Fprintf(out, "open flows %4d   answered %5d   broken %d\n", site.OpenFlows(), sum.Answered, sum.Broken)
 		}
 	}
--- a/internal/scenario/site.go
+++ b/internal/scenario/site.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,14 @@
 	mu        sync.Mutex
 	published *Published
 	dead      map[string]bool
+	changes   []Change
+}
+
+// Change is one published revision.
+type Change struct {
+	List     standin.ListName
+	Revision uint64
+	At       time.Time
 }
 
 type runningTarget struct {
@@ -291,12 +300,32 @@
 	if err != nil {
 		return err
 	}
+	s.changes = append(s.changes, Change{List: name, Revision: rev, At: time.Now()})
 	for _, p := range s.platform {
 		p.Publish(name, rev, data)
 	}
 	return nil
 }
 
+// Changes returns what was published so far.
+func (s *Site) Changes() []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.changes)
+}
+
+// CallerHistory returns the records of the callers alone, without the targets' records.
+func (s *Site) CallerHistory() history.History {
+	var h history.History
+	for _, c := range s.callers {
+		c.node.Do(func(time.Time) []standin.Datagram {
+			h.Add(c.machine.History())
+			return nil
+		})
+	}
+	return h
+}
+
 // setFabricEntries tells the fabric which entry VMs are alive and not leaving.
 func (s *Site) setFabricEntries() {
 	var alive []standin.FabricEntry
@@ -394,7 +423,9 @@
 type TargetLoad struct {
 	Name, Service, Zone string
 	Connections, Busy   int
-	Leaving             bool
+	// Reported is the target's load report, which may lie.
+	Reported standin.LoadReport
+	Leaving  bool
 }
 
 // Loads returns what every target really holds.
@@ -402,7 +433,8 @@
 	loads := make([]TargetLoad, 0, len(s.targets))
 	for _, t := range s.targets {
 		load := TargetLoad{Name: t.plan.Name, Service: t.plan.Service, Zone: t.plan.Zone, Leaving: s.leaving(t.plan.Name)}
-		t.node.Do(func(time.Time) []standin.Datagram {
+		t.node.Do(func(now time.Time) []standin.Datagram {
+			load.Reported = t.machine.Report(now)
 			load.Connections = t.machine.Connections()
 			load.Busy = t.machine.Busy()
 			return nil
@@ -420,13 +452,7 @@
 
 // History returns the records of all callers and targets.
 func (s *Site) History() history.History {
-	var h history.History
-	for _, c := range s.callers {
-		c.node.Do(func(time.Time) []standin.Datagram {
-			h.Add(c.machine.History())
-			return nil
-		})
-	}
+	h := s.CallerHistory()
 	for _, t := range s.targets {
 		t.node.Do(func(time.Time) []standin.Datagram {
 			h.Add(t.machine.History())
--- a/internal/scenario/summary.go
+++ b/internal/scenario/summary.go
@@ -15,6 +15,14 @@
 	Count int    `json:"count"`
 }
 
+// Ends counts how flows ended.
+type Ends struct {
+	Finished   int `json:"finished"`
+	Refused    int `json:"refused"`
+	Unanswered int `json:"unanswered"`
+	Broken     int `json:"broken"`
+}
+
 // Summary is what callers and targets recorded of a run.
 type Summary struct {
 	Requests int `json:"requests"`
@@ -30,13 +38,24 @@
 	// BrokenBy counts broken flows by cause and workload, RefusedBy refused ones by reason.
 	BrokenBy  []Count `json:"broken_by"`
 	RefusedBy []Count `json:"refused_by"`
+	// ByWorkload counts the ends of flows of each workload.
+	ByWorkload map[string]Ends `json:"by_workload"`
 	// Violations are the promises that the records show as broken.
 	Violations []string `json:"violations"`
 }
 
-// Summarize counts a history.
+// Summarize counts a history and checks it.
 func Summarize(h history.History) Summary {
-	s := Summary{Requests: len(h.Outcomes), Flows: len(h.Flows)}
+	s := Tally(h)
+	for _, v := range history.Check(h) {
+		s.Violations = append(s.Violations, v.String())
+	}
+	return s
+}
+
+// Tally counts a history without checking it.
+func Tally(h history.History) Summary {
+	s := Summary{Requests: len(h.Outcomes), Flows: len(h.Flows), ByWorkload: make(map[string]Ends)}
 	for _, o := range h.Outcomes {
 		s.addOutcome(o)
 	}
@@ -47,9 +66,6 @@
 	}
 	s.BrokenBy = sortedCounts(broken)
 	s.RefusedBy = sortedCounts(refused)
-	for _, v := range history.Check(h) {
-		s.Violations = append(s.Violations, v.String())
-	}
 	return s
 }
 
@@ -82,18 +98,24 @@
 }
 
 func (s *Summary) addFlow(f history.FlowEnd, broken, refused map[string]int) {
+	ends := s.ByWorkload[f.Workload]
 	switch f.Result {
 	case history.FlowFinished:
 		s.Finished++
+		ends.Finished++
 	case history.FlowRefused:
 		s.Refused++
+		ends.Refused++
 		refused[reasonOf(f)]++
 	case history.FlowUnanswered:
 		s.Unanswered++
+		ends.Unanswered++
 	case history.FlowBroken:
 		s.Broken++
+		ends.Broken++
 		broken[f.Workload+"/"+f.Cause.String()+"/"+reasonOf(f)]++
 	}
+	s.ByWorkload[f.Workload] = ends
 }
 
 func reasonOf(f history.FlowEnd) string {
