--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,6 +28,8 @@
 	fetchTimeout = 5 * time.Second
 	// goodbyes is how many times a stopping daemon tells its peers that it has left.
 	goodbyes = 3
+	// quietBeforeStop is how long no packet may come before a drained daemon stops.
+	quietBeforeStop = time.Second
 )
 
 // Bulk carries what is too large for datagrams between daemons.
@@ -165,16 +167,17 @@
 	}
 }
 
-func (d *Daemon) workers() int {
-	if d.settings.Workers > 0 {
-		return d.settings.Workers
+// workerCount returns the number of goroutines that read the data address.
+func workerCount(s *settings.Settings) int {
+	if s.Workers > 0 {
+		return s.Workers
 	}
 	return runtime.GOMAXPROCS(0)
 }
 
 func (d *Daemon) listen() (*sockets, error) {
 	s := &sockets{}
-	for range d.workers() {
+	for range workerCount(d.settings) {
 		conn, err := d.network.Listen(d.settings.Data)
 		if err != nil {
 			s.close()
