--- a/cmd/fireflypin/standin.go
+++ b/cmd/fireflypin/standin.go
@@ -7,6 +7,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fireflypin/fireflypin/internal/demo"
+	"github.com/fireflypin/fireflypin/internal/scenario"
 )
 
 // newStandinCommand returns the command that runs a scenario's stand-ins for separate daemons.
@@ -17,6 +18,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "scenario", Usage: "scenario `FILE`", Value: "scenarios/first.yaml"},
 			&cli.StringFlag{Name: "out", Usage: "`DIR` for the daemons' settings files", Value: "out/run"},
+			&cli.StringFlag{Name: "source", Usage: "where daemons read the lists: platform or files", Value: string(scenario.SourcePlatform)},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of the workloads", Value: 1},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -24,6 +26,7 @@
 				Scenario: c.String("scenario"),
 				OutDir:   c.String("out"),
 				Seed:     c.Uint64("seed"),
+				Source:   scenario.Source(c.String("source")),
 				Out:      os.Stdout,
 			})
 		},
--- a/internal/demo/separate.go
+++ b/internal/demo/separate.go
@@ -32,6 +32,8 @@
 	// OutDir receives the daemons' settings files; it is created where it is missing.
 	OutDir string
 	Seed   uint64
+	// Source is where the daemons read the lists; default the platform.
+	Source scenario.Source
 	// Out receives the report.
 	Out io.Writer
 }
@@ -49,7 +51,7 @@
 		return err
 	}
 	defer site.Close()
-	if err := writeSettings(site, cfg.OutDir); err != nil {
+	if err := writeSettings(site, cfg.OutDir, cfg.Source); err != nil {
 		return err
 	}
 	fmt.Fprintf(cfg.Out, "waiting for %d daemons\n", len(site.Entries))
@@ -64,13 +66,16 @@
 }
 
 // writeSettings writes one settings file a daemon, then the list of their names.
-func writeSettings(site *scenario.Site, dir string) error {
+func writeSettings(site *scenario.Site, dir string, source scenario.Source) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return fmt.Errorf("make directory for settings: %w", err)
 	}
+	if err := site.WriteLists(dir); err != nil {
+		return err
+	}
 	names := ""
 	for _, e := range site.Entries {
-		data, err := site.Settings(e)
+		data, err := site.Settings(e, source)
 		if err != nil {
 			return err
 		}
--- a/internal/scenario/site.go
+++ b/internal/scenario/site.go
@@ -47,6 +47,7 @@
 	published *Published
 	dead      map[string]bool
 	changes   []Change
+	current   map[standin.ListName][]byte
 }
 
 // Change is one published revision.
@@ -76,6 +77,7 @@
 		platform: make(map[string]*standin.Platform),
 		urls:     make(map[string]string),
 		dead:     make(map[string]bool),
+		current:  make(map[standin.ListName][]byte),
 	}
 	site.Links = standin.NewLinks(network, standin.LinksConfig{Between: s.between, Rand: site.source()})
 	if err := site.start(); err != nil {
@@ -300,6 +302,7 @@
 	if err != nil {
 		return err
 	}
+	s.current[name] = data
 	s.changes = append(s.changes, Change{List: name, Revision: rev, At: time.Now()})
 	for _, p := range s.platform {
 		p.Publish(name, rev, data)
