--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"syscall"
 	"time"
 
@@ -29,6 +30,8 @@
 	SampleEvery time.Duration
 	// OnSample, where set, is called with each sample as it is taken.
 	OnSample func(Sample)
+	// LogTo receives the daemons' log lines; nil means nowhere.
+	LogTo io.Writer
 	// OnFault, where set, is called when a fault was applied.
 	OnFault func(scenario.Fault, error)
 }
@@ -69,7 +72,7 @@
 		return nil, err
 	}
 	defer site.Close()
-	f, err := fleet.Start(site, cfg.Variant)
+	f, err := fleet.Start(site, cfg.Variant, cfg.LogTo)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/fireflypin/fireflypin/internal/scenario"
 	"github.com/fireflypin/fireflypin/internal/standin"
-	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/model"
 )
 
@@ -99,11 +99,14 @@
 	slots []*slot
 }
 
-// Start starts a member on every entry VM of a site.
-func Start(site *scenario.Site, v Variant) (*Fleet, error) {
+// Start starts a member on every entry VM of a site. Daemons log to logTo; nil means nowhere.
+func Start(site *scenario.Site, v Variant, logTo io.Writer) (*Fleet, error) {
+	if logTo == nil {
+		logTo = io.Discard
+	}
 	f := &Fleet{}
 	for _, plan := range site.Entries {
-		m, err := startMember(site, plan, v)
+		m, err := startMember(site, plan, v, logTo)
 		if err != nil {
 			f.Close()
 			return nil, fmt.Errorf("start %s as %s: %w", plan.Name, v, err)
@@ -113,10 +116,10 @@
 	return f, nil
 }
 
-func startMember(site *scenario.Site, plan scenario.EntryPlan, v Variant) (member, error) {
+func startMember(site *scenario.Site, plan scenario.EntryPlan, v Variant, logTo io.Writer) (member, error) {
 	network := site.Links.Network(plan.Name, standin.Place(plan.Zone))
 	if v == VariantDaemon {
-		return startDaemon(site, plan, network)
+		return startDaemon(site, plan, network, logTo)
 	}
 	return startBaseline(site, plan, network, v == VariantTable)
 }
@@ -187,8 +190,3 @@
 		}
 	}
 }
-
-// startDaemon starts the product.
-func startDaemon(_ *scenario.Site, _ scenario.EntryPlan, _ udpio.Network) (member, error) {
-	return nil, fmt.Errorf("not wired")
-}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -20,7 +20,7 @@
 				site, err := scenario.Start(s, 1, udpio.System(udpio.Config{}))
 				So(err, ShouldBeNil)
 				defer site.Close()
-				f, err := Start(site, v)
+				f, err := Start(site, v, nil)
 				So(err, ShouldBeNil)
 				defer f.Close()
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io/fs"
 	"net/netip"
 	"os"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/fireflypin/fireflypin/internal/standin"
+	"github.com/fireflypin/fireflypin/scenarios"
 )
 
 // Scenario describes one run.
@@ -132,12 +134,19 @@
 	Name string `yaml:"name"`
 }
 
-// Load reads a scenario's file.
+// Load reads a scenario: a file, or by its name one that comes with fireflypin.
 func Load(path string) (*Scenario, error) {
 	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		data, err = scenarios.Files.ReadFile(path + ".yaml")
+	}
 	if err != nil {
-		return nil, fmt.Errorf("read scenario: %w", err)
+		return nil, fmt.Errorf("read scenario %q: %w", path, err)
 	}
+	return parse(path, data)
+}
+
+func parse(path string, data []byte) (*Scenario, error) {
 	var s Scenario
 	if err := yaml.UnmarshalWithOptions(data, &s, yaml.Strict()); err != nil {
 		return nil, fmt.Errorf("read scenario %s: %w", path, err)
