--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -27,6 +27,8 @@
 		Name:  "fireflypin",
 		Usage: "operate and try out the fireflypin load balancer",
 		Commands: []*cli.Command{
+			newBenchCommand(),
+			newDemoCommand(),
 			newStandinCommand(),
 		},
 	}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -52,7 +52,8 @@
 // Imbalance is how unevenly one service's targets were loaded over the counted time.
 type Imbalance struct {
 	Service string `json:"service"`
-	// FlowsMean and FlowsWorst are the mean and the largest max/mean of open flows over the samples.
+	// FlowsMean and FlowsWorst are the mean and the largest max/mean of open flows over the samples in
+	// which a flow was open.
 	FlowsMean  float64 `json:"flows_mean"`
 	FlowsWorst float64 `json:"flows_worst"`
 	// ReportedMean is the mean max/mean of reported connections.
@@ -131,8 +132,9 @@
 }
 
 func imbalanceOf(name string, series []ServiceSample) Imbalance {
-	flows := lo.Map(series, func(s ServiceSample, _ int) float64 { return s.FlowsMaxOverMean })
-	reported := lo.Map(series, func(s ServiceSample, _ int) float64 { return s.ReportedMaxOverMean })
+	loaded := lo.Filter(series, func(s ServiceSample, _ int) bool { return s.Open > 0 })
+	flows := lo.Map(loaded, func(s ServiceSample, _ int) float64 { return s.FlowsMaxOverMean })
+	reported := lo.Map(loaded, func(s ServiceSample, _ int) float64 { return s.ReportedMaxOverMean })
 	busy := make([]int, len(series[0].busy))
 	for _, s := range series {
 		for i, n := range s.busy {
--- /dev/null
+++ b/internal/demo/table.go
@@ -0,0 +1,91 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+
+	"github.com/fireflypin/fireflypin/internal/bench"
+	"github.com/fireflypin/fireflypin/internal/fleet"
+	"github.com/fireflypin/fireflypin/internal/scenario"
+)
+
+// cursorUp moves a terminal's cursor up some lines and clears what follows.
+const cursorUp = "\x1b[%dA\x1b[J"
+
+// table draws the samples of a run.
+type table struct {
+	out    io.Writer
+	redraw bool
+	drawn  int
+	last   []fleet.Status
+	at     float64
+
+	mu    sync.Mutex
+	notes []string
+}
+
+func newTable(out io.Writer, redraw bool) *table {
+	return &table{out: out, redraw: redraw}
+}
+
+// noteFault shows a fault below the table from now on.
+func (t *table) noteFault(f scenario.Fault, err error) {
+	note := fmt.Sprintf("at %v: %s %s", f.At, f.Kind, f.Name)
+	if f.For > 0 {
+		note += fmt.Sprintf(" (for %v where it ends)", f.For)
+	}
+	if err != nil {
+		note += ": " + err.Error()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notes = append(t.notes, note)
+}
+
+// draw writes one sample.
+func (t *table) draw(s bench.Sample) {
+	text := t.render(s)
+	if t.redraw && t.drawn > 0 {
+		fmt.Fprintf(t.out, cursorUp, t.drawn)
+	}
+	fmt.Fprint(t.out, text)
+	t.drawn = strings.Count(text, "\n")
+	t.last = s.Members
+	t.at = s.AtSeconds
+}
+
+func (t *table) render(s bench.Sample) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "\n%5.1f s   open flows %d   answered %d   refused %d   broken %d\n",
+		s.AtSeconds, s.OpenFlows, s.Answered, s.Refused, s.Broken)
+	fmt.Fprintf(&b, "%-8s %-5s %-9s %7s %11s %10s %7s %12s\n",
+		"daemon", "zone", "state", "flows", "exceptions", "packets/s", "hops", "control B/s")
+	for i, m := range s.Members {
+		t.renderMember(&b, i, m, s.AtSeconds-t.at)
+	}
+	fmt.Fprintf(&b, "%-12s %8s %7s %6s %9s %8s %8s\n", "service", "targets", "open", "busy", "max/mean", "broken", "refused")
+	for _, svc := range s.Services {
+		fmt.Fprintf(&b, "%-12s %8d %7d %6d %9.3f %8d %8d\n",
+			svc.Name, svc.Targets, svc.Open, svc.Busy, svc.FlowsMaxOverMean, svc.Broken, svc.Refused)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, note := range t.notes {
+		fmt.Fprintln(&b, note)
+	}
+	return b.String()
+}
+
+func (t *table) renderMember(b *strings.Builder, i int, m fleet.Status, seconds float64) {
+	var before fleet.Status
+	if i < len(t.last) {
+		before = t.last[i]
+	}
+	packets := m.Packets - before.Packets
+	hops := 100 * float64(m.Hops-before.Hops) / float64(max(packets, 1))
+	fmt.Fprintf(b, "%-8s %-5s %-9s %7d %11d %10.0f %6.1f%% %12.0f\n",
+		m.Name, m.Zone, m.State, m.Flows, m.Exceptions, float64(packets)/seconds, hops,
+		float64(m.ControlBytes-before.ControlBytes)/seconds)
+}
