Keep flows whose last packet lies ahead of the tick's clock

Cause: Expire took the time since the last packet as an unsigned difference. A worker reads the clock after the tick did and touches a flow before the tick reaches its shard: the difference wrapped to 49 days and the flow was forgotten, its record taken out of the log. Under load that hits some flow in nearly every tick. Age and the cache of covered flows had the same wrap (there it cost hops). Found while reading the table for its speed; the test failed before with Expire returning a flow touched 3 ms ahead.

Ruled out: taking the clock under the shard's lock, which costs a clock read a packet.

Conclusion: differences are signed and a time ahead counts as just now.

--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -78,7 +78,7 @@
 // sent by this owner before the mark that the owner has echoed, and its last hop is recent. Where it
 // reports false, the caller hops the packet, and the cache has noted that.
 func (s *Seen) Direct(now time.Time, h model.FlowHash, owner Run, current, echoed Mark) bool {
-	ms := uint32(now.Sub(s.epoch) / time.Millisecond)
+	ms := millisSince(s.epoch, now)
 	sh := &s.shards[shardIndex(h)]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -91,7 +91,7 @@
 	if int32(uint32(echoed)-e.since) <= 0 {
 		return false
 	}
-	silent := ms - e.lastHop
+	silent := silence(ms, e.lastHop)
 	if silent < s.refreshMillis() {
 		return true
 	}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -35,9 +35,21 @@
 	return int(h >> 58)
 }
 
-// millis returns the time since the epoch cut to 32 bits; differences of up to 49 days survive the cut.
+// millis returns the time since the epoch cut to 32 bits.
 func (t *Table) millis(now time.Time) uint32 {
-	return uint32(now.Sub(t.epoch) / time.Millisecond)
+	return millisSince(t.epoch, now)
+}
+
+// millisSince returns the time since an epoch in milliseconds, cut to 32 bits.
+func millisSince(epoch, now time.Time) uint32 {
+	return uint32(now.Sub(epoch) / time.Millisecond)
+}
+
+// silence returns the milliseconds from one cut time to a later one, up to 24 days. Goroutines read the
+// clock one after the other and act in any order: a last packet that lies ahead of now counts as just
+// come.
+func silence(now, last uint32) uint32 {
+	return uint32(max(int32(now-last), 0))
 }
 
 // Touch notes a packet of a known flow and returns the flow. The state moves forward only.
@@ -49,7 +61,8 @@
 	if !ok {
 		return Entry{}, false
 	}
-	e.LastSeen = t.millis(now)
+	ms := t.millis(now)
+	e.LastSeen += silence(ms, e.LastSeen)
 	e.State = max(e.State, state)
 	s.flows[h] = e
 	return e, true
@@ -57,7 +70,7 @@
 
 // Age returns the time since the last packet of a flow.
 func (t *Table) Age(now time.Time, e Entry) time.Duration {
-	return time.Duration(t.millis(now)-e.LastSeen) * time.Millisecond
+	return time.Duration(silence(t.millis(now), e.LastSeen)) * time.Millisecond
 }
 
 // Get returns a flow without noting a packet.
@@ -133,7 +146,7 @@
 		if keepOpen && e.State == StateOpen {
 			continue
 		}
-		if ms-e.LastSeen > t.cfg.timeout(e.State) {
+		if silence(ms, e.LastSeen) > t.cfg.timeout(e.State) {
 			gone = append(gone, Expired{Hash: h, Entry: e})
 			delete(s.flows, h)
 		}
