Renew a flow's time at most ten times a second

A packet of an open flow wrote its whole entry back to the map. Timeouts are seconds, so 100 ms are fine enough. Profile of BenchmarkForward before (trial on a busy machine): Touch 0.66 s of 1.40 s that handleData took.

--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -7,7 +7,13 @@
 	"github.com/fireflypin/fireflypin/model"
 )
 
-const shardCount = 64
+const (
+	shardCount = 64
+
+	// touchInterval is how old a flow's LastSeen must be before a packet renews it, in milliseconds. It
+	// spares busy flows a write to the map for every packet.
+	touchInterval = 100
+)
 
 // Table holds the flows that this daemon owns, in shards with their own locks.
 type Table struct {
@@ -52,7 +58,8 @@
 	return uint32(max(int32(now-last), 0))
 }
 
-// Touch notes a packet of a known flow and returns the flow. The state moves forward only.
+// Touch notes a packet of a known flow and returns the flow. The state moves forward only; LastSeen
+// lags behind by less than touchInterval.
 func (t *Table) Touch(now time.Time, h model.FlowHash, state State) (Entry, bool) {
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
@@ -62,6 +69,9 @@
 		return Entry{}, false
 	}
 	ms := t.millis(now)
+	if state <= e.State && silence(ms, e.LastSeen) < touchInterval {
+		return e, true
+	}
 	e.LastSeen += silence(ms, e.LastSeen)
 	e.State = max(e.State, state)
 	s.flows[h] = e
