Read lists from the platform, peers or files, and decide what is in force

The decisions are a pure Reader; Client carries them out over HTTP. Ways weighed: adopting lists one by one (a list that is ahead of another would stop the fleet), adopting only full sets of the newest lists (a stuck list would hold back the others), and the fullest set whose members fit, which was chosen.

--- a/internal/lists/machines.go
+++ b/internal/lists/machines.go
@@ -178,3 +178,8 @@
 	r.machines.targets = append(r.machines.targets, targetRow{target: t, line: m.LineOf("service"), path: m.Path("service")})
 	return t
 }
+
+// Entries returns the entry VMs of the document. The slice belongs to the document.
+func (m *Machines) Entries() []*model.EntryVM {
+	return m.entries
+}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,101 @@
+package platform_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+
+	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/standin"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+var texts = [3]string{
+	"kind: customers\nrevision: 1\ncustomers: []\n",
+	"kind: plans\nrevision: 1\nservices: []\nplans: []\n",
+	"kind: machines\nrevision: 1\nentries: []\nendpoints: []\n",
+}
+
+func newClient(cfg platform.ClientConfig) *platform.Client {
+	cfg.Reader.Rand = rand.New(rand.NewPCG(1, 1))
+	cfg.Reader.BackoffMin = 10 * time.Millisecond
+	cfg.Log = log.New(io.Discard)
+	cfg.Metrics = platform.NewMetrics(metrics.NewSet())
+	return platform.NewClient(cfg)
+}
+
+// run starts a client and returns the snapshots that come into force and a function that ends it.
+func run(c *platform.Client) (<-chan *model.Snapshot, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	applied := make(chan *model.Snapshot, 16)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = c.Run(ctx, func(s *model.Snapshot) { applied <- s })
+	}()
+	return applied, func() {
+		cancel()
+		<-done
+	}
+}
+
+func TestClientFollowsThePlatform(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	Convey("A client reads over HTTP, watches, and survives a platform without lists and one that is down", t, func() {
+		service := standin.NewPlatform(standin.PlatformConfig{Rand: rand.New(rand.NewPCG(1, 1))})
+		server := httptest.NewServer(service)
+		defer server.Close()
+		caller := platform.NewHTTP(server.URL)
+		defer caller.Close()
+		client := newClient(platform.ClientConfig{Platform: caller, Reader: platform.Config{CallsPerSecond: 100}})
+		applied, stop := run(client)
+		defer stop()
+
+		for i, kind := range lists.Kinds() {
+			service.Publish(standin.ListName(kind.String()), 1, []byte(texts[i]))
+		}
+		So((<-applied).Revisions, ShouldResemble, model.Revisions{Customers: 1, Plans: 1, Machines: 1})
+
+		service.SetFault(standin.PlatformFault{Down: true})
+		service.Publish(standin.ListCustomers, 2, []byte("kind: customers\nrevision: 2\ncustomers: []\n"))
+		service.SetFault(standin.PlatformFault{HalfShare: 0.5})
+		So((<-applied).Revisions, ShouldResemble, model.Revisions{Customers: 2, Plans: 1, Machines: 1})
+		So(client.Status().InForce.Customers, ShouldEqual, 2)
+		So(client.Digest().Revisions(), ShouldResemble, model.Revisions{Customers: 2, Plans: 1, Machines: 1})
+		So(string(client.Document(lists.KindPlans).Body), ShouldEqual, texts[lists.KindPlans])
+	})
+}
+
+func TestClientReadsLocalFiles(t *testing.T) {
+	Convey("A client reads local files at the start and when it is asked to", t, func() {
+		dir := t.TempDir()
+		var files [3]string
+		for i, kind := range lists.Kinds() {
+			files[i] = filepath.Join(dir, kind.String()+".yaml")
+			So(os.WriteFile(files[i], []byte(texts[i]), 0o600), ShouldBeNil)
+		}
+		client := newClient(platform.ClientConfig{Files: files})
+		applied, stop := run(client)
+		defer stop()
+		So((<-applied).Revisions.Customers, ShouldEqual, 1)
+
+		So(os.WriteFile(files[0], []byte("kind: customers\nrevision: 7\ncustomers: []\n"), 0o600), ShouldBeNil)
+		So(client.Reload(context.Background()), ShouldBeNil)
+		So((<-applied).Revisions.Customers, ShouldEqual, 7)
+	})
+	Convey("A file that is missing at the start ends the client", t, func() {
+		client := newClient(platform.ClientConfig{Files: [3]string{"/nonexistent/a", "/nonexistent/b", "/nonexistent/c"}})
+		So(client.Run(context.Background(), func(*model.Snapshot) {}), ShouldNotBeNil)
+	})
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,132 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// maxRetryAfter bounds how long the platform can send a reader away.
+const maxRetryAfter = 30 * time.Second
+
+var errNoPeers = errors.New("no peers can be asked")
+
+// CallError is a call that the platform answered with another status than 200.
+type CallError struct {
+	Status     int
+	RetryAfter time.Duration
+}
+
+// Error names the status.
+func (e *CallError) Error() string {
+	return "platform answered with status " + strconv.Itoa(e.Status)
+}
+
+// failureOf describes a failed call to the Reader.
+func failureOf(err error) Failure {
+	f := Failure{Err: err}
+	var call *CallError
+	if errors.As(err, &call) {
+		f.RetryAfter = call.RetryAfter
+		f.Absent = call.Status == http.StatusNotFound
+	}
+	return f
+}
+
+// HTTP calls the platform's service over HTTP.
+type HTTP struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTP returns a caller of the service at a URL. Timeouts come from the context of each call.
+func NewHTTP(base string) *HTTP {
+	return &HTTP{
+		base: strings.TrimSuffix(base, "/"),
+		client: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 2,
+			IdleConnTimeout:     time.Minute,
+		}},
+	}
+}
+
+// List implements Platform.
+func (h *HTTP) List(ctx context.Context, kind lists.Kind) (uint64, []byte, error) {
+	header, body, err := h.get(ctx, "/v1/lists/"+kind.String())
+	if err != nil {
+		return 0, nil, fmt.Errorf("read list of %s: %w", kind, err)
+	}
+	revision, err := strconv.ParseUint(header.Get("X-Revision"), 10, 63)
+	if err != nil {
+		return 0, nil, fmt.Errorf("read list of %s: header X-Revision: %w", kind, err)
+	}
+	return revision, body, nil
+}
+
+// watchAnswer is the body of an answer to a watch.
+type watchAnswer struct {
+	Customers uint64 `json:"customers"`
+	Plans     uint64 `json:"plans"`
+	Machines  uint64 `json:"machines"`
+}
+
+// Watch implements Platform.
+func (h *HTTP) Watch(ctx context.Context, after model.Revisions, wait time.Duration) (model.Revisions, error) {
+	query := url.Values{
+		"customers": {strconv.FormatUint(after.Customers, 10)},
+		"plans":     {strconv.FormatUint(after.Plans, 10)},
+		"machines":  {strconv.FormatUint(after.Machines, 10)},
+		"wait":      {wait.String()},
+	}
+	_, body, err := h.get(ctx, "/v1/watch?"+query.Encode())
+	if err != nil {
+		return model.Revisions{}, fmt.Errorf("watch lists: %w", err)
+	}
+	var a watchAnswer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return model.Revisions{}, fmt.Errorf("watch lists: %w", err)
+	}
+	return model.Revisions{Customers: a.Customers, Plans: a.Plans, Machines: a.Machines}, nil
+}
+
+// get reads one answer, of at most one byte more than a list may have.
+func (h *HTTP) get(ctx context.Context, path string) (http.Header, []byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.base+path, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, nil, &CallError{Status: resp.StatusCode, RetryAfter: retryAfter(resp.Header)}
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, lists.MaxBytes+1))
+	return resp.Header, body, err
+}
+
+// retryAfter reads the header in its form of seconds.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.ParseUint(h.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return min(time.Duration(seconds)*time.Second, maxRetryAfter)
+}
+
+// Close closes idle connections.
+func (h *HTTP) Close() {
+	h.client.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/platform/reader_test.go
@@ -0,0 +1,402 @@
+package platform
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// seeds are the fixed seeds that every scenario runs with.
+var seeds = []uint64{1, 2, 3, 4, 5}
+
+// goesDown returns the first step of a node's history at which a revision went down.
+func goesDown(f *fleet) (string, bool) {
+	for _, n := range f.nodes {
+		for i := 1; i < len(n.history); i++ {
+			if !n.history[i].revisions.Covers(n.history[i-1].revisions) {
+				return n.bulk.String(), true
+			}
+		}
+	}
+	return "", false
+}
+
+// so asserts that the histories of a fleet never go down and that every node has a set in force.
+func soInForce(f *fleet, want model.Revisions) {
+	_, down := goesDown(f)
+	So(down, ShouldBeFalse)
+	for _, n := range f.nodes {
+		So(n.inForce(), ShouldResemble, want)
+	}
+}
+
+func eachSeed(size int, do func(f *fleet)) {
+	for _, seed := range seeds {
+		f := newFleet(seed, size)
+		f.publishAll()
+		do(f)
+	}
+}
+
+func TestPlatformFaults(t *testing.T) {
+	first := model.Revisions{Customers: 1, Plans: 1, Machines: 1}
+	Convey("A healthy platform's lists come into force within seconds, also after a change", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.start(nil)
+			f.run(2 * time.Second)
+			soInForce(f, first)
+			f.publish(lists.KindPlans, plansText("gold", "silver"))
+			f.run(2 * time.Second)
+			soInForce(f, model.Revisions{Customers: 1, Plans: 2, Machines: 1})
+		})
+	})
+	Convey("A platform that is down at the start is found when it comes", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.platform.down = true
+			f.start(nil)
+			f.run(10 * time.Minute)
+			So(f.nodes[0].history, ShouldBeEmpty)
+			So(f.nodes[0].reached, ShouldResemble, []bool{false})
+			f.setDown(false)
+			f.run(45 * time.Second)
+			soInForce(f, first)
+			So(f.nodes[0].reached, ShouldResemble, []bool{false, true})
+		})
+	})
+	Convey("An hour without the platform keeps the last lists and costs few calls", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.heartbeats = 3
+			f.start(nil)
+			f.run(10 * time.Second)
+			before := f.nodes[0].calls
+			f.setDown(true)
+			f.run(time.Hour)
+			soInForce(f, first)
+			So(f.nodes[0].calls-before, ShouldBeLessThan, 3600)
+			f.publish(lists.KindMachines, f.machinesText())
+			f.setDown(false)
+			f.run(40 * time.Second)
+			soInForce(f, model.Revisions{Customers: 1, Plans: 1, Machines: 2})
+		})
+	})
+	Convey("A flapping platform with changes ends with the last revisions everywhere", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.heartbeats = 3
+			f.start(nil)
+			for range 40 {
+				f.setDown(f.rng.IntN(2) == 0)
+				f.publish(lists.Kinds()[f.rng.IntN(2)*2], []string{customersText("gold"), "", f.machinesText()}[0])
+				f.run(time.Duration(f.rng.Int64N(int64(8 * time.Second))))
+			}
+			f.publish(lists.KindCustomers, customersText("gold"))
+			f.publish(lists.KindMachines, f.machinesText())
+			f.setDown(false)
+			f.run(40 * time.Second)
+			want := model.Revisions{Plans: 1}
+			want.Customers = uint64(len(f.platform.docs[lists.KindCustomers]))
+			want.Machines = uint64(len(f.platform.docs[lists.KindMachines]))
+			soInForce(f, want)
+		})
+	})
+	Convey("A replica that lags never takes a revision back, also right after a restart", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.heartbeats = 3
+			f.start(nil)
+			f.run(5 * time.Second)
+			for range 5 {
+				f.publish(lists.KindCustomers, customersText("gold"))
+				f.run(3 * time.Second)
+			}
+			f.platform.stale = 1
+			for _, n := range f.nodes[:4] {
+				n.start(nil)
+			}
+			f.run(10 * time.Second)
+			for _, n := range f.nodes[:4] {
+				So(n.inForce().Customers, ShouldEqual, 6)
+			}
+			soInForce(f, model.Revisions{Customers: 6, Plans: 1, Machines: 1})
+		})
+	})
+	Convey("Texts that are cut on their way are refused and read again", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.platform.cut = 0.6
+			f.start(nil)
+			f.run(3 * time.Minute)
+			soInForce(f, first)
+		})
+	})
+}
+
+func TestStartFromPeers(t *testing.T) {
+	Convey("A new daemon takes its lists from peers while the platform is down", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.start(nil)
+			f.run(5 * time.Second)
+			f.setDown(true)
+			fresh := f.nodes[7]
+			fresh.history = nil
+			fresh.start(func(c *Config) { c.Seeds = []netip.AddrPort{bulkOf(1), bulkOf(2)} })
+			f.run(10 * time.Second)
+			So(fresh.inForce(), ShouldResemble, model.Revisions{Customers: 1, Plans: 1, Machines: 1})
+		})
+	})
+	Convey("One daemon that reaches the platform is enough for all that hear of it", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.heartbeats = 3
+			f.start(nil)
+			f.run(5 * time.Second)
+			f.platform.down = true
+			d := f.publish(lists.KindPlans, plansText("gold", "bronze"))
+			body := f.platform.docs[lists.KindPlans][1]
+			f.nodes[0].perform(f.nodes[0].reader.HandleList(f.now, lists.KindPlans, d, body))
+			f.run(10 * time.Second)
+			soInForce(f, model.Revisions{Customers: 1, Plans: 2, Machines: 1})
+		})
+	})
+}
+
+func TestOperatorRaces(t *testing.T) {
+	Convey("A list that is ahead of another waits, and both come into force together", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.start(nil)
+			f.run(5 * time.Second)
+			f.publish(lists.KindCustomers, customersText("silver"))
+			f.run(5 * time.Second)
+			soInForce(f, model.Revisions{Customers: 1, Plans: 1, Machines: 1})
+			So(f.nodes[0].waiting, ShouldEqual, 1)
+			So(f.nodes[0].reader.Status().Waiting, ShouldContainSubstring, `there is no plan "silver"`)
+
+			f.publish(lists.KindMachines, f.machinesText())
+			f.run(5 * time.Second)
+			soInForce(f, model.Revisions{Customers: 1, Plans: 1, Machines: 2})
+
+			f.publish(lists.KindPlans, plansText("silver"))
+			f.run(5 * time.Second)
+			soInForce(f, model.Revisions{Customers: 2, Plans: 2, Machines: 2})
+			So(f.nodes[0].reader.Status().Waiting, ShouldEqual, "")
+		})
+	})
+	Convey("Two operators' edits close together, one undone, end in the last of each", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.heartbeats = 3
+			f.start(nil)
+			f.run(5 * time.Second)
+			for range 20 {
+				f.publish(lists.KindPlans, plansText("gold", "silver"))
+				f.publish(lists.KindCustomers, customersText("silver"))
+				f.run(time.Duration(f.rng.Int64N(int64(700 * time.Millisecond))))
+				f.publish(lists.KindCustomers, customersText("gold"))
+				f.publish(lists.KindPlans, plansText("gold"))
+				f.run(time.Duration(f.rng.Int64N(int64(700 * time.Millisecond))))
+			}
+			f.run(45 * time.Second)
+			soInForce(f, model.Revisions{Customers: 41, Plans: 41, Machines: 1})
+		})
+	})
+	Convey("Two texts under one revision settle on the same one, whatever came first", t, func() {
+		short := []byte("kind: customers\nrevision: 2\n" + customersText("gold"))
+		long := []byte("kind: customers\nrevision: 2\n" + customersText("gold") + "# other\n")
+		for _, order := range [][][]byte{{short, long}, {long, short}} {
+			r := New(Config{Rand: rand.New(rand.NewPCG(1, 1))})
+			for _, body := range order {
+				r.HandleBody(epoch, bulkOf(1), lists.KindCustomers, VersionOf(2, body), body)
+			}
+			So(r.Digest()[lists.KindCustomers], ShouldResemble, VersionOf(2, long))
+		}
+	})
+}
+
+func TestPartition(t *testing.T) {
+	Convey("A zone that is cut off keeps its lists and follows when it is back", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.heartbeats = 3
+			f.start(nil)
+			f.run(5 * time.Second)
+			f.sides = func(i int) int { return i / 4 }
+			f.apart = func(i int) bool { return i >= 4 }
+			f.wake()
+			f.publish(lists.KindPlans, plansText("gold", "silver"))
+			f.run(10 * time.Second)
+			So(f.nodes[0].inForce().Plans, ShouldEqual, 2)
+			So(f.nodes[7].inForce().Plans, ShouldEqual, 1)
+			f.sides, f.apart = nil, nil
+			f.run(10 * time.Second)
+			soInForce(f, model.Revisions{Customers: 1, Plans: 2, Machines: 1})
+		})
+	})
+}
+
+func TestRefusalsAreSaidOnce(t *testing.T) {
+	Convey("An invalid revision is refused whole, said once, and the last good one stays", t, func() {
+		f := newFleet(1, 1)
+		f.publishAll()
+		f.start(nil)
+		f.run(5 * time.Second)
+		f.publish(lists.KindPlans, "services: 3\nplans: []\n")
+		f.run(time.Hour)
+		n := f.nodes[0]
+		So(len(n.refused), ShouldEqual, 1)
+		So(n.refused[0].Kind, ShouldEqual, errkind.DocumentInvalid)
+		So(n.refused[0].Revision, ShouldEqual, 2)
+		So(n.inForce().Plans, ShouldEqual, 1)
+		So(n.reader.Status().Refused.Plans, ShouldEqual, 2)
+		So(n.calls, ShouldBeLessThan, 300)
+		f.publish(lists.KindPlans, plansText("gold"))
+		f.run(5 * time.Second)
+		So(n.inForce().Plans, ShouldEqual, 3)
+	})
+	Convey("A revision that does not match the text is refused", t, func() {
+		r := New(Config{UsePlatform: true, Rand: rand.New(rand.NewPCG(1, 1))})
+		actions := r.HandleList(epoch, lists.KindPlans, 3, []byte("kind: plans\nrevision: 2\n"+plansText("gold")))
+		So(actions, ShouldNotBeEmpty)
+		So(actions[0].(Refused).Err.Error(), ShouldContainSubstring, "delivered as revision 3 but says revision 2")
+	})
+	Convey("A body from a peer that does not match its version is dropped", t, func() {
+		r := New(Config{Rand: rand.New(rand.NewPCG(1, 1))})
+		body := []byte("kind: plans\nrevision: 2\n" + plansText("gold"))
+		v := VersionOf(2, body)
+		v.Sum++
+		r.HandleBody(epoch, bulkOf(1), lists.KindPlans, v, body)
+		So(r.Document(lists.KindPlans), ShouldBeNil)
+	})
+}
+
+func TestLocalFiles(t *testing.T) {
+	files := func(revision string) [3]lists.Document {
+		var docs [3]lists.Document
+		for kind, text := range []string{customersText("gold"), plansText("gold"), "entries: []\nendpoints: []\n"} {
+			docs[kind] = lists.Document{Name: "file.yaml", Data: []byte("kind: " + lists.Kind(kind).String() + "\nrevision: " + revision + "\n" + text)}
+		}
+		return docs
+	}
+	Convey("Local files come into force, and an edit needs a higher revision", t, func() {
+		n := &node{f: newFleet(1, 0), bulk: bulkOf(1)}
+		n.start(func(c *Config) { c.UsePlatform = false })
+		n.perform(n.reader.HandleFiles(epoch, files("4")))
+		So(n.inForce(), ShouldResemble, model.Revisions{Customers: 4, Plans: 4, Machines: 4})
+		n.perform(n.reader.HandleFiles(epoch, files("4")))
+		So(n.refused, ShouldBeEmpty)
+		n.perform(n.reader.HandleFiles(epoch, files("3")))
+		So(len(n.refused), ShouldEqual, 3)
+		So(n.refused[0].Kind, ShouldEqual, errkind.DocumentStale)
+		n.perform(n.reader.HandleFiles(epoch, files("5")))
+		So(n.inForce(), ShouldResemble, model.Revisions{Customers: 5, Plans: 5, Machines: 5})
+	})
+}
+
+func TestDigestEncoding(t *testing.T) {
+	Convey("A digest survives its encoding; other bytes are refused", t, func() {
+		d := Digest{VersionOf(7, []byte("a")), {}, VersionOf(1<<40, []byte("bc"))}
+		b := d.AppendTo(nil)
+		got, ok := DecodeDigest(b)
+		So(ok, ShouldBeTrue)
+		So(got, ShouldResemble, d)
+		for i := range b {
+			_, ok := DecodeDigest(b[:i])
+			So(ok, ShouldBeFalse)
+		}
+		_, ok = DecodeDigest(append(b, 0))
+		So(ok, ShouldBeFalse)
+	})
+}
+
+// inForceTimes returns, for each node, how long after a change it had a revision of plans in force.
+func inForceTimes(f *fleet, since time.Time, plans uint64) []time.Duration {
+	var all []time.Duration
+	for _, n := range f.nodes {
+		i := slices.IndexFunc(n.history, func(a adopted) bool { return a.revisions.Plans >= plans })
+		if i >= 0 {
+			all = append(all, n.history[i].at.Sub(since))
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// busiestSecond returns the most calls that the platform got in a second.
+func busiestSecond(f *fleet) int {
+	most := 0
+	for _, calls := range f.platform.calls {
+		most = max(most, calls)
+	}
+	return most
+}
+
+func Test600Readers(t *testing.T) {
+	const size = 600
+	Convey("600 readers follow a change within 6 s and stay within 2,000 calls a second", t, func() {
+		f := newFleet(1, size)
+		f.publishAll()
+		f.heartbeats = 3
+		f.start(func(c *Config) { c.FleetCallsPerSecond = 1000.0 * listedNodes / size })
+		f.run(10 * time.Second)
+		soInForce(f, model.Revisions{Customers: 1, Plans: 1, Machines: 1})
+		t.Logf("cold start of %d: busiest second %d calls, %d over budget", size, busiestSecond(f), f.platform.denied)
+		So(f.platform.denied, ShouldEqual, 0)
+		So(busiestSecond(f), ShouldBeLessThan, 2000)
+
+		f.run(time.Minute)
+		clear(f.platform.calls)
+		published := f.now
+		f.publish(lists.KindPlans, plansText("gold", "silver"))
+		f.run(10 * time.Second)
+		times := inForceTimes(f, published, 2)
+		So(len(times), ShouldEqual, size)
+		t.Logf("change: in force after p50 %v p99 %v max %v; busiest second %d calls", times[size/2], times[size*99/100], times[size-1], busiestSecond(f))
+		So(times[size-1], ShouldBeLessThan, 6*time.Second)
+		So(f.platform.denied, ShouldEqual, 0)
+
+		clear(f.platform.calls)
+		f.setDown(true)
+		f.run(5 * time.Minute)
+		t.Logf("platform down for 5 min: busiest second %d calls", busiestSecond(f))
+		So(busiestSecond(f), ShouldBeLessThan, 2000)
+		clear(f.platform.calls)
+		f.publish(lists.KindPlans, plansText("gold"))
+		published = f.now
+		f.setDown(false)
+		f.run(45 * time.Second)
+		times = inForceTimes(f, published, 3)
+		So(len(times), ShouldEqual, size)
+		t.Logf("return: in force after p50 %v p99 %v max %v; busiest second %d calls, %d bytes from peers", times[size/2], times[size*99/100], times[size-1], busiestSecond(f), f.peerBytes)
+		So(times[size-1], ShouldBeLessThan, 6*time.Second)
+		So(f.platform.denied, ShouldEqual, 0)
+		So(busiestSecond(f), ShouldBeLessThan, 2000)
+		_, down := goesDown(f)
+		So(down, ShouldBeFalse)
+	})
+}
+
+func TestCallsOnAnOrdinaryDay(t *testing.T) {
+	const changesPerDay, fleetSize, budget = 2500, 600, 2000
+	Convey("600 daemons stay far below the platform's budget with 2,500 changes a day", t, func() {
+		f := newFleet(1, 8)
+		f.publishAll()
+		f.start(nil)
+		f.run(10 * time.Second)
+		count := func(changes int) float64 {
+			before := f.nodes[0].calls
+			for range changes {
+				f.publish(lists.KindMachines, f.machinesText())
+				f.run(24 * time.Hour / changesPerDay)
+			}
+			if changes == 0 {
+				f.run(time.Hour)
+			}
+			return float64(f.nodes[0].calls-before) / time.Hour.Seconds()
+		}
+		idle := count(0)
+		busy := count(changesPerDay / 24)
+		t.Logf("platform calls a second of one daemon: idle %.3f, at %d changes a day %.3f", idle, changesPerDay, busy)
+		So(busy*fleetSize, ShouldBeLessThan, budget/10)
+	})
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -31,6 +31,7 @@
 		{"lists.customers", "path", "required without platform", false, "local file in place of the platform's list of customers"},
 		{"lists.plans", "path", "required without platform", false, "local file in place of the platform's list of plans"},
 		{"lists.machines", "path", "required without platform", false, "local file in place of the platform's list of machines"},
+		{"seeds", "list of address:port", "none", false, "bulk addresses of a few daemons that a new one asks for lists when the platform does not answer"},
 		{"key_files", "list of 1 or 2 paths", "none; required beyond loopback", true, "shared keys of datagrams between daemons: the first signs, all verify"},
 		{"tls.cert_file", "path", "none; required beyond loopback", true, "certificate for calls between daemons"},
 		{"tls.key_file", "path", "required with tls", true, "private key of the certificate"},
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -46,6 +46,7 @@
 		r := reader{m: m, dir: filepath.Dir(d.Name)}
 		r.readPlace(s)
 		r.readSource(s)
+		r.readSeeds(s)
 		r.readSecurity(s)
 		r.readTuning(s)
 		r.checkAddresses(s)
@@ -94,6 +95,18 @@
 	})
 }
 
+func (r *reader) readSeeds(s *Settings) {
+	items := r.m.Texts("seeds", false)
+	for i := range items {
+		a, why := yamldoc.ParseAddress(items[i].Text)
+		if why != "" {
+			items[i].Fault("%s", why)
+			continue
+		}
+		s.Seeds = append(s.Seeds, a)
+	}
+}
+
 func readPlatform(m *yamldoc.Map) Platform {
 	p := Platform{
 		URL:            m.NeedText("url"),
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,6 +31,10 @@
 	// Lists names local files that are read in place of the platform.
 	Lists Lists
 
+	// Seeds are bulk addresses of a few other daemons, which a new daemon asks for the published lists when
+	// the platform does not answer. Key seeds; default none.
+	Seeds []netip.AddrPort
+
 	// KeyFiles hold the shared keys of datagrams between daemons, one key of 32 or more bytes each, the
 	// first used to sign and all to verify. Key key_files; default none, which is allowed only while data,
 	// peer and bulk are loopback addresses.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -29,6 +29,7 @@
 ops: 127.0.0.1:7004
 key_files: [new.key, /etc/old.key]
 tls: {cert_file: a.pem, key_file: a.key, ca_file: ca.pem}
+seeds: ["127.0.0.1:7013", "127.0.0.1:7023"]
 workers: 2
 mtu: 1400
 heartbeat_interval: 2s
@@ -63,6 +64,7 @@
 		So(s.KeyFiles, ShouldResemble, []string{"/etc/fireflypin/new.key", "/etc/old.key"})
 		So(s.TLS.CAFile, ShouldEqual, "/etc/fireflypin/ca.pem")
 		So(s.Platform.CallsPerSecond, ShouldEqual, 2.5)
+		So(len(s.Seeds), ShouldEqual, 2)
 		So(s.LogBatchInterval, ShouldEqual, 20*time.Millisecond)
 		So(s.LogLevel, ShouldEqual, log.DebugLevel)
 		So(s.Secure(), ShouldBeTrue)
@@ -90,6 +92,7 @@
 		{"no TLS beyond loopback", "tls: {cert_file: a.pem, key_file: a.key, ca_file: ca.pem}\n", "", "tls: missing"},
 		{"half TLS", ", ca_file: ca.pem", "", "tls.ca_file: missing"},
 		{"three keys", "[new.key, /etc/old.key]", "[a, b, c]", "at most 2 keys"},
+		{"seed", "127.0.0.1:7023", "127.0.0.1", `seeds[1]: "127.0.0.1" is no address with a port`},
 		{"log level", "log_level: debug", "log_level: loud", `"loud" is not one of`},
 	}
 	Convey("Each fault is reported with line and key", t, func() {
