--- a/internal/demo/fleet.go
+++ b/internal/demo/fleet.go
@@ -24,6 +24,7 @@
 		string(scenario.FaultPartition),
 		string(scenario.FaultPlatformDown),
 		string(scenario.FaultPause),
+		string(scenario.FaultReplace),
 	}
 }
 
@@ -85,15 +86,18 @@
 // faultsOf returns the fault of a demo with its times.
 func faultsOf(name string, s *scenario.Scenario) ([]scenario.Fault, error) {
 	third := s.Duration / 3
-	f := scenario.Fault{Kind: scenario.FaultKind(name), At: third, For: third}
+	f := scenario.Fault{Kind: scenario.FaultKind(name), At: third}
 	switch f.Kind {
 	case "", FaultNone:
 		return nil, nil
-	case scenario.FaultKill, scenario.FaultDrain, scenario.FaultPause:
+	case scenario.FaultKill, scenario.FaultDrain, scenario.FaultReplace:
 		f.Name = "e2"
+	case scenario.FaultPause:
+		f.Name, f.For = "e2", third
 	case scenario.FaultPartition:
-		f.Name = s.Zones[len(s.Zones)-1]
+		f.Name, f.For = s.Zones[len(s.Zones)-1], third
 	case scenario.FaultPlatformDown:
+		f.For = third
 	default:
 		return nil, fmt.Errorf("show fault %q: choose one of %v", name, Faults())
 	}
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -34,7 +34,7 @@
 func (t *table) noteFault(f scenario.Fault, err error) {
 	note := fmt.Sprintf("at %v: %s %s", f.At, f.Kind, f.Name)
 	if f.For > 0 {
-		note += fmt.Sprintf(" (for %v where it ends)", f.For)
+		note += fmt.Sprintf(" for %v", f.For)
 	}
 	if err != nil {
 		note += ": " + err.Error()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -75,11 +75,13 @@
 
 // slot is one entry VM of a fleet.
 type slot struct {
-	plan   scenario.EntryPlan
-	member member
+	plan scenario.EntryPlan
 
-	mu    sync.Mutex
-	state State
+	mu     sync.Mutex
+	member member
+	state  State
+	// before holds the counters of members that ran here earlier.
+	before Status
 }
 
 func (s *slot) set(state State) {
@@ -88,15 +90,46 @@
 	s.state = state
 }
 
-func (s *slot) get() State {
+func (s *slot) get() (member, State) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.member, s.state
+}
+
+// replace puts a new member into the slot and keeps the counters of the old one.
+func (s *slot) replace(m member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.state
+	s.before = s.before.plus(s.member.Status())
+	s.member = m
+	s.state = StateStarting
+}
+
+// status returns the counters of all members that ran here.
+func (s *slot) status() Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.member.Status().plus(s.before)
+	st.Name = s.plan.Name
+	st.Zone = s.plan.Zone
+	st.State = s.state
+	return st
+}
+
+// plus adds the counters of another status; what is no counter stays.
+func (s Status) plus(o Status) Status {
+	s.Packets += o.Packets
+	s.Hops += o.Hops
+	s.ControlBytes += o.ControlBytes
+	return s
 }
 
 // Fleet is the members of one site.
 type Fleet struct {
-	slots []*slot
+	site    *scenario.Site
+	variant Variant
+	logTo   io.Writer
+	slots   []*slot
 }
 
 // Start starts a member on every entry VM of a site. Daemons log to logTo; nil means nowhere.
@@ -104,7 +137,7 @@
 	if logTo == nil {
 		logTo = io.Discard
 	}
-	f := &Fleet{}
+	f := &Fleet{site: site, variant: v, logTo: logTo}
 	for _, plan := range site.Entries {
 		m, err := startMember(site, plan, v, logTo)
 		if err != nil {
@@ -129,18 +162,40 @@
 // WaitReady waits until every member is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, s := range f.slots {
-		for !s.member.Ready() {
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("wait until %s is ready: %w", s.plan.Name, ctx.Err())
-			case <-time.After(readyPoll):
-			}
+		if err := s.waitReady(ctx); err != nil {
+			return err
 		}
-		s.set(StateReady)
 	}
 	return nil
 }
 
+func (s *slot) waitReady(ctx context.Context) error {
+	m, _ := s.get()
+	for !m.Ready() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("wait until %s is ready: %w", s.plan.Name, ctx.Err())
+		case <-time.After(readyPoll):
+		}
+	}
+	s.set(StateReady)
+	return nil
+}
+
+// Restart starts a member in place of one that was stopped and returns when it is ready.
+func (f *Fleet) Restart(ctx context.Context, name string) error {
+	s := f.find(name)
+	if s == nil {
+		return fmt.Errorf("restart %q: no such entry VM", name)
+	}
+	m, err := startMember(f.site, s.plan, f.variant, f.logTo)
+	if err != nil {
+		return fmt.Errorf("restart %s: %w", name, err)
+	}
+	s.replace(m)
+	return s.waitReady(ctx)
+}
+
 // Stop stops a member gracefully.
 func (f *Fleet) Stop(ctx context.Context, name string) error {
 	s := f.find(name)
@@ -148,7 +203,8 @@
 		return fmt.Errorf("stop %q: no such entry VM", name)
 	}
 	s.set(StateStopping)
-	err := s.member.Stop(ctx)
+	m, _ := s.get()
+	err := m.Stop(ctx)
 	s.set(StateStopped)
 	return err
 }
@@ -157,7 +213,8 @@
 func (f *Fleet) Kill(name string) {
 	if s := f.find(name); s != nil {
 		s.set(StateKilled)
-		s.member.Kill()
+		m, _ := s.get()
+		m.Kill()
 	}
 }
 
@@ -173,11 +230,7 @@
 func (f *Fleet) Status() []Status {
 	out := make([]Status, 0, len(f.slots))
 	for _, s := range f.slots {
-		st := s.member.Status()
-		st.Name = s.plan.Name
-		st.Zone = s.plan.Zone
-		st.State = s.get()
-		out = append(out, st)
+		out = append(out, s.status())
 	}
 	return out
 }
@@ -185,8 +238,8 @@
 // Close ends all members.
 func (f *Fleet) Close() {
 	for _, s := range f.slots {
-		if state := s.get(); state != StateStopped && state != StateKilled {
-			s.member.Kill()
+		if m, state := s.get(); state != StateStopped && state != StateKilled {
+			m.Kill()
 		}
 	}
 }
--- a/internal/scenario/fault.go
+++ b/internal/scenario/fault.go
@@ -12,6 +12,8 @@
 type Fleet interface {
 	// Stop stops a daemon gracefully and returns when it has ended.
 	Stop(ctx context.Context, name string) error
+	// Restart starts a daemon in place of one that was stopped and returns when it is ready.
+	Restart(ctx context.Context, name string) error
 	// Kill ends a daemon without warning.
 	Kill(name string)
 }
@@ -50,6 +52,10 @@
 		return s.kill(ctx, f.Name, fleet)
 	case FaultDrain:
 		return s.drain(ctx, f.Name, fleet)
+	case FaultReplace:
+		return s.replace(ctx, f.Name, fleet)
+	case FaultAddTarget:
+		return s.addTarget(f.Name)
 	case FaultPause:
 		return s.pause(ctx, f)
 	case FaultPartition:
@@ -96,7 +102,7 @@
 }
 
 func (s *Site) drain(ctx context.Context, name string, fleet Fleet) error {
-	if err := s.markLeaving(name, time.Time{}); err != nil {
+	if err := s.mark(name, true, time.Time{}); err != nil {
 		return err
 	}
 	s.mu.Lock()
@@ -108,10 +114,51 @@
 	return fleet.Stop(ctx, name)
 }
 
-func (s *Site) markLeaving(name string, by time.Time) error {
+// replace drains an entry VM and brings a new one into its place.
+func (s *Site) replace(ctx context.Context, name string, fleet Fleet) error {
+	if err := s.drain(ctx, name, fleet); err != nil {
+		return err
+	}
+	if err := s.mark(name, false, time.Time{}); err != nil {
+		return err
+	}
+	if err := fleet.Restart(ctx, name); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setFabricEntries()
+	return nil
+}
+
+// addTarget starts one more target of a service and publishes it.
+func (s *Site) addTarget(service string) error {
+	svc := s.Scenario.service(service)
+	if svc == nil {
+		return fmt.Errorf("add target: no service %q", service)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, t := range s.targets {
+		if t.plan.Service == service {
+			n++
+		}
+	}
+	plan := s.Scenario.targetPlan(svc, n)
+	t, err := s.startTarget(plan)
+	if err != nil {
+		return err
+	}
+	s.published.targets = append(s.published.targets, t.plan)
+	return s.publish(standin.ListMachines)
+}
+
+// mark publishes that a machine is leaving, or live again.
+func (s *Site) mark(name string, leaving bool, by time.Time) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.published.leaving[name] = true
+	s.published.leaving[name] = leaving
 	s.published.leaveBy[name] = by
 	return s.publish(standin.ListMachines)
 }
@@ -121,7 +168,7 @@
 	if f.For > 0 {
 		by = time.Now().Add(f.For)
 	}
-	return s.markLeaving(f.Name, by)
+	return s.mark(f.Name, true, by)
 }
 
 func (s *Site) pause(ctx context.Context, f Fault) error {
@@ -168,7 +215,7 @@
 		FaultLieFull: standin.LieFull,
 		FaultSilent:  standin.LieSilent,
 	}
-	for _, t := range s.targets {
+	for _, t := range s.runningTargets() {
 		if t.plan.Name != f.Name {
 			continue
 		}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -107,6 +107,8 @@
 	FaultKill FaultKind = "kill"
 	// FaultDrain announces that an entry VM leaves and then stops its daemon gracefully.
 	FaultDrain FaultKind = "drain"
+	// FaultReplace drains an entry VM and starts a new daemon under its name and addresses.
+	FaultReplace FaultKind = "replace"
 	// FaultPause holds a daemon for a time.
 	FaultPause FaultKind = "pause"
 	// FaultPartition cuts a zone from the others and from the platform for a time; callers still reach it.
@@ -115,6 +117,8 @@
 	FaultPlatformDown FaultKind = "platform-down"
 	// FaultLeave announces that the endpoint VM of a target leaves.
 	FaultLeave FaultKind = "leave"
+	// FaultAddTarget starts one more target of a service.
+	FaultAddTarget FaultKind = "add-target"
 	// FaultLieIdle and FaultLieFull make a target's load report lie.
 	FaultLieIdle FaultKind = "lie-idle"
 	FaultLieFull FaultKind = "lie-full"
@@ -130,7 +134,7 @@
 	// For is how long it lasts; used with pause, partition, platform-down and the target's faults, where
 	// 0 means to the end.
 	For time.Duration `yaml:"for"`
-	// Name is the entry VM, target or zone.
+	// Name is the entry VM, target, service or zone.
 	Name string `yaml:"name"`
 }
 
--- a/internal/scenario/site.go
+++ b/internal/scenario/site.go
@@ -167,13 +167,7 @@
 	for i := range s.Scenario.Services {
 		svc := &s.Scenario.Services[i]
 		for n := range svc.Targets {
-			plan := TargetPlan{
-				Name:    fmt.Sprintf("%s-%d", svc.Name, n+1),
-				Service: svc.Name,
-				Zone:    s.Scenario.zoneOf(n),
-				service: svc,
-			}
-			if err := s.startTarget(plan); err != nil {
+			if _, err := s.startTarget(s.Scenario.targetPlan(svc, n)); err != nil {
 				return err
 			}
 		}
@@ -181,7 +175,24 @@
 	return nil
 }
 
-func (s *Site) startTarget(plan TargetPlan) error {
+// targetPlan returns the n-th target of a service, without its addresses.
+func (s *Scenario) targetPlan(svc *Service, n int) TargetPlan {
+	return TargetPlan{
+		Name:    fmt.Sprintf("%s-%d", svc.Name, n+1),
+		Service: svc.Name,
+		Zone:    s.zoneOf(n),
+		service: svc,
+	}
+}
+
+// runningTargets returns the targets that were started so far.
+func (s *Site) runningTargets() []*runningTarget {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.targets)
+}
+
+func (s *Site) startTarget(plan TargetPlan) (*runningTarget, error) {
 	svc := plan.service
 	shed := standin.ShedAnswer
 	if svc.Shed == "reset" {
@@ -196,17 +207,17 @@
 	s.nodes = append(s.nodes, t.node)
 	var err error
 	if t.plan.Data, err = t.node.Listen(netip.AddrPortFrom(loopback, 0), nil); err != nil {
-		return err
+		return nil, err
 	}
 	s.fabNode.Do(func(time.Time) []standin.Datagram {
 		s.fabric.SetTarget(t.plan.Data, standin.Place(plan.Zone))
 		return nil
 	})
 	if t.plan.Report, err = s.serve(t.serveReport()); err != nil {
-		return err
+		return nil, err
 	}
 	s.targets = append(s.targets, t)
-	return nil
+	return t, nil
 }
 
 // serveReport answers with the target's load report.
@@ -433,8 +444,9 @@
 
 // Loads returns what every target really holds.
 func (s *Site) Loads() []TargetLoad {
-	loads := make([]TargetLoad, 0, len(s.targets))
-	for _, t := range s.targets {
+	targets := s.runningTargets()
+	loads := make([]TargetLoad, 0, len(targets))
+	for _, t := range targets {
 		load := TargetLoad{Name: t.plan.Name, Service: t.plan.Service, Zone: t.plan.Zone, Leaving: s.leaving(t.plan.Name)}
 		t.node.Do(func(now time.Time) []standin.Datagram {
 			load.Reported = t.machine.Report(now)
@@ -456,7 +468,7 @@
 // History returns the records of all callers and targets.
 func (s *Site) History() history.History {
 	h := s.CallerHistory()
-	for _, t := range s.targets {
+	for _, t := range s.runningTargets() {
 		t.node.Do(func(time.Time) []standin.Datagram {
 			h.Add(t.machine.History())
 			return nil
