--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -30,6 +30,8 @@
 			newBenchCommand(),
 			newDemoCommand(),
 			newStandinCommand(),
+			newRelayCommand(),
+			newMeasureCommand(),
 		},
 	}
 }
