--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -51,7 +51,6 @@
 	dec       *packet.Decoder
 	out       outbox
 	sessions  map[packet.FlowKey]*session
-	workloads []*workloadState
 	timers    timerQueue[callerTimer]
 	nextID    uint64
 	opened    uint64
--- a/internal/standin/workload.go
+++ b/internal/standin/workload.go
@@ -64,6 +64,8 @@
 	Workload
 	// missing is how many kept-open sessions are still to be opened.
 	missing int
+	// nextAt is when the next session is due; a late tick starts it late and keeps the rate.
+	nextAt time.Time
 }
 
 // openingTime is the time over which a workload's kept-open sessions are opened first.
@@ -79,8 +81,14 @@
 	if state.keepsOpen() {
 		state.missing = state.Sessions
 	}
-	c.workloads = append(c.workloads, state)
-	c.timers.add(now.Add(c.untilNextSession(state)), callerTimer{workload: state})
+	state.nextAt = now
+	c.queueWorkload(state)
+}
+
+// queueWorkload queues the workload's next session.
+func (c *Caller) queueWorkload(w *workloadState) {
+	w.nextAt = w.nextAt.Add(c.untilNextSession(w))
+	c.timers.add(w.nextAt, callerTimer{workload: w})
 }
 
 // untilNextSession draws the time to the next start of a session.
@@ -108,7 +116,7 @@
 		w.missing--
 	}
 	c.startSession(now, w)
-	c.timers.add(now.Add(c.untilNextSession(w)), callerTimer{workload: w})
+	c.queueWorkload(w)
 }
 
 // request is the attempt that a session has under way, or makes next.
@@ -299,6 +307,7 @@
 	}
 	w.missing++
 	if w.missing == 1 {
-		c.timers.add(now.Add(w.pacing()), callerTimer{workload: w})
+		w.nextAt = now
+		c.queueWorkload(w)
 	}
 }
