--- a/internal/scenario/site.go
+++ b/internal/scenario/site.go
@@ -32,8 +32,7 @@
 
 	seed     uint64
 	streams  uint64
-	gateway  netip.AddrPort // for packets of callers
-	returns  netip.AddrPort // for packets of targets
+	gateway  netip.AddrPort // for packets of callers and targets
 	fabric   *standin.Fabric
 	nodes    []*standin.Node
 	fabNode  *standin.Node
@@ -135,10 +134,9 @@
 	s.fabNode = standin.NewNode(s.Links.Network("fabric", fabricPlace), s.fabric)
 	s.nodes = append(s.nodes, s.fabNode)
 	anyPort := netip.AddrPortFrom(loopback, 0)
-	var errs [3]error
+	var errs [2]error
 	s.gateway, errs[0] = s.fabNode.Listen(anyPort, s.fabric.Handle)
-	s.returns, errs[1] = s.fabNode.Listen(anyPort, s.fabric.HandleTarget)
-	s.Egress, errs[2] = s.fabNode.Listen(anyPort, s.fabric.HandleEgress)
+	s.Egress, errs[1] = s.fabNode.Listen(anyPort, s.fabric.HandleEgress)
 	return errors.Join(errs[:]...)
 }
 
@@ -200,10 +198,11 @@
 	}
 	t := &runningTarget{plan: plan}
 	t.machine = standin.NewTarget(time.Now(), standin.TargetConfig{
-		Name: plan.Name, Gateway: s.returns, Slots: svc.Slots, MaxConnections: svc.MaxConnections,
+		Name: plan.Name, Gateway: s.gateway, Slots: svc.Slots, MaxConnections: svc.MaxConnections,
 		ServiceTime: svc.ServiceTime, ColdFor: svc.ColdFor, Shed: shed, Rand: s.source(),
 	})
-	t.node = standin.NewNode(s.Links.Network(plan.Name, standin.Place(plan.Zone)), t.machine)
+	network := standin.TargetNetwork(s.Links.Network(plan.Name, standin.Place(plan.Zone)), s.fabric, s.fabNode, s.gateway)
+	t.node = standin.NewNode(network, t.machine)
 	s.nodes = append(s.nodes, t.node)
 	var err error
 	if t.plan.Data, err = t.node.Listen(netip.AddrPortFrom(loopback, 0), nil); err != nil {
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -47,15 +47,15 @@
 
 // Caller is a Machine that stands in for the callers of one customer.
 type Caller struct {
-	cfg       CallerConfig
-	dec       *packet.Decoder
-	out       outbox
-	sessions  map[packet.FlowKey]*session
-	timers    timerQueue[callerTimer]
-	nextID    uint64
-	opened    uint64
-	stopped   bool
-	records   history.History
+	cfg      CallerConfig
+	dec      *packet.Decoder
+	out      outbox
+	sessions map[packet.FlowKey]*session
+	timers   timerQueue[callerTimer]
+	nextID   uint64
+	opened   uint64
+	stopped  bool
+	records  history.History
 }
 
 // NewCaller returns a caller whose workloads start now.
