--- a/internal/health/config.go
+++ b/internal/health/config.go
@@ -15,16 +15,17 @@
 	UpAfter int
 	// ResultLifetime is the age at which a result heard on a heartbeat is forgotten; default 5 s.
 	ResultLifetime time.Duration
-	// SilentAfter is the number of connection attempts in a row, without an answer between them, after
-	// which a target is put aside by own evidence; default 5.
+	// SilentAfter is the number of connection attempts in a row, own ones and those that other daemons
+	// tell of, without an answer between them, after which a target is put aside; default 5. Once it was,
+	// one more is enough.
 	SilentAfter int
-	// Hold is the time for which own evidence puts a target aside; it doubles with each repetition;
+	// Hold is the time for which unanswered attempts put a target aside; it doubles with each repetition;
 	// default 5 s.
 	Hold time.Duration
 	// MaxHold bounds the doubled Hold; default 60 s.
 	MaxHold time.Duration
-	// AnswerLifetime is the time for which an answered connection attempt outweighs failed probes;
-	// default 3 s.
+	// AnswerLifetime is the time for which an answered connection attempt outweighs failed probes and
+	// the misses of other daemons, and for which misses are told to others; default 3 s.
 	AnswerLifetime time.Duration
 	// PanicShare is the largest share of a service's targets that is put aside, 0 to 1; default 0.5.
 	PanicShare float64
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -62,13 +62,14 @@
 	nextProbe time.Time
 	report    placement.Report
 	peers     map[model.MachineID]heard
-	// holdUntil and hold are the time aside by own evidence and its length.
-	holdUntil time.Time
-	hold      time.Duration
-	missesAt  int
-	down      bool
-	reason    Reason
-	since     time.Time
+	// holdFrom, holdUntil and hold are the time aside because of unanswered attempts and its length.
+	holdFrom, holdUntil time.Time
+	hold                time.Duration
+	// told is true while the last summary told of misses.
+	told   bool
+	down   bool
+	reason Reason
+	since  time.Time
 }
 
 // heard is what another daemon told of a target.
@@ -109,7 +110,8 @@
 }
 
 // SetLive takes the live daemons of each zone and says which targets this daemon probes from now on.
-// owners is the number of live and ready daemons that place flows.
+// live must name daemons of another zone for a zone that has none. owners is the number of live and
+// ready daemons that place flows.
 func (m *Monitor) SetLive(live func(z model.Zone) []model.MachineID, owners int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -311,45 +313,71 @@
 
 func (m *Monitor) verdict(now time.Time, s *state) verdict {
 	own := m.loads.Evidence(s.target.ID)
-	m.holdSilent(now, s, own)
-	if now.Before(s.holdUntil) {
-		return verdict{state: s, reason: ReasonSilent, certainty: certaintyOwn}
-	}
-	answers := !own.LastAnswer.IsZero() && now.Sub(own.LastAnswer) < m.cfg.AnswerLifetime
-	down, silent := m.opinions(now, s)
+	told := m.hear(now, s)
+	m.holdSilent(now, s, own, told)
+	answers := own.MissesInRow == 0 && m.recent(now, own.LastAnswer)
 	switch {
-	case answers && (down || silent):
+	case now.Before(s.holdUntil) && own.MissesInRow > 0:
+		return verdict{state: s, reason: ReasonSilent, certainty: certaintyOwn}
+	case now.Before(s.holdUntil):
+		return verdict{state: s, reason: ReasonPeersSilent, certainty: certaintyPeers}
+	case told.down && answers:
 		return verdict{state: s, reason: ReasonAnswersAnyway}
-	case down:
+	case told.down:
 		return verdict{state: s, reason: ReasonProbesFail, certainty: certaintyProbes}
-	case silent:
-		return verdict{state: s, reason: ReasonPeersSilent, certainty: certaintyPeers}
 	default:
 		return verdict{state: s, reason: m.doubt(s)}
 	}
 }
 
+// recent reports whether evidence of a time still counts.
+func (m *Monitor) recent(now, at time.Time) bool {
+	return !at.IsZero() && now.Sub(at) < m.cfg.AnswerLifetime
+}
+
 // holdSilent starts a hold when enough attempts in a row got no answer. The hold doubles when the
-// target is still silent once it is tried again, and starts anew after an answer.
-func (m *Monitor) holdSilent(now time.Time, s *state, own placement.Evidence) {
-	if own.MissesInRow == 0 {
+// target is still silent once it is tried again, and ends with an answer.
+func (m *Monitor) holdSilent(now time.Time, s *state, own placement.Evidence, told opinion) {
+	if own.LastAnswer.After(s.holdFrom) && own.MissesInRow == 0 {
 		s.hold = 0
-		s.missesAt = 0
 		s.holdUntil = time.Time{}
-		return
 	}
-	if now.Before(s.holdUntil) || own.MissesInRow-s.missesAt < m.cfg.SilentAfter {
+	if now.Sub(s.holdUntil) >= m.cfg.MaxHold {
+		s.hold = 0
+	}
+	if now.Before(s.holdUntil) || !m.silent(now, s, own, told) {
 		return
 	}
 	s.hold = min(max(2*s.hold, m.cfg.Hold), m.cfg.MaxHold)
+	s.holdFrom = now
 	s.holdUntil = now.Add(s.hold)
-	s.missesAt = own.MissesInRow
 }
 
-// opinions returns whether most probers hold the target to be down, and whether two or more other
-// daemons found it silent.
-func (m *Monitor) opinions(now time.Time, s *state) (down, silent bool) {
-	votes, downs, silents := 0, 0, 0
+// silent reports whether a target that is not on hold has left too many attempts unanswered.
+func (m *Monitor) silent(now time.Time, s *state, own placement.Evidence, told opinion) bool {
+	needed := m.cfg.SilentAfter
+	if s.hold > 0 {
+		needed = 1
+	}
+	if own.MissesInRow > 0 {
+		// The holdUntil bound leaves out attempts from before the hold.
+		return own.LastMiss.After(s.holdUntil) && own.MissesInRow+told.misses >= needed
+	}
+	return told.missers >= 2 && told.misses >= needed && !m.recent(now, own.LastAnswer)
+}
+
+// opinion is what the probers and the other daemons hold of a target.
+type opinion struct {
+	// down is true when most probers hold the target to be down.
+	down bool
+	// misses adds up the unanswered attempts of other daemons; missers is the number of those daemons.
+	misses, missers int
+}
+
+// hear adds up the opinions that are recent enough and forgets the others.
+func (m *Monitor) hear(now time.Time, s *state) opinion {
+	var o opinion
+	votes, downs := 0, 0
 	if s.probing && s.good+s.bad > 0 {
 		votes++
 		downs += one(s.probeDown)
@@ -361,9 +389,13 @@
 		}
 		votes += one(h.summary.Probed)
 		downs += one(h.summary.Probed && h.summary.ProbeDown)
-		silents += one(h.summary.Silent)
+		if h.at.After(s.holdUntil) {
+			o.misses += int(h.summary.Misses)
+			o.missers += one(h.summary.Misses > 0)
+		}
 	}
-	return downs*2 > votes, silents >= 2
+	o.down = downs*2 > votes
+	return o
 }
 
 func one(b bool) int {
@@ -373,8 +405,8 @@
 	return 0
 }
 
-// AppendTo appends summaries for a heartbeat to dst, at most limit bytes of them: targets that own
-// evidence speaks against, then the probed ones in turn. The next call goes on where this one ended.
+// AppendTo appends summaries for a heartbeat to dst, at most limit bytes of them: targets that did not
+// answer lately, then the probed ones in turn. The next call goes on where this one ended.
 func (m *Monitor) AppendTo(now time.Time, dst []byte, limit int) []byte {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -382,25 +414,36 @@
 	for _, svc := range m.services {
 		for _, t := range svc.Targets {
 			s := m.targets[t.ID]
-			if !s.probing && now.Before(s.holdUntil) && len(dst)+maxSummaryBytes <= end {
-				dst = s.summary(now).AppendTo(dst)
+			missed := m.misses(now, s) > 0
+			if (missed || s.told) && len(dst)+maxSummaryBytes <= end {
+				dst = m.summary(now, s).AppendTo(dst)
+				s.told = missed
 			}
 		}
 	}
 	for n := 0; n < len(m.probed) && len(dst)+maxSummaryBytes <= end; n++ {
 		id := m.probed[m.rotation%len(m.probed)]
 		m.rotation++
-		dst = m.targets[id].summary(now).AppendTo(dst)
+		dst = m.summary(now, m.targets[id]).AppendTo(dst)
 	}
 	return dst
 }
 
-func (s *state) summary(now time.Time) Summary {
+// misses returns the own unanswered attempts in a row while they are recent.
+func (m *Monitor) misses(now time.Time, s *state) int {
+	own := m.loads.Evidence(s.target.ID)
+	if !m.recent(now, own.LastMiss) {
+		return 0
+	}
+	return own.MissesInRow
+}
+
+func (m *Monitor) summary(now time.Time, s *state) Summary {
 	sum := Summary{
 		Target:    s.target.ID,
 		Probed:    s.probing && s.good+s.bad > 0,
 		ProbeDown: s.probeDown,
-		Silent:    now.Before(s.holdUntil),
+		Misses:    uint8(min(m.misses(now, s), 255)),
 	}
 	if !s.probing || s.report.At.IsZero() {
 		return sum
--- a/internal/health/reason.go
+++ b/internal/health/reason.go
@@ -10,7 +10,7 @@
 	ReasonProbesFail
 	// ReasonSilent means that own connection attempts in a row got no answer.
 	ReasonSilent
-	// ReasonPeersSilent means that connection attempts of two or more other daemons got no answer.
+	// ReasonPeersSilent means that only connection attempts of other daemons, two or more, got no answer.
 	ReasonPeersSilent
 	// ReasonAnswersAnyway means that probes fail but own connection attempts are answered.
 	ReasonAnswersAnyway
--- a/internal/health/summary.go
+++ b/internal/health/summary.go
@@ -13,8 +13,9 @@
 	Target model.TargetID
 	// Probed is true when the sender probes the target; ProbeDown is its verdict then.
 	Probed, ProbeDown bool
-	// Silent is true while the sender's own connection attempts got no answer.
-	Silent bool
+	// Misses is the number of the sender's latest connection attempts in a row without an answer, at
+	// most 255.
+	Misses uint8
 	// Reported is true when the fields below it hold a load report.
 	Reported          bool
 	Shedding, Warming bool
@@ -28,12 +29,12 @@
 const SummaryAgeStep = 50 * time.Millisecond
 
 // maxSummaryBytes is the length of the longest encoded Summary.
-const maxSummaryBytes = 4 + 1 + binary.MaxVarintLen32 + 2
+const maxSummaryBytes = 4 + 1 + 1 + binary.MaxVarintLen32 + 2
 
 const (
 	bitProbed = 1 << iota
 	bitProbeDown
-	bitSilent
+	bitMissed
 	bitReported
 	bitShedding
 	bitWarming
@@ -42,7 +43,7 @@
 func (s Summary) flags() byte {
 	return flag(s.Probed, bitProbed) |
 		flag(s.ProbeDown, bitProbeDown) |
-		flag(s.Silent, bitSilent) |
+		flag(s.Misses > 0, bitMissed) |
 		flag(s.Reported, bitReported) |
 		flag(s.Shedding, bitShedding) |
 		flag(s.Warming, bitWarming)
@@ -55,10 +56,14 @@
 	return 0
 }
 
-// AppendTo appends the encoded summary to dst: 5 bytes, and 3 to 7 more with a report.
+// AppendTo appends the encoded summary to dst: 5 bytes, one more with misses, and 3 to 7 more with a
+// report.
 func (s Summary) AppendTo(dst []byte) []byte {
 	dst = binary.BigEndian.AppendUint32(dst, uint32(s.Target))
 	dst = append(dst, s.flags())
+	if s.Misses > 0 {
+		dst = append(dst, s.Misses)
+	}
 	if !s.Reported {
 		return dst
 	}
@@ -91,7 +96,6 @@
 		Target:    model.TargetID(binary.BigEndian.Uint32(b)),
 		Probed:    f&bitProbed != 0,
 		ProbeDown: f&bitProbeDown != 0,
-		Silent:    f&bitSilent != 0,
 		Reported:  f&bitReported != 0,
 		Shedding:  f&bitShedding != 0,
 		Warming:   f&bitWarming != 0,
@@ -99,11 +103,19 @@
 	if s.Target == 0 || f >= bitWarming<<1 {
 		return Summary{}, 0
 	}
+	at := 5
+	if f&bitMissed != 0 {
+		if len(b) == at || b[at] == 0 {
+			return Summary{}, 0
+		}
+		s.Misses = b[at]
+		at++
+	}
 	if !s.Reported {
-		return s, 5
+		return s, at
 	}
-	connections, n := binary.Uvarint(b[5:])
-	end := 5 + n + 2
+	connections, n := binary.Uvarint(b[at:])
+	end := at + n + 2
 	if n <= 0 || connections > 1<<32-1 || len(b) < end {
 		return Summary{}, 0
 	}
--- /dev/null
+++ b/internal/placementlab/run.go
@@ -0,0 +1,627 @@
+package placementlab
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/health"
+	"github.com/fireflypin/fireflypin/internal/retry"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+const (
+	// step is the resolution of virtual time.
+	step = 100 * time.Millisecond
+	// answerTime is the handshake time of a target that answers.
+	answerTime = time.Millisecond
+	// attemptTimeout is the time after which an owner gives up an unanswered attempt.
+	attemptTimeout = 700 * time.Millisecond
+	// coldSpeed is the speed of a cold target's slots.
+	coldSpeed = 0.25
+	ramp      = 30 * time.Second
+	// returnSteps is the number of steps over which flows of a lost zone come back.
+	returnSteps = float64(10 * time.Second / step)
+	// lingerTime is how long owners count the flows of a lost target, as the flow table's closing timeout.
+	lingerTime = time.Minute
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// owner is one daemon.
+type owner struct {
+	id      model.MachineID
+	zone    string
+	gone    bool
+	loads   *placement.LoadTable
+	view    placement.Loads
+	monitor *health.Monitor
+	policy  placement.Policy
+	budget  *retry.Budget
+}
+
+// backend is one target as it really is.
+type backend struct {
+	target *model.Target
+	// present is false before a target joins and after its zone is lost.
+	present bool
+	silent  bool
+	coldTo  time.Time
+	open    int
+	// rate is the sum of the request rates of its flows; backlog the slot time that waits.
+	rate    float64
+	backlog float64
+	offered float64
+	// attempts counts first attempts in the current second.
+	attempts int
+}
+
+// flowEnd is an entry of the heap of ends.
+type flowEnd struct {
+	at        time.Time
+	owner     *owner
+	backend   *backend
+	rate      float64
+	exception bool
+}
+
+type endHeap []flowEnd
+
+func (h endHeap) Len() int           { return len(h) }
+func (h endHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h endHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *endHeap) Push(x any)        { *h = append(*h, x.(flowEnd)) }
+func (h *endHeap) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
+// newFlow is a flow as it arrives.
+type newFlow struct {
+	hash model.FlowHash
+	life time.Duration
+	rate float64
+}
+
+// timeout is an attempt that the owner gives up at a time.
+type timeout struct {
+	at    time.Time
+	owner *owner
+	flow  newFlow
+	tried []model.TargetID
+}
+
+// heartbeat is a health section under way.
+type heartbeat struct {
+	at   time.Time
+	from *owner
+	body []byte
+}
+
+// run is the state of one run.
+type run struct {
+	sc        Scenario
+	candidate Candidate
+	// flowRand draws flows and serveRand requests, so that every policy meets the same flows.
+	flowRand, serveRand *rand.Rand
+	now                 time.Time
+	faultAt             time.Time
+	services            []*model.Service
+	table               *placement.ServiceTable
+	owners              []*owner
+	backends            map[model.TargetID]*backend
+	order               []*backend
+	ends                endHeap
+	// lingering are flows of lost targets that their owners still count.
+	lingering []flowEnd
+	timeouts  []timeout
+	beats     []heartbeat
+	due       float64
+	exception int
+	open      int
+
+	result   Result
+	flows    ratios
+	slots    ratios
+	shares   float64
+	samples  int
+	waits    []float64
+	attempts int
+}
+
+// Run carries out one run.
+func Run(sc Scenario, c Candidate) Result {
+	r := &run{
+		sc: sc, candidate: c, now: epoch, faultAt: epoch.Add(sc.Warmup),
+		flowRand:  rand.New(rand.NewPCG(sc.Seed, 11)),
+		serveRand: rand.New(rand.NewPCG(sc.Seed, 12)),
+		backends:  make(map[model.TargetID]*backend),
+		result: Result{
+			Workload: sc.Workload.Name, Fault: sc.Fault, Policy: c.Name, Seed: sc.Seed,
+			Refused: make(map[string]int), LostAfter: -1,
+		},
+	}
+	r.build()
+	for range sc.Workload.Open {
+		r.arrive()
+	}
+	end := r.faultAt.Add(sc.Measure)
+	for r.now.Before(end) {
+		r.step()
+	}
+	return r.finish()
+}
+
+func (r *run) build() {
+	targets := r.sc.Workload.Targets
+	if r.sc.Fault == Cold {
+		targets++
+	}
+	for i := range targets {
+		name := fmt.Sprintf("target-%02d", i)
+		t := &model.Target{
+			ID: model.TargetIDOf(name), Name: name, Service: "service",
+			Zone:   model.Zone{Region: "r", Name: r.zone(i)},
+			Weight: 1, MaxConnections: 2000, Slots: 3,
+			Report: netip.MustParseAddrPort("127.0.0.1:1"),
+		}
+		b := &backend{target: t, present: true}
+		r.backends[t.ID] = b
+		r.order = append(r.order, b)
+	}
+	if r.sc.Fault == Cold {
+		r.subject().present = false
+	}
+	for i := range r.sc.Owners {
+		l := placement.NewLoadTable()
+		l.SetOwners(r.sc.Owners)
+		o := &owner{
+			id: model.MachineID(i + 1), zone: r.zone(i), loads: l, view: l,
+			budget: retry.NewBudget(retry.BudgetConfig{}),
+		}
+		o.monitor = health.New(health.Config{}, o.id, l)
+		if r.candidate.Wrap != nil {
+			o.view = r.candidate.Wrap(l)
+		}
+		r.owners = append(r.owners, o)
+	}
+	r.publish()
+}
+
+func (r *run) zone(i int) string {
+	return string(rune('a' + i%r.sc.Zones))
+}
+
+// subject is the target that the fault is about.
+func (r *run) subject() *backend {
+	return r.order[len(r.order)-1]
+}
+
+// publish puts a new set of lists in force everywhere.
+func (r *run) publish() {
+	svc := &model.Service{Name: "service", Margin: r.sc.Workload.Margin, Ramp: ramp}
+	if svc.Margin == 0 {
+		svc.Margin = placement.DefaultMargin
+	}
+	if r.candidate.Margin > 0 {
+		svc.Margin = r.candidate.Margin
+	}
+	for _, b := range r.order {
+		if b.present || r.sc.Fault == LostZone {
+			svc.Targets = append(svc.Targets, b.target)
+		}
+	}
+	r.services = []*model.Service{svc}
+	table := placement.NewTable(model.NewSnapshot(model.Revisions{}, nil, nil, r.services, nil, nil))
+	r.table = table.Service(svc)
+	for _, o := range r.owners {
+		o.loads.SetTable(r.now, table)
+		o.policy = r.candidate.New(r.table)
+		o.monitor.SetTargets(r.services)
+	}
+	r.announceOwners()
+}
+
+func (r *run) announceOwners() {
+	live := make(map[string][]model.MachineID)
+	n := 0
+	for _, o := range r.owners {
+		if !o.gone {
+			live[o.zone] = append(live[o.zone], o.id)
+			n++
+		}
+	}
+	probers := func(z model.Zone) []model.MachineID {
+		if len(live[z.Name]) == 0 {
+			return live[r.zone(0)]
+		}
+		return live[z.Name]
+	}
+	for _, o := range r.owners {
+		o.loads.SetOwners(n)
+		o.monitor.SetLive(probers, n)
+	}
+}
+
+func (r *run) measuring() bool {
+	return !r.now.Before(r.faultAt)
+}
+
+func (r *run) step() {
+	r.now = r.now.Add(step)
+	if r.now.Equal(r.faultAt) {
+		r.fail()
+	}
+	r.endFlows()
+	r.expireAttempts()
+	r.arrivals()
+	r.serve()
+	r.deliver()
+	whole := r.now.Sub(epoch) % time.Second
+	if whole == 0 {
+		r.sample()
+	}
+	if r.now.Sub(epoch)%r.sc.ReportEvery == 0 {
+		r.probe()
+	}
+}
+
+// fail begins the fault.
+func (r *run) fail() {
+	b := r.subject()
+	switch r.sc.Fault {
+	case Lying:
+		b.silent = true
+	case Cold:
+		b.present = true
+		b.coldTo = r.now.Add(ramp)
+		r.publish()
+	case Drain:
+		leaving := *b.target
+		leaving.Leaving = true
+		b.target = &leaving
+		r.publish()
+	case LostZone:
+		r.loseZone(r.zone(r.sc.Zones - 1))
+	}
+}
+
+func (r *run) loseZone(zone string) {
+	lost := 0
+	for _, b := range r.order {
+		if b.target.Zone.Name == zone {
+			b.present = false
+			b.silent = true
+			lost += b.open
+		}
+	}
+	for _, o := range r.owners {
+		o.gone = o.gone || o.zone == zone
+	}
+	r.announceOwners()
+	kept := r.ends[:0]
+	for _, e := range r.ends {
+		if e.backend.present {
+			kept = append(kept, e)
+			continue
+		}
+		r.leave(e)
+		r.lingering = append(r.lingering, e)
+	}
+	r.ends = kept
+	heap.Init(&r.ends)
+	r.due += float64(lost)
+}
+
+func (r *run) endFlows() {
+	for len(r.ends) > 0 && !r.ends[0].at.After(r.now) {
+		e := heap.Pop(&r.ends).(flowEnd)
+		r.leave(e)
+		e.owner.loads.Closed(e.backend.target.ID)
+	}
+	if len(r.lingering) > 0 && r.now.Sub(r.faultAt) >= lingerTime {
+		for _, e := range r.lingering {
+			e.owner.loads.Closed(e.backend.target.ID)
+		}
+		r.lingering = nil
+	}
+}
+
+// enter adds a flow to its target.
+func (r *run) enter(e flowEnd) {
+	r.account(e, 1)
+	e.owner.loads.Opened(e.backend.target.ID)
+	heap.Push(&r.ends, e)
+}
+
+// leave takes a flow off its target.
+func (r *run) leave(e flowEnd) {
+	r.account(e, -1)
+}
+
+func (r *run) account(e flowEnd, n int) {
+	e.backend.open += n
+	e.backend.rate += float64(n) * e.rate
+	r.open += n
+	if e.exception {
+		r.exception += n
+	}
+}
+
+func (r *run) arrivals() {
+	w := r.sc.Workload
+	mean := w.NewPerSecond * step.Seconds()
+	since := r.now.Sub(r.faultAt)
+	if w.Burst > 0 && since > 0 && since <= w.BurstTime {
+		mean += float64(w.Burst) * step.Seconds() / w.BurstTime.Seconds()
+	}
+	// Flows of a lost zone come back over ten seconds.
+	back := min(r.due, math.Ceil(float64(w.Open)/returnSteps))
+	r.due -= back
+	for range poisson(r.flowRand, mean) + int(back) {
+		r.arrive()
+	}
+}
+
+func poisson(r *rand.Rand, mean float64) int {
+	if mean > 50 {
+		return max(int(math.Round(mean+math.Sqrt(mean)*r.NormFloat64())), 0)
+	}
+	limit, p := math.Exp(-mean), 1.0
+	for n := 0; ; n++ {
+		p *= r.Float64()
+		if p < limit {
+			return n
+		}
+	}
+}
+
+// arrive brings one new flow.
+func (r *run) arrive() {
+	f := newFlow{hash: model.FlowHash(r.flowRand.Uint64()), life: r.life(), rate: r.flowRate()}
+	o := r.ownerOf(f.hash)
+	o.budget.NewFlow()
+	if r.measuring() {
+		r.result.New++
+	}
+	r.attempt(o, f, nil)
+}
+
+func (r *run) ownerOf(h model.FlowHash) *owner {
+	for i := uint64(0); ; i++ {
+		o := r.owners[(uint64(h)>>17+i*uint64(h>>40))%uint64(len(r.owners))]
+		if !o.gone {
+			return o
+		}
+		if i > uint64(len(r.owners)) {
+			return r.owners[0]
+		}
+	}
+}
+
+// attempt places a flow and sends its SYN.
+func (r *run) attempt(o *owner, f newFlow, tried []model.TargetID) {
+	var seen placement.Loads = o.view
+	if len(tried) > 0 {
+		seen = placement.Except{Loads: o.view, Tried: tried}
+	}
+	t, kind := o.policy.Choose(r.now, f.hash, r.table, seen)
+	if kind != errkind.None {
+		if r.measuring() {
+			r.result.Refused[kind.String()]++
+		}
+		return
+	}
+	b := r.backends[t.ID]
+	b.attempts++
+	r.attempts++
+	if b.silent {
+		r.unanswered(o, f, b, tried)
+		return
+	}
+	o.loads.Answered(r.now, t.ID, answerTime)
+	e := flowEnd{
+		at: r.now.Add(f.life), owner: o, backend: b, rate: f.rate,
+		exception: t.ID != r.table.Default(f.hash).ID,
+	}
+	if e.exception && r.measuring() {
+		r.result.NewExceptions++
+	}
+	if r.sc.Fault == Drain && b == r.subject() && r.now.Sub(r.faultAt) >= 3*time.Second {
+		r.result.Late++
+	}
+	r.enter(e)
+}
+
+func (r *run) unanswered(o *owner, f newFlow, b *backend, tried []model.TargetID) {
+	if len(tried) == 0 {
+		r.result.Unanswered++
+	}
+	r.timeouts = append(r.timeouts, timeout{
+		at: r.now.Add(attemptTimeout), owner: o, flow: f,
+		tried: append(append([]model.TargetID{}, tried...), b.target.ID),
+	})
+}
+
+func (r *run) expireAttempts() {
+	var due []timeout
+	kept := r.timeouts[:0]
+	for _, t := range r.timeouts {
+		if t.at.After(r.now) {
+			kept = append(kept, t)
+			continue
+		}
+		due = append(due, t)
+	}
+	r.timeouts = kept
+	for _, t := range due {
+		t.owner.loads.Unanswered(r.now, t.tried[len(t.tried)-1])
+		if len(t.tried) < 3 && t.owner.budget.Take() {
+			r.attempt(t.owner, t.flow, t.tried)
+			continue
+		}
+		if r.measuring() {
+			r.result.Refused[errkind.AttemptTimedOut.String()]++
+		}
+	}
+}
+
+func (r *run) life() time.Duration {
+	w := r.sc.Workload
+	if w.LifeSpread == 0 {
+		return time.Duration(r.flowRand.ExpFloat64() * float64(w.Life))
+	}
+	return time.Duration(r.logNormal(w.LifeSpread) * float64(w.Life))
+}
+
+func (r *run) flowRate() float64 {
+	w := r.sc.Workload
+	return w.RequestRate * r.logNormal(w.RateSpread)
+}
+
+// logNormal returns a log-normal number with mean 1.
+func (r *run) logNormal(spread float64) float64 {
+	return math.Exp(spread*r.flowRand.NormFloat64() - spread*spread/2)
+}
+
+// serve runs the slots of every target for one step.
+func (r *run) serve() {
+	for _, b := range r.order {
+		speed := 1.0
+		if r.now.Before(b.coldTo) {
+			speed = coldSpeed
+		}
+		work := r.sc.Workload.RequestTime.Seconds() / speed
+		n := poisson(r.serveRand, b.rate*step.Seconds())
+		b.offered += float64(n) * work
+		b.backlog += float64(n) * work
+		room := float64(b.target.Slots) * step.Seconds()
+		if n > 0 && r.measuring() {
+			r.waits = append(r.waits, max(b.backlog-room, 0)/float64(b.target.Slots)*1000)
+		}
+		b.backlog = max(b.backlog-room, 0)
+	}
+}
+
+// probe makes the probes that are due, and sends their results.
+func (r *run) probe() {
+	for _, o := range r.owners {
+		if o.gone {
+			continue
+		}
+		for _, t := range o.monitor.Due(r.now, nil) {
+			o.monitor.HandleProbe(r.now, r.report(r.backends[t.ID]))
+		}
+		const sectionLimit = 400
+		body := o.monitor.AppendTo(r.now, nil, sectionLimit)
+		r.beats = append(r.beats, heartbeat{at: r.now.Add(r.sc.ReportLag), from: o, body: body})
+	}
+}
+
+func (r *run) report(b *backend) health.Result {
+	res := health.Result{Target: b.target.ID, OK: b.present}
+	res.Report = placement.Report{
+		Connections: b.open,
+		BusySlots:   min(int(math.Ceil(b.backlog/step.Seconds())), int(b.target.Slots)),
+	}
+	if b.silent {
+		res.Report = placement.Report{}
+	}
+	return res
+}
+
+// deliver hands over the heartbeats that arrive now and lets every monitor judge.
+func (r *run) deliver() {
+	kept := r.beats[:0]
+	for _, beat := range r.beats {
+		if beat.at.After(r.now) {
+			kept = append(kept, beat)
+			continue
+		}
+		sums, _ := health.DecodeSummaries(nil, beat.body)
+		for _, o := range r.owners {
+			if o != beat.from && !o.gone {
+				o.monitor.HandleSummaries(r.now, beat.from.id, sums)
+			}
+		}
+	}
+	r.beats = kept
+	for _, o := range r.owners {
+		if !o.gone {
+			o.monitor.Tick(r.now)
+		}
+	}
+}
+
+// sample measures once a second.
+func (r *run) sample() {
+	if !r.measuring() {
+		r.clear()
+		return
+	}
+	var open []float64
+	for _, b := range r.order {
+		if b.present && !b.silent && !b.target.Leaving {
+			open = append(open, float64(b.open))
+		}
+	}
+	r.flows.add(open)
+	r.shares += float64(r.exception) / math.Max(float64(r.open), 1)
+	r.samples++
+	r.sampleSubject()
+	if r.now.Sub(epoch)%(10*time.Second) == 0 {
+		r.sampleSlots()
+	}
+}
+
+func (r *run) clear() {
+	r.attempts = 0
+	for _, b := range r.order {
+		b.attempts = 0
+		b.offered = 0
+	}
+}
+
+func (r *run) sampleSlots() {
+	var slots []float64
+	for _, b := range r.order {
+		if b.present && !b.silent && !b.target.Leaving {
+			slots = append(slots, b.offered)
+		}
+		b.offered = 0
+	}
+	r.slots.add(slots)
+}
+
+// sampleSubject notes when the target of the fault has lost its new flows.
+func (r *run) sampleSubject() {
+	b := r.subject()
+	share := float64(r.attempts) / float64(len(r.order))
+	if r.result.LostAfter < 0 && float64(b.attempts) < 0.1*share {
+		r.result.LostAfter = r.now.Sub(r.faultAt).Seconds()
+	}
+	r.attempts = 0
+	b.attempts = 0
+}
+
+func (r *run) finish() Result {
+	res := r.result
+	res.FlowsMax = r.flows.maxMean()
+	res.FlowsP99 = r.flows.p99()
+	res.SlotsMax = r.slots.maxMean()
+	res.SlotsP99 = r.slots.p99()
+	res.Exceptions = r.shares / math.Max(float64(r.samples), 1)
+	res.NewExceptions /= r.sc.Measure.Seconds()
+	res.WaitP99 = quantile(r.waits, 0.99)
+	if r.sc.Fault != Lying && r.sc.Fault != Drain {
+		res.LostAfter = -1
+	}
+	return res
+}
--- a/placement/chosen.go
+++ b/placement/chosen.go
@@ -8,22 +8,28 @@
 	"github.com/fireflypin/fireflypin/model"
 )
 
+// DefaultMargin is the margin of a service that publishes none.
+const DefaultMargin = 0.05
+
 // ChosenConfig configures Chosen. Zero values take the defaults.
 type ChosenConfig struct {
-	// ReferenceShare is the number of open flows per target and owner at which the service's margin
-	// applies as published; default 1,000. The margin widens with the square root as the share shrinks.
+	// ReferenceShare is the number of open flows per target at which the service's margin applies as
+	// published; default 300. The margin widens with the square root as the share shrinks.
 	ReferenceShare float64
 	// MaxMargin bounds the widened margin, as a share of the mean; default 1.
 	MaxMargin float64
+	// ZoneMargin is added to the margin for a target outside the home zone, as a share of the mean;
+	// default 0.01.
+	ZoneMargin float64
 	// ReportWeight is the weight of a fresh load report against the owner's own count, 0 to 1;
-	// default 0.25. A negative value ignores reports.
+	// default 0.75. A negative value ignores reports.
 	ReportWeight float64
-	// ReportLifetime is the age at which a report counts half; default 2 s.
+	// ReportLifetime is the age at which a report counts half; default 10 s.
 	ReportLifetime time.Duration
 	// UnansweredLimit is the share of unanswered connection attempts from which a target is passed
 	// over while another can take the flow, 0 to 1; default 0.5.
 	UnansweredLimit float64
-	// SlowHandshake is the multiple of the zone's mean handshake time from which a target counts as
+	// SlowHandshake is the multiple of the other target's handshake time from which a target counts as
 	// loaded; default 4.
 	SlowHandshake float64
 	// LimitHeadroom widens an owner's share of a connection limit while no report is known; default 1.25.
@@ -32,16 +38,19 @@
 
 func (c ChosenConfig) withDefaults() ChosenConfig {
 	if c.ReferenceShare <= 0 {
-		c.ReferenceShare = 1000
+		c.ReferenceShare = 300
 	}
 	if c.MaxMargin <= 0 {
 		c.MaxMargin = 1
 	}
+	if c.ZoneMargin <= 0 {
+		c.ZoneMargin = 0.01
+	}
 	if c.ReportWeight == 0 {
-		c.ReportWeight = 0.25
+		c.ReportWeight = 0.75
 	}
 	if c.ReportLifetime <= 0 {
-		c.ReportLifetime = 2 * time.Second
+		c.ReportLifetime = 10 * time.Second
 	}
 	if c.UnansweredLimit <= 0 {
 		c.UnansweredLimit = 0.5
@@ -55,10 +64,10 @@
 	return c
 }
 
-// Chosen is the policy of the product. It takes the first two targets of the flow's order that can
-// take new flows and leaves the first for the second only when the first is ahead by the service's
-// margin. Owners that see the same stale report thus spread their flows over as many pairs as there
-// are targets, and none can draw more than two shares.
+// Chosen is the policy of the product. It compares the first two targets of the flow's home zone that
+// can take new flows, and the first of the other zones of its region, and leaves the first of them only
+// when it is ahead by the service's margin. Owners that see the same stale report thus spread their
+// flows over as many pairs as there are targets, and none can draw more than three shares.
 type Chosen struct {
 	cfg ChosenConfig
 }
@@ -76,19 +85,20 @@
 	ramp float64
 }
 
+// options are the targets that are compared for one flow; those that are missing have a nil target.
+type options struct {
+	first, second, outside option
+}
+
 // Choose implements Policy.
 func (c *Chosen) Choose(now time.Time, h model.FlowHash, st *ServiceTable, l Loads) (*model.Target, errkind.Kind) {
 	var scratch [stackTargets]*model.Target
 	order := st.Order(h, scratch[:0])
 	for _, pass := range passes {
-		first, second := c.firstTwo(now, h, order, st, l, pass)
-		if first.target == nil {
-			continue
-		}
-		if second.target != nil && c.prefersSecond(first, second, st, l) {
-			return second.target, errkind.None
+		o := c.options(now, h, order, st, l, pass)
+		if o.first.target != nil {
+			return c.best(now, &o, st, l), errkind.None
 		}
-		return first.target, errkind.None
 	}
 	return nil, c.refusal(now, order, l)
 }
@@ -105,24 +115,57 @@
 	{shedding: true, cold: true, unanswered: true},
 }
 
-// firstTwo returns the first two options of the order. Both lie in the same zone: a link between
-// zones costs more than an even spread gains.
-func (c *Chosen) firstTwo(now time.Time, h model.FlowHash, order []*model.Target, st *ServiceTable, l Loads, p pass) (first, second option) {
+// options walks over the order until nothing more can be found.
+func (c *Chosen) options(now time.Time, h model.FlowHash, order []*model.Target, st *ServiceTable, l Loads, p pass) options {
+	var found options
 	for _, t := range order {
-		if first.target != nil && t.Zone != first.target.Zone {
-			return first, second
+		outside := found.first.target != nil && t.Zone != found.first.target.Zone
+		if outside && t.Zone.Region != found.first.target.Zone.Region {
+			return found
 		}
-		o, ok := c.option(now, h, t, st, l, p)
-		if !ok {
+		if !outside && found.second.target != nil {
 			continue
 		}
-		if first.target == nil {
-			first = o
-			continue
+		o, ok := c.option(now, h, t, st, l, p)
+		switch {
+		case !ok:
+		case found.first.target == nil:
+			found.first = o
+		case outside:
+			found.outside = o
+			return found
+		default:
+			found.second = o
+		}
+	}
+	return found
+}
+
+// best returns the first option, or another one that is less loaded by more than the margin.
+func (c *Chosen) best(now time.Time, o *options, st *ServiceTable, l Loads) *model.Target {
+	if o.second.target == nil && o.outside.target == nil {
+		return o.first.target
+	}
+	m := st.means(now, l)
+	best, bestLoad := o.first, c.load(&o.first, m)
+	margin := c.margin(st.service.Margin, m, &o.first)
+	if c.draws(&o.second) {
+		if load := c.load(&o.second, m); bestLoad-load > margin {
+			best, bestLoad = o.second, load
+		}
+	}
+	if c.draws(&o.outside) {
+		if load := c.load(&o.outside, m); bestLoad-load > margin+c.cfg.ZoneMargin {
+			best = o.outside
 		}
-		return first, o
 	}
-	return first, second
+	return best.target
+}
+
+// draws reports whether a target may be preferred for being empty. A cold one may not, nor one whose
+// last attempt got no answer: a dead target looks empty too.
+func (c *Chosen) draws(o *option) bool {
+	return o.target != nil && o.ramp == 1 && !o.seen.Warming && o.seen.MissesInRow == 0
 }
 
 // option reports whether a target can take the flow in a pass.
@@ -179,55 +222,38 @@
 	return float64(o.Open) >= share
 }
 
-// prefersSecond reports whether the first option is ahead of the second by more than the margin.
-func (c *Chosen) prefersSecond(first, second option, st *ServiceTable, l Loads) bool {
-	if second.ramp < 1 || second.seen.Warming {
-		return false
-	}
-	mean := st.meanOpen(first.target.Zone, l)
-	ahead := c.relativeLoad(first, second, mean) - c.relativeLoad(second, first, mean)
-	return ahead > c.margin(st.service.Margin, mean)
-}
+// lossShare is the share of unanswered attempts that a lost packet may explain.
+const lossShare = 0.15
 
-// relativeLoad returns the load of o in means: the owner's own count, blended with the report.
-func (c *Chosen) relativeLoad(o, other option, mean float64) float64 {
+// load returns the load of a target in means: the owner's own count blended with the report, and an
+// addition for a target that answers slowly or leaves attempts unanswered.
+func (c *Chosen) load(o *option, m means) float64 {
 	weight := float64(max(o.target.Weight, 1))
-	own := float64(o.seen.Open) / weight / max(mean, 1)
-	trust := c.reportTrust(o.seen, other.seen)
-	if trust == 0 {
-		return own + c.slowness(o, other)
+	trust := c.trust(&o.seen)
+	own := float64(o.seen.Open) / weight / max(m.own, 1)
+	fleet := float64(o.seen.FleetOpen) / weight / max(m.fleet, 1)
+	load := own*(1-trust) + fleet*trust + max(o.seen.Unanswered-lossShare, 0)
+	if m.handshake > 0 && float64(o.seen.Handshake) > c.cfg.SlowHandshake*float64(m.handshake) {
+		load += c.cfg.MaxMargin
 	}
-	otherWeight := float64(max(other.target.Weight, 1))
-	fleet := float64(o.seen.FleetOpen) / weight
-	fleetMean := (fleet + float64(other.seen.FleetOpen)/otherWeight) / 2
-	return own*(1-trust) + trust*fleet/max(fleetMean, 1) + c.slowness(o, other)
+	return load
 }
 
-// reportTrust returns the weight of the reports of a pair of targets.
-func (c *Chosen) reportTrust(a, b Observation) float64 {
-	if !a.FleetKnown || !b.FleetKnown || c.cfg.ReportWeight < 0 {
+// trust returns the weight of a target's report.
+func (c *Chosen) trust(o *Observation) float64 {
+	if !o.FleetKnown || c.cfg.ReportWeight < 0 {
 		return 0
 	}
-	age := float64(max(a.ReportAge, b.ReportAge))
-	lifetime := float64(c.cfg.ReportLifetime)
-	return c.cfg.ReportWeight / (1 + age/lifetime)
-}
-
-// slowness returns an addition to the relative load for a target that answers much slower than the
-// other or leaves attempts unanswered.
-func (c *Chosen) slowness(o, other option) float64 {
-	add := o.seen.Unanswered
-	limit := time.Duration(c.cfg.SlowHandshake * float64(other.seen.Handshake))
-	if other.seen.Handshake > 0 && o.seen.Handshake > limit {
-		add += c.cfg.MaxMargin
-	}
-	return add
+	return c.cfg.ReportWeight / (1 + float64(o.ReportAge)/float64(c.cfg.ReportLifetime))
 }
 
-// margin returns the margin as a share of the mean, for a mean of own open flows per weight.
-func (c *Chosen) margin(published, mean float64) float64 {
-	widened := published * math.Sqrt(c.cfg.ReferenceShare/max(mean, 1))
-	return min(widened, c.cfg.MaxMargin)
+// margin returns the margin as a share of the mean. The fewer flows a share counts, the more of its
+// lead is chance, so the margin widens.
+func (c *Chosen) margin(published float64, m means, o *option) float64 {
+	trust := c.trust(&o.seen)
+	own := math.Sqrt(c.cfg.ReferenceShare / max(m.own, 1))
+	fleet := math.Sqrt(c.cfg.ReferenceShare / max(m.fleet, 1))
+	return min(published*(own*(1-trust)+fleet*trust), c.cfg.MaxMargin)
 }
 
 // refusal returns why no target can take a flow.
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -33,6 +33,8 @@
 	Warming   bool
 	// Unanswered is the share of recent connection attempts that got no answer, 0 to 1.
 	Unanswered float64
+	// MissesInRow is the number of attempts without an answer since the last answer.
+	MissesInRow int
 	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
 	Handshake time.Duration
 	// Since is the time at which the target joined; zero when it was there from the start.
@@ -69,8 +71,9 @@
 type Evidence struct {
 	// MissesInRow is the number of attempts without an answer since the last answer.
 	MissesInRow int
-	// LastAnswer is the time of the last answer; zero when there was none.
-	LastAnswer time.Time
+	// LastAnswer and LastMiss are the times of the last attempts with and without an answer; zero when
+	// there was none.
+	LastAnswer, LastMiss time.Time
 }
 
 type targetLoad struct {
@@ -173,7 +176,8 @@
 func (l *LoadTable) Answered(now time.Time, id model.TargetID, d time.Duration) {
 	l.with(id, func(t *targetLoad) {
 		t.noteAttempt(now, 0)
-		t.evidence = Evidence{LastAnswer: now}
+		t.evidence.MissesInRow = 0
+		t.evidence.LastAnswer = now
 		if t.handshake == 0 {
 			t.handshake = d
 			return
@@ -187,6 +191,7 @@
 	l.with(id, func(t *targetLoad) {
 		t.noteAttempt(now, 1)
 		t.evidence.MissesInRow++
+		t.evidence.LastMiss = now
 	})
 }
 
@@ -250,11 +255,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := Observation{
-		Open:       t.open,
-		Unanswered: t.unansweredAt(now),
-		Handshake:  t.handshake,
-		Since:      t.since,
-		Down:       t.down,
+		Open:        t.open,
+		Unanswered:  t.unansweredAt(now),
+		MissesInRow: t.evidence.MissesInRow,
+		Handshake:   t.handshake,
+		Since:       t.since,
+		Down:        t.down,
 	}
 	if t.report.At.IsZero() {
 		return o
--- /dev/null
+++ b/placement/means.go
@@ -0,0 +1,43 @@
+package placement
+
+import "time"
+
+// means are a service's mean loads over the targets that take new flows, per weight.
+type means struct {
+	// own counts the owner's open flows, fleet those of all owners as far as reports tell.
+	own, fleet float64
+	// handshake is the mean handshake time.
+	handshake time.Duration
+}
+
+// means adds up what is known of the service's targets.
+func (st *ServiceTable) means(now time.Time, l Loads) means {
+	var own, fleet, weight, fleetWeight float64
+	var handshake time.Duration
+	handshakes := 0
+	for i, t := range st.targets {
+		if t.Leaving {
+			continue
+		}
+		o := l.Observe(now, t.ID)
+		if o.Down {
+			continue
+		}
+		w := float64(st.candidates[i].weight)
+		own += float64(o.Open)
+		weight += w
+		if o.FleetKnown {
+			fleet += float64(o.FleetOpen)
+			fleetWeight += w
+		}
+		if o.Handshake > 0 {
+			handshake += o.Handshake
+			handshakes++
+		}
+	}
+	return means{
+		own:       own / max(weight, 1),
+		fleet:     fleet / max(fleetWeight, 1),
+		handshake: handshake / time.Duration(max(handshakes, 1)),
+	}
+}
--- a/placement/service_table.go
+++ b/placement/service_table.go
@@ -127,13 +127,14 @@
 }
 
 // HomeZones appends the flow's zones to buf in order of preference and returns it: the zone of the
-// default target, the other zones with targets in the order of their best target, then zones that
-// have only entry VMs. It allocates nothing when buf is large enough and the service has at most
+// default target, the other zones of its region with targets in the order of their best target, those
+// of other regions, then zones that have only entry VMs. It allocates nothing when buf is large enough and the service has at most
 // 64 targets in at most 16 zones.
 func (st *ServiceTable) HomeZones(h model.FlowHash, buf []model.Zone) []model.Zone {
 	var zoneScratch [stackZones]score
 	best := st.bestOfZones(h, zoneScratch[:0])
 	insertionSort(best, (*score).before)
+	st.nearFirst(best)
 	for _, s := range best {
 		buf = append(buf, st.zones[s.zone])
 	}
@@ -161,9 +162,19 @@
 	}
 	var zoneScratch [stackZones]score
 	best := st.bestOfZones(h, zoneScratch[:0])
+	insertionSort(best, (*score).before)
+	st.nearFirst(best)
+	var rank [stackZones]int32
+	ranks := rank[:0]
+	for range best {
+		ranks = append(ranks, 0)
+	}
+	for i, b := range best {
+		ranks[b.zone] = int32(i)
+	}
 	insertionSort(scores, func(a, b *score) bool {
 		if a.zone != b.zone {
-			return best[a.zone].before(&best[b.zone])
+			return ranks[a.zone] < ranks[b.zone]
 		}
 		return a.before(b)
 	})
@@ -181,6 +192,18 @@
 	return slices.IndexFunc(order, func(t *model.Target) bool { return t.ID == id })
 }
 
+// nearFirst moves the zones of the first one's region before those of other regions and keeps their
+// order otherwise.
+func (st *ServiceTable) nearFirst(zones []score) {
+	if len(zones) == 0 {
+		return
+	}
+	home := st.zones[zones[0].zone].Region
+	insertionSort(zones, func(a, b *score) bool {
+		return st.zones[a.zone].Region == home && st.zones[b.zone].Region != home
+	})
+}
+
 func (st *ServiceTable) score(h model.FlowHash, i int) score {
 	c := &st.candidates[i]
 	hash := mix(uint64(h), c.seed)
