--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -93,6 +93,17 @@
 	return e, ok
 }
 
+// Identify writes the ends of a flow that was known from a log alone.
+func (t *Table) Identify(h model.FlowHash, caller, service Endpoint) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.flows[h]; ok {
+		e.Caller, e.Service = caller, service
+		s.flows[h] = e
+	}
+}
+
 // SetException notes whether the owner's log names the flow.
 func (t *Table) SetException(h model.FlowHash, exception bool) {
 	s := &t.shards[shardIndex(h)]
@@ -111,14 +122,17 @@
 }
 
 // Expire forgets the flows of one shard that were silent for longer than their state allows. Calls
-// with a counter that grows by one visit every shard in turn.
-func (t *Table) Expire(now time.Time, turn uint64) []Expired {
+// with a counter that grows by one visit every shard in turn. With keepOpen, open flows stay.
+func (t *Table) Expire(now time.Time, turn uint64, keepOpen bool) []Expired {
 	s := &t.shards[turn%shardCount]
 	ms := t.millis(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var gone []Expired
 	for h, e := range s.flows {
+		if keepOpen && e.State == StateOpen {
+			continue
+		}
 		if ms-e.LastSeen > t.cfg.timeout(e.State) {
 			gone = append(gone, Expired{Hash: h, Entry: e})
 			delete(s.flows, h)
