Try forecasts of load reports against the last one (trials)

Holt's double exponential smoothing with constants fitted backwards (Neves, Ochi, Albuquerque, Optimization Letters, DOI 10.1007/s11590-014-0770-6, section 3.2) against the last report, the mean of five and the product's correction by the owner's own flows.

--- a/internal/placementlab/trial_test.go
+++ b/internal/placementlab/trial_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/fireflypin/fireflypin/placement"
 )
@@ -61,3 +62,38 @@
 	}
 	wg.Wait()
 }
+
+func TestForecastTrial(t *testing.T) {
+	var wg sync.WaitGroup
+	sem := make(chan int, 6)
+	const seeds = 5
+	for _, period := range []time.Duration{time.Second, 5 * time.Second} {
+		for _, weight := range []float64{0.75, 1} {
+			for _, w := range Workloads {
+				for _, f := range []Fault{Healthy, Cold, Drain} {
+					for _, c := range Forecasts(period, weight) {
+						wg.Go(func() {
+							var fm, sm, e, p99 float64
+							var all []string
+							for seed := range uint64(seeds) {
+								sc := NewScenario(w, f, seed+1)
+								sc.ReportEvery = period
+								sc.ReportLag = time.Second
+								sem <- 1
+								r := Run(sc, c)
+								<-sem
+								fm += r.FlowsMax / seeds
+								p99 += r.FlowsP99 / seeds
+								sm += r.SlotsMax / seeds
+								e += r.Exceptions / seeds
+								all = append(all, fmt.Sprintf("%.4f", r.FlowsMax))
+							}
+							fmt.Printf("FC %v w%.2f %-16s %-8s %-9s fmax %.4f p99 %.4f smax %.3f exc %.3f  %v\n", period, weight, w.Name, f, c.Name, fm, p99, sm, e, all)
+						})
+					}
+				}
+			}
+		}
+	}
+	wg.Wait()
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -25,6 +25,8 @@
 	// FleetOpen estimates the open flows of all owners; valid while FleetKnown.
 	FleetOpen  int
 	FleetKnown bool
+	// Reported is the number of connections of the last report itself; valid while FleetKnown.
+	Reported int
 	// ReportAge is the time since the report was read; valid while FleetKnown.
 	ReportAge time.Duration
 	// BusySlots is the reported number of busy slots; valid while FleetKnown.
@@ -268,6 +270,7 @@
 	o.FleetKnown = true
 	o.ReportAge = max(now.Sub(t.report.At), 0)
 	o.FleetOpen = t.fleetOpen(owners)
+	o.Reported = t.report.Connections
 	o.BusySlots = t.report.BusySlots
 	o.Shedding = t.report.Shedding
 	o.Warming = t.report.Warming
