--- a/cmd/fireflypind/main.go
+++ b/cmd/fireflypind/main.go
@@ -13,20 +13,15 @@
 	"syscall"
 	"time"
 
-	"github.com/samber/do/v2"
 	"github.com/urfave/cli/v3"
 
 	"github.com/fireflypin/fireflypin/internal/daemon"
-	"github.com/fireflypin/fireflypin/internal/ops"
 	"github.com/fireflypin/fireflypin/internal/settings"
 )
 
 const (
 	exitFailed = 1
 	exitUsage  = 2
-
-	// opsShutdownTimeout bounds the wait for operators' requests under way.
-	opsShutdownTimeout = time.Second
 )
 
 // errUsage marks faults of the settings or the command line.
@@ -72,17 +67,9 @@
 	if err != nil {
 		return errors.Join(errUsage, err)
 	}
-	injector := daemon.Wire(daemon.Options{Settings: s, LogTo: os.Stderr, Now: time.Now()})
-	d, err := do.Invoke[*daemon.Daemon](injector)
+	p, err := daemon.NewProcess(daemon.Options{Settings: s, LogTo: os.Stderr, Now: time.Now()})
 	if err != nil {
 		return errors.Join(errUsage, err)
 	}
-	server := do.MustInvoke[*ops.Server](injector)
-	if err := server.Listen(); err != nil {
-		return err
-	}
-	err = d.Run(ctx)
-	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), opsShutdownTimeout)
-	defer cancel()
-	return errors.Join(err, server.Shutdown(shutdownCtx))
+	return p.Run(ctx)
 }
--- a/core/action.go
+++ b/core/action.go
@@ -51,6 +51,12 @@
 	ReasonLeaving  ReadyReason = "leaving"
 )
 
+// PeerSection is a section of a peer's heartbeat for another module.
+type PeerSection struct {
+	From    *model.EntryVM
+	Section wire.Section
+}
+
 // Outdated tells that peers know a newer incarnation of this machine; this process must end.
 type Outdated struct {
 	Newest uint64
@@ -61,4 +67,5 @@
 func (MemberChanged) isAction()  {}
 func (ZoneChanged) isAction()    {}
 func (ReadyChanged) isAction()   {}
+func (PeerSection) isAction()    {}
 func (Outdated) isAction()       {}
--- a/core/config.go
+++ b/core/config.go
@@ -8,6 +8,7 @@
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/placement"
 )
@@ -51,6 +52,9 @@
 	Log  flow.LogConfig
 	// Members sets failure detection; its Self, Zone, Incarnation and Rand are filled in.
 	Members membership.Config
+	// Sections returns what other modules add to each regular heartbeat. It may not call the engine.
+	// Default: nothing.
+	Sections func() []wire.Section
 	// Policy chooses the targets of new flows. Default placement.Chosen.
 	Policy placement.Policy
 	// Limits bounds customers' flows. Default: no bounds.
@@ -86,6 +90,9 @@
 	if c.Policy == nil {
 		c.Policy = placement.NewChosen(placement.ChosenConfig{})
 	}
+	if c.Sections == nil {
+		c.Sections = func() []wire.Section { return nil }
+	}
 	if c.Limits == nil {
 		c.Limits = noLimits{}
 	}
@@ -106,8 +113,9 @@
 
 // Admitter decides who may use what. It belongs to one set of lists and is immutable.
 type Admitter interface {
-	// Admit returns errkind.None, or NoSuchService, UnknownCustomer or PlanForbids.
-	Admit(caller netip.Addr, service netip.AddrPort) (Admission, errkind.Kind)
+	// Admit returns errkind.None with the customer and the service, or NoSuchService, UnknownCustomer or
+	// PlanForbids.
+	Admit(caller netip.Addr, service netip.AddrPort) (*model.Customer, *model.Service, errkind.Kind)
 }
 
 // Limits bounds what customers use. It must be safe for concurrent use.
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -92,12 +92,12 @@
 
 type allowAll struct{ s *model.Snapshot }
 
-func (a allowAll) Admit(_ netip.Addr, service netip.AddrPort) (Admission, errkind.Kind) {
+func (a allowAll) Admit(_ netip.Addr, service netip.AddrPort) (*model.Customer, *model.Service, errkind.Kind) {
 	svc := a.s.ServiceAt(service)
 	if svc == nil {
-		return Admission{}, errkind.NoSuchService
+		return nil, nil, errkind.NoSuchService
 	}
-	return Admission{Customer: a.s.Customers[0], Service: svc}, errkind.None
+	return a.s.Customers[0], svc, errkind.None
 }
 
 func newFleet(t testing.TB, seed uint64, lists *model.Snapshot) *fleet {
--- a/core/owner.go
+++ b/core/owner.go
@@ -55,10 +55,11 @@
 		}
 		e.forget(a.hash)
 	}
-	ad, kind := w.admitter.Admit(a.meta.Src.Addr(), a.meta.Dst)
+	customer, service, kind := w.admitter.Admit(a.meta.Src.Addr(), a.meta.Dst)
 	if kind != errkind.None {
 		return e.refuse(kind, a)
 	}
+	ad := Admission{Customer: customer, Service: service}
 	if kind := e.limits.Open(a.now, ad); kind != errkind.None {
 		return e.refuse(kind, a)
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
@@ -53,7 +56,19 @@
 	actions := e.members.HandleHeartbeat(now, membership.Heartbeat{
 		From: env.Sender, Incarnation: env.Incarnation, Message: &hb,
 	})
-	return e.handleMembers(now, actions), errkind.None
+	out := e.handleMembers(now, actions)
+	return append(out, e.peerSections(env.Sender, hb.Sections)...), errkind.None
+}
+
+// peerSections passes the sections of a published peer's heartbeat on; their data outlives the datagram.
+func (e *Engine) peerSections(from model.MachineID, sections []wire.Section) []Action {
+	m, ok := e.members.View().Member(from)
+	if !ok {
+		return nil
+	}
+	return lo.Map(sections, func(s wire.Section, _ int) Action {
+		return PeerSection{From: m.Entry, Section: wire.Section{ID: s.ID, Data: slices.Clone(s.Data)}}
+	})
 }
 
 func (e *Engine) handleBatch(now time.Time, env wire.Envelope, message []byte) errkind.Kind {
--- a/core/tick.go
+++ b/core/tick.go
@@ -72,6 +72,9 @@
 }
 
 func (e *Engine) heartbeats(a membership.SendHeartbeat) []Action {
+	if a.Regular {
+		a.Heartbeat.Sections = e.cfg.Sections()
+	}
 	body := a.Heartbeat.AppendTo(nil)
 	out := make([]Action, 0, len(a.To))
 	for _, to := range a.To {
--- /dev/null
+++ b/internal/bulk/bulk_test.go
@@ -0,0 +1,170 @@
+package bulk
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/bulk/bulkpb"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+type fakeLogs []flow.Snapshot
+
+func (f fakeLogs) Snapshots(all bool) []flow.Snapshot {
+	if all {
+		return f
+	}
+	return f[:1]
+}
+
+type fakeLists struct{ doc *platform.Document }
+
+func (f fakeLists) Digest() platform.Digest {
+	return platform.Digest{lists.KindPlans: f.doc.Version}
+}
+
+func (f fakeLists) Document(kind lists.Kind) *platform.Document {
+	if kind != lists.KindPlans {
+		return nil
+	}
+	return f.doc
+}
+
+func snapshotOf(owner model.MachineID, records int) flow.Snapshot {
+	s := flow.Snapshot{Owner: owner, Incarnation: 7, NextSeq: 99, Generation: model.Generation{Plans: 3, Machines: 4}}
+	for i := range records {
+		s.Exceptions = append(s.Exceptions, wire.Record{Hash: model.FlowHash(i) << 32, Target: model.TargetID(i)})
+	}
+	return s
+}
+
+// authority signs certificates of daemons.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+func newAuthority() authority {
+	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, _ := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	cert, _ := x509.ParseCertificate(der)
+	return authority{cert: cert, key: key}
+}
+
+func (a authority) config() *tls.Config {
+	key, _ := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	template := &x509.Certificate{SerialNumber: big.NewInt(2), NotAfter: time.Now().Add(time.Hour)}
+	der, _ := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	pool := x509.NewCertPool()
+	pool.AddCert(a.cert)
+	return configOf(tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}, pool)
+}
+
+// serve starts a server on loopback and returns it as an entry VM.
+func serve(t *testing.T, logs Logs, holder ListHolder, config *tls.Config) *model.EntryVM {
+	s := NewServer(logs, holder, config)
+	if err := s.Listen(netip.MustParseAddrPort("127.0.0.1:0")); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return &model.EntryVM{Name: "entry-a", Bulk: s.Addr()}
+}
+
+func TestCalls(t *testing.T) {
+	logs := fakeLogs{snapshotOf(1, 3*chunkRecords+1), snapshotOf(2, 0)}
+	body := []byte("kind: plans\nrevision: 5\n")
+	holder := fakeLists{&platform.Document{Kind: lists.KindPlans, Version: platform.VersionOf(5, body), Body: body}}
+	a := newAuthority()
+	for name, configs := range map[string][2]*tls.Config{
+		"in the clear":                       {nil, nil},
+		"with certificates of one authority": {a.config(), a.config()},
+	} {
+		Convey("Calls "+name+" bring what the peer holds", t, func() {
+			peer := serve(t, logs, holder, configs[0])
+			c := NewClient(configs[1])
+			ctx := context.Background()
+			one, err := c.FetchSnapshots(ctx, peer, false)
+			So(err, ShouldBeNil)
+			So(one, ShouldResemble, []flow.Snapshot{logs[0]})
+			all, err := c.FetchSnapshots(ctx, peer, true)
+			So(err, ShouldBeNil)
+			So(all, ShouldResemble, []flow.Snapshot(logs))
+			digest, err := c.ListDigest(ctx, peer.Bulk)
+			So(err, ShouldBeNil)
+			So(digest, ShouldResemble, holder.Digest())
+			version, got, err := c.ListBody(ctx, peer.Bulk, lists.KindPlans)
+			So(err, ShouldBeNil)
+			So(version, ShouldResemble, holder.doc.Version)
+			So(got, ShouldResemble, body)
+			_, _, err = c.ListBody(ctx, peer.Bulk, lists.KindMachines)
+			So(err, ShouldNotBeNil)
+		})
+	}
+}
+
+func TestStrangersAreRefused(t *testing.T) {
+	ours, theirs := newAuthority(), newAuthority()
+	for name, config := range map[string]*tls.Config{
+		"of another authority":     theirs.config(),
+		"without a certificate":    {InsecureSkipVerify: true},
+		"that speaks in the clear": nil,
+	} {
+		Convey("A caller "+name+" gets nothing", t, func() {
+			peer := serve(t, fakeLogs{snapshotOf(1, 1)}, fakeLists{}, ours.config())
+			_, err := NewClient(config).FetchSnapshots(context.Background(), peer, false)
+			So(err, ShouldNotBeNil)
+		})
+	}
+	Convey("A caller does not trust a server of another authority", t, func() {
+		peer := serve(t, fakeLogs{snapshotOf(1, 1)}, fakeLists{}, theirs.config())
+		_, err := NewClient(ours.config()).FetchSnapshots(context.Background(), peer, false)
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func TestBrokenStreams(t *testing.T) {
+	whole := chunksOf(snapshotOf(1, chunkRecords+1))
+	cases := []struct {
+		name   string
+		chunks []*bulkpb.SnapshotChunk
+		sound  bool
+	}{
+		{"whole", whole, true},
+		{"ended early", whole[:1], false},
+		{"mixed with another log", append(whole[:1:1], chunksOf(snapshotOf(2, 1))...), false},
+		{"with uneven columns", []*bulkpb.SnapshotChunk{{Owner: 1, Hashes: []uint64{1}, Last: true}}, false},
+	}
+	for _, c := range cases {
+		Convey("A stream that is "+c.name, t, func() {
+			var a assembler
+			var err error
+			for _, chunk := range c.chunks {
+				if err == nil {
+					err = a.add(chunk)
+				}
+			}
+			if err == nil {
+				_, err = a.finish()
+			}
+			So(err == nil, ShouldEqual, c.sound)
+		})
+	}
+}
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/model"
 )
 
@@ -25,12 +28,32 @@
 		case core.ReadyChanged:
 			d.ready.Store(a.Ready)
 			d.log.Info("readiness changed", "op", "ready", "event", string(a.Reason), "ready", a.Ready)
+		case core.PeerSection:
+			d.handleSection(a)
 		case core.Outdated:
 			d.noteOutdated(a.Newest)
 		}
 	}
 }
 
+// sections returns what the daemon's modules add to a heartbeat.
+func (d *Daemon) sections() []wire.Section {
+	return []wire.Section{{ID: wire.SectionLists, Data: d.lists.Digest().AppendTo(nil)}}
+}
+
+// handleSection hands a section of a peer's heartbeat to its module.
+func (d *Daemon) handleSection(a core.PeerSection) {
+	if a.Section.ID != wire.SectionLists {
+		return
+	}
+	digest, ok := platform.DecodeDigest(a.Section.Data)
+	if !ok {
+		d.metrics.kinds.Add(errkind.PeerMalformed, 1)
+		return
+	}
+	d.lists.HandleDigest(a.From.Bulk, digest)
+}
+
 func (d *Daemon) noteOutdated(newest uint64) {
 	select {
 	case d.outdated <- newest:
@@ -42,7 +65,7 @@
 func (d *Daemon) fetch(from *model.EntryVM, all bool) {
 	ctx, cancel := context.WithTimeout(d.tasksCtx, fetchTimeout)
 	defer cancel()
-	snapshots, err := d.bulk.FetchSnapshots(ctx, from, all)
+	snapshots, err := d.calls.FetchSnapshots(ctx, from, all)
 	if err != nil {
 		d.metrics.fetchErrors.Inc(1)
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"runtime"
 	"sync/atomic"
 	"time"
@@ -13,8 +14,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/admission"
+	"github.com/fireflypin/fireflypin/internal/bulk"
 	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -40,8 +45,14 @@
 
 // Lists is where the published lists come from.
 type Lists interface {
-	// Run calls adopt for every set of lists that may come into force, until ctx ends.
+	// Run calls adopt for every set of lists that comes into force, until ctx ends.
 	Run(ctx context.Context, adopt func(*model.Snapshot)) error
+	// ListHolder tells peers what is held.
+	bulk.ListHolder
+	// HandleDigest takes the versions that a peer holds. The peer is named by its bulk address.
+	HandleDigest(peer netip.AddrPort, d platform.Digest)
+	// Status returns what operators see of the lists.
+	Status() platform.Status
 }
 
 // Deps are the modules that a Daemon works with.
@@ -62,7 +73,7 @@
 	settings *settings.Settings
 	self     model.MachineID
 	network  udpio.Network
-	bulk     Bulk
+	calls    Bulk
 	lists    Lists
 	keys     wire.KeyringProvider
 	log      *log.Logger
@@ -88,7 +99,7 @@
 		settings:    s,
 		self:        self,
 		network:     deps.Network,
-		bulk:        deps.Bulk,
+		calls:       deps.Bulk,
 		lists:       deps.Lists,
 		keys:        deps.Keys,
 		log:         deps.Log,
@@ -106,6 +117,8 @@
 		Epoch:       deps.Now,
 		LogInterval: s.LogBatchInterval,
 		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
+		Members:     membership.Config{HeartbeatInterval: s.HeartbeatInterval},
+		Sections:    d.sections,
 	})
 	return d
 }
@@ -225,7 +238,7 @@
 }
 
 func (d *Daemon) adopt(s *model.Snapshot) {
-	actions, taken := d.engine.HandleLists(time.Now(), s, newAdmitter(s))
+	actions, taken := d.engine.HandleLists(time.Now(), s, admission.NewTable(s))
 	if !taken {
 		return
 	}
--- /dev/null
+++ b/internal/daemon/process.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/samber/do/v2"
+
+	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/ops"
+)
+
+// opsShutdownTimeout bounds the wait for operators' requests under way.
+const opsShutdownTimeout = time.Second
+
+// Process is a daemon with the servers that belong to it.
+type Process struct {
+	Daemon *Daemon
+	Ops    *ops.Server
+	bulk   *bulk.Server
+}
+
+// NewProcess builds all modules of a process; nothing is opened yet.
+func NewProcess(o Options) (*Process, error) {
+	i := Wire(o)
+	d, err := do.Invoke[*Daemon](i)
+	if err != nil {
+		return nil, err
+	}
+	return &Process{
+		Daemon: d,
+		Ops:    do.MustInvoke[*ops.Server](i),
+		bulk:   do.MustInvoke[*bulk.Server](i),
+	}, nil
+}
+
+// Run serves until ctx ends and returns after the graceful stop.
+func (p *Process) Run(ctx context.Context) error {
+	if err := p.bulk.Listen(p.Daemon.settings.Bulk); err != nil {
+		return err
+	}
+	defer p.bulk.Close()
+	if err := p.Ops.Listen(); err != nil {
+		return err
+	}
+	err := p.Daemon.Run(ctx)
+	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), opsShutdownTimeout)
+	defer cancel()
+	return errors.Join(err, p.Ops.Shutdown(shutdownCtx))
+}
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -1,70 +1,65 @@
 package daemon
 
 import (
-	"context"
-	"errors"
-	"fmt"
-	"os"
+	"crypto/tls"
+	"math/rand/v2"
 
+	"github.com/charmbracelet/log"
 	"github.com/samber/do/v2"
 
-	"github.com/fireflypin/fireflypin/internal/flow"
-	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/model"
 )
 
-// fileLists reads the lists from local files once.
-type fileLists struct {
-	paths settings.Lists
-}
-
+// newLists returns the reader of the platform's service or of local files.
 func newLists(i do.Injector) (Lists, error) {
-	s := do.MustInvoke[*settings.Settings](i)
+	peers, err := do.Invoke[*bulk.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	o := do.MustInvoke[Options](i)
+	s := o.Settings
+	seed := uint64(model.MachineIDOf(s.Name))
+	cfg := platform.ClientConfig{
+		Reader: platform.Config{
+			Self:           s.Bulk,
+			Rand:           rand.New(rand.NewPCG(seed, uint64(o.Now.UnixNano()))),
+			WatchWait:      s.Platform.WatchWait,
+			CallsPerSecond: s.Platform.CallsPerSecond,
+			CallBurst:      s.Platform.CallBurst,
+		},
+		Files:       filesOf(s),
+		Peers:       peers,
+		CallTimeout: s.Platform.CallTimeout,
+		Log:         do.MustInvoke[*log.Logger](i),
+		Metrics:     platform.NewMetrics(do.MustInvoke[*metrics.Set](i)),
+	}
 	if s.UsesPlatform() {
-		return nil, errors.New("reading from the platform is not wired yet")
+		cfg.Platform = platform.NewHTTP(s.Platform.URL)
 	}
-	return fileLists{paths: s.Lists}, nil
+	return platform.NewClient(cfg), nil
 }
 
-// Run implements Lists.
-func (f fileLists) Run(ctx context.Context, adopt func(*model.Snapshot)) error {
-	s, err := f.read()
-	if err != nil {
-		return err
-	}
-	adopt(s)
-	<-ctx.Done()
-	return nil
+func filesOf(s *settings.Settings) [3]string {
+	return [3]string{s.Lists.Customers, s.Lists.Plans, s.Lists.Machines}
 }
 
-func (f fileLists) read() (*model.Snapshot, error) {
-	var docs lists.Documents
-	for _, d := range []struct {
-		path string
-		into *lists.Document
-	}{
-		{f.paths.Customers, &docs.Customers},
-		{f.paths.Plans, &docs.Plans},
-		{f.paths.Machines, &docs.Machines},
-	} {
-		data, err := os.ReadFile(d.path)
-		if err != nil {
-			return nil, fmt.Errorf("read list: %w", err)
-		}
-		*d.into = lists.Document{Name: d.path, Data: data}
+// newTLS returns the config of calls between daemons; nil where the settings name no certificate.
+func newTLS(i do.Injector) (*tls.Config, error) {
+	files := do.MustInvoke[*settings.Settings](i).TLS
+	if files.CertFile == "" {
+		return nil, nil
 	}
-	return lists.Parse(docs)
-}
-
-// noBulk refuses every request.
-type noBulk struct{}
-
-func newBulk(do.Injector) (Bulk, error) {
-	return noBulk{}, nil
+	return bulk.LoadTLS(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
 }
 
-// FetchSnapshots implements Bulk.
-func (noBulk) FetchSnapshots(context.Context, *model.EntryVM, bool) ([]flow.Snapshot, error) {
-	return nil, errors.New("calls between daemons are not wired yet")
+func newBulk(i do.Injector) (*bulk.Client, error) {
+	config, err := do.Invoke[*tls.Config](i)
+	if err != nil {
+		return nil, err
+	}
+	return bulk.NewClient(config), nil
 }
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"crypto/tls"
 	"fmt"
 	"io"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/do/v2"
 
+	"github.com/fireflypin/fireflypin/internal/bulk"
 	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/ops"
 	"github.com/fireflypin/fireflypin/internal/settings"
@@ -35,7 +37,9 @@
 	do.Provide(i, newLogger)
 	do.Provide(i, newNetwork)
 	do.Provide(i, newKeys)
+	do.Provide(i, newTLS)
 	do.Provide(i, newBulk)
+	do.Provide(i, newBulkServer)
 	do.Provide(i, newLists)
 	do.Provide(i, newDaemon)
 	do.Provide(i, newOps)
@@ -89,7 +93,7 @@
 
 func newDaemon(i do.Injector) (*Daemon, error) {
 	o := do.MustInvoke[Options](i)
-	bulk, err := do.Invoke[Bulk](i)
+	client, err := do.Invoke[*bulk.Client](i)
 	if err != nil {
 		return nil, err
 	}
@@ -104,7 +108,7 @@
 	d := New(Deps{
 		Settings: o.Settings,
 		Network:  do.MustInvoke[udpio.Network](i),
-		Bulk:     bulk,
+		Bulk:     client,
 		Lists:    lists,
 		Keys:     keys,
 		Metrics:  do.MustInvoke[*metrics.Set](i),
@@ -115,6 +119,15 @@
 	return d, nil
 }
 
+// newBulkServer returns the server for calls of other daemons.
+func newBulkServer(i do.Injector) (*bulk.Server, error) {
+	d, err := do.Invoke[*Daemon](i)
+	if err != nil {
+		return nil, err
+	}
+	return bulk.NewServer(d.engine, d.lists, do.MustInvoke[*tls.Config](i)), nil
+}
+
 func newOps(i do.Injector) (*ops.Server, error) {
 	d, err := do.Invoke[*Daemon](i)
 	if err != nil {
