--- a/internal/bench/bench_test.go
+++ b/internal/bench/bench_test.go
@@ -109,3 +109,15 @@
 		So(string(data), ShouldContainSubstring, "<svg")
 	})
 }
+
+func TestImbalanceWhileTargetsJoin(t *testing.T) {
+	Convey("A target that joins later counts from then on", t, func() {
+		got := imbalanceOf("s", []ServiceSample{
+			{Open: 4, FlowsMaxOverMean: 1, busy: []int{2, 2}},
+			{Open: 6, FlowsMaxOverMean: 2, busy: []int{2, 2, 1}},
+		})
+		So(got.FlowsMean, ShouldEqual, 1.5)
+		So(got.FlowsWorst, ShouldEqual, 2)
+		So(got.BusyMaxOverMean, ShouldEqual, 4.0/3)
+	})
+}
--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -135,7 +135,7 @@
 	loaded := lo.Filter(series, func(s ServiceSample, _ int) bool { return s.Open > 0 })
 	flows := lo.Map(loaded, func(s ServiceSample, _ int) float64 { return s.FlowsMaxOverMean })
 	reported := lo.Map(loaded, func(s ServiceSample, _ int) float64 { return s.ReportedMaxOverMean })
-	busy := make([]int, len(series[0].busy))
+	busy := make([]int, len(series[len(series)-1].busy))
 	for _, s := range series {
 		for i, n := range s.busy {
 			busy[i] += n
--- a/internal/scenario/site.go
+++ b/internal/scenario/site.go
@@ -41,6 +41,7 @@
 	platform map[string]*standin.Platform // by zone
 	urls     map[string]string            // of the platform, by zone
 	servers  []*http.Server
+	ports    map[netip.AddrPort]bool // given to daemons
 
 	mu        sync.Mutex
 	published *Published
@@ -75,6 +76,7 @@
 		seed:     seed,
 		platform: make(map[string]*standin.Platform),
 		urls:     make(map[string]string),
+		ports:    make(map[netip.AddrPort]bool),
 		dead:     make(map[string]bool),
 		current:  make(map[standin.ListName][]byte),
 	}
@@ -264,7 +266,7 @@
 		e := EntryPlan{Name: fmt.Sprintf("e%d", i+1), Region: s.Scenario.Region, Zone: s.Scenario.zoneOf(i)}
 		for _, a := range []*netip.AddrPort{&e.Data, &e.Peer, &e.Bulk, &e.Ops} {
 			var err error
-			if *a, err = freePort(); err != nil {
+			if *a, err = s.freePort(); err != nil {
 				return err
 			}
 		}
@@ -273,24 +275,40 @@
 	return nil
 }
 
-// freePort returns a loopback port that is free for TCP and UDP now.
-func freePort() (netip.AddrPort, error) {
-	for range 100 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return netip.AddrPort{}, fmt.Errorf("find a free port: %w", err)
-		}
-		addr := l.Addr().(*net.TCPAddr).AddrPort()
-		u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
-		_ = l.Close()
-		if err == nil {
-			_ = u.Close()
+// Ports of daemons lie below those that Linux gives to sockets that ask for any.
+const (
+	firstDaemonPort = 20000
+	daemonPorts     = 12000
+	portTries       = 1000
+)
+
+// freePort returns a loopback port that is free for TCP and UDP now and was not returned before. It
+// draws at random, so that several sites on one machine seldom try the same.
+func (s *Site) freePort() (netip.AddrPort, error) {
+	for range portTries {
+		addr := netip.AddrPortFrom(loopback, uint16(firstDaemonPort+rand.IntN(daemonPorts)))
+		if !s.ports[addr] && isFree(addr) {
+			s.ports[addr] = true
 			return addr, nil
 		}
 	}
 	return netip.AddrPort{}, errors.New("find a free port: none is free for both TCP and UDP")
 }
 
+// isFree reports whether an address can be listened on now.
+func isFree(addr netip.AddrPort) bool {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return false
+	}
+	_ = l.Close()
+	u, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return false
+	}
+	return u.Close() == nil
+}
+
 func (s *Site) publishFirst() error {
 	plans := make([]TargetPlan, 0, len(s.targets))
 	for _, t := range s.targets {
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -208,7 +208,7 @@
 	// Complete is true when the log names every exception among the flows that the owner had when it
 	// received the echoed mark. It is false while the owner is still taking over flows of others.
 	Complete bool
-	Records []Record
+	Records  []Record
 }
 
 // A record ends in a reference to its target: recordRemove, recordNewTarget with the id after it, or
