--- a/placement/loads.go
+++ b/placement/loads.go
@@ -25,6 +25,8 @@
 	// FleetOpen estimates the open flows of all owners; valid while FleetKnown.
 	FleetOpen  int
 	FleetKnown bool
+	// Reported is the number of connections of the last report itself; valid while FleetKnown.
+	Reported int
 	// ReportAge is the time since the report was read; valid while FleetKnown.
 	ReportAge time.Duration
 	// BusySlots is the reported number of busy slots; valid while FleetKnown.
@@ -33,6 +35,8 @@
 	Warming   bool
 	// Unanswered is the share of recent connection attempts that got no answer, 0 to 1.
 	Unanswered float64
+	// MissesInRow is the number of attempts without an answer since the last answer.
+	MissesInRow int
 	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
 	Handshake time.Duration
 	// Since is the time at which the target joined; zero when it was there from the start.
@@ -69,8 +73,9 @@
 type Evidence struct {
 	// MissesInRow is the number of attempts without an answer since the last answer.
 	MissesInRow int
-	// LastAnswer is the time of the last answer; zero when there was none.
-	LastAnswer time.Time
+	// LastAnswer and LastMiss are the times of the last attempts with and without an answer; zero when
+	// there was none.
+	LastAnswer, LastMiss time.Time
 }
 
 type targetLoad struct {
@@ -173,7 +178,8 @@
 func (l *LoadTable) Answered(now time.Time, id model.TargetID, d time.Duration) {
 	l.with(id, func(t *targetLoad) {
 		t.noteAttempt(now, 0)
-		t.evidence = Evidence{LastAnswer: now}
+		t.evidence.MissesInRow = 0
+		t.evidence.LastAnswer = now
 		if t.handshake == 0 {
 			t.handshake = d
 			return
@@ -187,6 +193,7 @@
 	l.with(id, func(t *targetLoad) {
 		t.noteAttempt(now, 1)
 		t.evidence.MissesInRow++
+		t.evidence.LastMiss = now
 	})
 }
 
@@ -250,11 +257,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := Observation{
-		Open:       t.open,
-		Unanswered: t.unansweredAt(now),
-		Handshake:  t.handshake,
-		Since:      t.since,
-		Down:       t.down,
+		Open:        t.open,
+		Unanswered:  t.unansweredAt(now),
+		MissesInRow: t.evidence.MissesInRow,
+		Handshake:   t.handshake,
+		Since:       t.since,
+		Down:        t.down,
 	}
 	if t.report.At.IsZero() {
 		return o
@@ -262,6 +270,7 @@
 	o.FleetKnown = true
 	o.ReportAge = max(now.Sub(t.report.At), 0)
 	o.FleetOpen = t.fleetOpen(owners)
+	o.Reported = t.report.Connections
 	o.BusySlots = t.report.BusySlots
 	o.Shedding = t.report.Shedding
 	o.Warming = t.report.Warming
