Bound customers' and targets' flows over the fleet without shared state

An owner grows in a window by at most an even part of what is left, on top of the fewest flows it held in the window: whatever others know of it is no less, so all owners together stay within the limit. Ways weighed: even shares alone (a limit with few flows for each owner cannot be used), reported totals alone (every owner may take all of the rest at once), shares lent by grants (exact, but each grant must be acknowledged).

--- /dev/null
+++ b/internal/limits/limiter.go
@@ -0,0 +1,180 @@
+package limits
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// minDepth is the least number of flows that an owner admits at once, so that flows of a small limit
+// that happen to meet at one owner are not refused.
+const minDepth = 4
+
+// minGrowth is the number of flows by which an owner may grow per window while few are asked for. A burst
+// out of nothing can therefore overshoot a limit of less than minGrowth flows for each owner.
+const minGrowth = 2
+
+// Limiter decides over new flows of customers and targets. All methods may be called from several
+// goroutines; times must not go back by more than the window.
+type Limiter struct {
+	cfg Config
+
+	mu     sync.Mutex
+	fleet  Owners
+	zone   Owners
+	usages map[key]*usage
+	turn   int // where the next summary goes on
+}
+
+// New returns a Limiter that is the only owner.
+func New(cfg Config) *Limiter {
+	return &Limiter{
+		cfg:    cfg.withDefaults(),
+		fleet:  Owners{Live: 1, Published: 1},
+		zone:   Owners{Live: 1, Published: 1},
+		usages: make(map[key]*usage),
+	}
+}
+
+// SetOwners says how many daemons own flows, in the whole fleet and in the own zone.
+func (l *Limiter) SetOwners(fleet, zone Owners) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fleet, l.zone = fleet, zone
+}
+
+// Open counts a new flow of a customer, or returns the kind of the limit that it would exceed.
+func (l *Limiter) Open(now time.Time, c *model.Customer) errkind.Kind {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.usage(now, customerKey(c))
+	u.limits = limitPair{open: c.Plan.OpenFlows, rate: c.Plan.NewFlowsPerSecond}
+	u.ask()
+	if u.limits.open > 0 && !l.openFits(u, l.fleet) {
+		return errkind.CustomerOpenLimit
+	}
+	if u.limits.rate > 0 && !l.rateFits(now, u) {
+		return errkind.CustomerRateLimit
+	}
+	u.admit()
+	return errkind.None
+}
+
+// Close counts the end of a customer's flow.
+func (l *Limiter) Close(now time.Time, c *model.Customer) {
+	l.ended(now, customerKey(c))
+}
+
+// TakeOver counts a customer's open flow that another owner had admitted. It never refuses.
+func (l *Limiter) TakeOver(now time.Time, c *model.Customer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usage(now, customerKey(c)).own.open++
+}
+
+// OpenTarget counts a new flow to a target, or returns false when the target has no room for it.
+func (l *Limiter) OpenTarget(now time.Time, t *model.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.usage(now, targetKey(t))
+	u.limits = limitPair{open: t.MaxConnections}
+	u.ask()
+	if !l.openFits(u, l.zone) {
+		return false
+	}
+	u.admit()
+	return true
+}
+
+// TakeOverTarget counts an open flow to a target that another owner had placed. It never refuses.
+func (l *Limiter) TakeOverTarget(now time.Time, t *model.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usage(now, targetKey(t)).own.open++
+}
+
+// CloseTarget counts the end of a flow to a target.
+func (l *Limiter) CloseTarget(now time.Time, t *model.Target) {
+	l.ended(now, targetKey(t))
+}
+
+func (l *Limiter) ended(now time.Time, k key) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.usage(now, k).end()
+}
+
+// usage returns the usage of a limit with its window moved to now.
+func (l *Limiter) usage(now time.Time, k key) *usage {
+	u := l.usages[k]
+	if u == nil {
+		u = &usage{peers: make(map[model.MachineID]report), zones: make(map[model.Zone]report)}
+		l.usages[k] = u
+	}
+	u.advance(now, l.cfg.Window)
+	return u
+}
+
+// openFits reports whether one more open flow keeps within the own part of what is left of a limit.
+//
+// What others know of an owner is at least the fewest flows that it held in the window. So each owner
+// takes at most an even part of the rest on top of its own fewest: all owners together then hold at most
+// the sum of the fewest and of the rest, which is the limit.
+func (l *Limiter) openFits(u *usage, owners Owners) bool {
+	limit := float64(u.limits.open) * owners.part(l.cfg.FleetFloor)
+	before := float64(u.leastOpen())
+	rest := limit - before - float64(u.others.open)
+	if rest <= 0 || float64(u.own.open)+float64(u.others.open)+1 > limit {
+		return false
+	}
+	return float64(u.own.open)+1 <= before+l.allowance(u, rest, float64(max(owners.Live, 1)))
+}
+
+// allowance returns by how many flows an owner may grow per window when rest flows are left for all. A
+// part below one flow is rounded at random, with one draw per window. While there is a whole flow for
+// each one that was asked for in the last window, that many are allowed, at most minGrowth: a limit with
+// few flows for each owner could not be used otherwise.
+func (l *Limiter) allowance(u *usage, rest, owners float64) float64 {
+	contenders := min(float64(max(u.own.asked, 1)+u.others.asked), owners)
+	part := max(rest/owners, min(minGrowth, rest/contenders))
+	if window := u.slot / slots; u.extraAt != window {
+		u.extraAt, u.extra = window, l.cfg.Rand.Float64()
+	}
+	return float64(int(part + u.extra))
+}
+
+// rateFits takes a token of the own part of a rate limit.
+func (l *Limiter) rateFits(now time.Time, u *usage) bool {
+	rate := l.ownRate(u)
+	depth := max(minDepth, rate*l.cfg.Burst.Seconds())
+	return u.bucket.take(now, rate, depth)
+}
+
+// ownRate returns the own part of a rate limit in flows a second: what the own summary told last plus an
+// even part of what nobody told to use. Over all owners these parts add up to the limit.
+func (l *Limiter) ownRate(u *usage) float64 {
+	owners := l.fleet.share(l.cfg.FleetFloor)
+	limit := float64(u.limits.rate) * l.fleet.part(l.cfg.FleetFloor)
+	window := l.cfg.Window.Seconds()
+	own := float64(u.told.admitted) / window
+	total := own + float64(u.others.admitted)/window
+	even := float64(u.limits.rate) / owners
+	if total > limit {
+		return (1-l.cfg.Leveling)*own*limit/total + l.cfg.Leveling*even
+	}
+	rest := (limit - total) / float64(max(l.fleet.Live, 1))
+	return (1-l.cfg.Leveling)*(own+rest) + l.cfg.Leveling*even
+}
+
+// RetryAfter returns when a refused caller should come back, jittered from one to two times what the
+// table of kinds says, so that callers do not return together. 0 means that asking again is useless.
+func RetryAfter(k errkind.Kind, rng *rand.Rand) time.Duration {
+	base := errkind.RowOf(k).RetryAfter
+	if base <= 0 {
+		return 0
+	}
+	return base + time.Duration(rng.Int64N(int64(base)))
+}
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,414 @@
+package limits
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// sim runs owners in virtual time: flows of one customer arrive at random owners, heartbeats go out each
+// second and are heard after a delay.
+type sim struct {
+	rng      *rand.Rand
+	now      time.Time
+	owners   []*Limiter
+	zones    []model.Zone
+	customer *model.Customer
+	flows    []flow
+	pending  []heard
+	// side is the part of a partition that an owner is in.
+	side func(owner int) int
+	// loss is the share of heartbeats that are lost.
+	loss float64
+
+	admitted, refused int
+}
+
+type flow struct {
+	owner int
+	ends  time.Time
+}
+
+type heard struct {
+	at       time.Time
+	from, to int
+	summary  []byte
+}
+
+const (
+	step          = 10 * time.Millisecond
+	stepsPerBeat  = int(time.Second / step)
+	farPeers      = 2 // as membership sends them
+	heartbeatWay  = 5 * time.Millisecond
+	lifeOfFlows   = 20 * time.Second
+	settledAfter  = 15 * time.Second
+	overshootGoal = 1.05
+)
+
+func newSim(seed uint64, owners, zones int, plan model.Plan) *sim {
+	s := &sim{
+		rng: rand.New(rand.NewPCG(seed, 7)), now: epoch,
+		customer: &model.Customer{Name: "quinta", Plan: &plan},
+		side:     func(int) int { return 0 },
+	}
+	for i := range owners {
+		zone := model.Zone{Region: "r", Name: fmt.Sprint("z", i%zones)}
+		s.zones = append(s.zones, zone)
+		s.owners = append(s.owners, New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}))
+	}
+	s.countOwners()
+	return s
+}
+
+// countOwners tells every owner how many others it reaches.
+func (s *sim) countOwners() {
+	for i, l := range s.owners {
+		fleet, zone := Owners{Published: len(s.owners)}, Owners{}
+		for j := range s.owners {
+			if s.zones[i] == s.zones[j] {
+				zone.Published++
+			}
+			if s.side(i) != s.side(j) {
+				continue
+			}
+			fleet.Live++
+			if s.zones[i] == s.zones[j] {
+				zone.Live++
+			}
+		}
+		l.SetOwners(fleet, zone)
+	}
+}
+
+// cut splits the owners; each side forgets the other's reports as membership tells it to.
+func (s *sim) cut(side func(int) int) {
+	s.side = side
+	s.countOwners()
+	for i, l := range s.owners {
+		for j := range s.owners {
+			if side(i) != side(j) {
+				l.Forget(model.MachineID(j + 1))
+				l.ForgetZone(s.zones[j])
+			}
+		}
+	}
+}
+
+// run offers flows at a rate for some time.
+func (s *sim) run(d time.Duration, flowsPerSecond float64) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(step) {
+		s.hear()
+		s.endFlows()
+		for range s.poisson(flowsPerSecond * step.Seconds()) {
+			s.offer()
+		}
+		s.beat()
+	}
+}
+
+func (s *sim) poisson(mean float64) int {
+	n, p := 0, s.rng.Float64()
+	for limit := math.Exp(-mean); p > limit; n++ {
+		p *= s.rng.Float64()
+	}
+	return n
+}
+
+func (s *sim) offer() {
+	owner := s.rng.IntN(len(s.owners))
+	if s.owners[owner].Open(s.now, s.customer) != errkind.None {
+		s.refused++
+		return
+	}
+	s.admitted++
+	life := time.Duration(s.rng.ExpFloat64() * float64(lifeOfFlows))
+	s.flows = append(s.flows, flow{owner, s.now.Add(life)})
+}
+
+func (s *sim) endFlows() {
+	kept := s.flows[:0]
+	for _, f := range s.flows {
+		if f.ends.After(s.now) {
+			kept = append(kept, f)
+			continue
+		}
+		s.owners[f.owner].Close(s.now, s.customer)
+	}
+	s.flows = kept
+}
+
+// beat sends the heartbeats of the owners whose turn it is in this step.
+func (s *sim) beat() {
+	turn := int(s.now.Sub(epoch)/step) % stepsPerBeat
+	for i, l := range s.owners {
+		if (i*37)%stepsPerBeat != turn {
+			continue
+		}
+		summary := l.Summary(s.now, nil)
+		far := make(map[model.Zone][]int)
+		for j := range s.owners {
+			if s.zones[j] != s.zones[i] {
+				far[s.zones[j]] = append(far[s.zones[j]], j)
+			} else if j != i {
+				s.send(i, j, summary)
+			}
+		}
+		for _, zone := range s.zones[:min(len(s.zones), 8)] {
+			for range min(farPeers, len(far[zone])) {
+				s.send(i, far[zone][s.rng.IntN(len(far[zone]))], summary)
+			}
+			delete(far, zone)
+		}
+	}
+}
+
+func (s *sim) send(from, to int, summary []byte) {
+	if s.side(from) != s.side(to) || s.rng.Float64() < s.loss {
+		return
+	}
+	s.pending = append(s.pending, heard{s.now.Add(heartbeatWay), from, to, summary})
+}
+
+func (s *sim) hear() {
+	kept := s.pending[:0]
+	for _, h := range s.pending {
+		if h.at.After(s.now) {
+			kept = append(kept, h)
+			continue
+		}
+		s.owners[h.to].Handle(s.now, model.MachineID(h.from+1), s.zones[h.from], h.summary)
+	}
+	s.pending = kept
+}
+
+// worstOpen offers flows and returns the most that were open at a time as a share of the limit.
+func (s *sim) worstOpen(d time.Duration, flowsPerSecond float64) float64 {
+	most := 0
+	for range int(d / time.Second) {
+		s.run(time.Second, flowsPerSecond)
+		most = max(most, len(s.flows))
+	}
+	return float64(most) / float64(s.customer.Plan.OpenFlows)
+}
+
+// rate offers flows and returns those admitted a second as a share of the limit.
+func (s *sim) rate(d time.Duration, flowsPerSecond float64) float64 {
+	before := s.admitted
+	s.run(d, flowsPerSecond)
+	return float64(s.admitted-before) / d.Seconds() / float64(s.customer.Plan.NewFlowsPerSecond)
+}
+
+var fleets = []struct{ owners, zones int }{{8, 3}, {75, 1}, {75, 3}}
+
+func TestOvershootOfOpenFlows(t *testing.T) {
+	Convey("A healthy fleet holds a limit of open flows within 5 % under any load", t, func() {
+		for _, f := range fleets {
+			for _, limit := range []uint32{1000, 3000} {
+				burst := newSim(1, f.owners, f.zones, model.Plan{OpenFlows: limit})
+				worst := burst.worstOpen(20*time.Second, float64(limit))
+				steady := burst.worstOpen(20*time.Second, float64(limit)/10)
+				lossy := newSim(2, f.owners, f.zones, model.Plan{OpenFlows: limit})
+				lossy.loss = 0.05
+				worstLossy := lossy.worstOpen(30*time.Second, float64(limit))
+				t.Logf("%d owners in %d zones, limit %d: worst open/limit: burst %.3f, steady %.3f, 5 %% heartbeats lost %.3f",
+					f.owners, f.zones, limit, worst, steady, worstLossy)
+				So(worst, ShouldBeLessThan, overshootGoal)
+				So(steady, ShouldBeLessThan, overshootGoal)
+				So(worstLossy, ShouldBeLessThan, overshootGoal)
+			}
+		}
+	})
+	Convey("Below the limit nearly nothing is refused, and the limit can be used", t, func() {
+		for _, f := range fleets {
+			for _, limit := range []uint32{20, 200, 2000} {
+				s := newSim(1, f.owners, f.zones, model.Plan{OpenFlows: limit})
+				offered := 0.7 * float64(limit) / lifeOfFlows.Seconds()
+				s.run(time.Minute, offered)
+				t.Logf("%d owners in %d zones, limit %d at 70 %% load: refused %d of %d", f.owners, f.zones, limit, s.refused, s.refused+s.admitted)
+				full := s.worstOpen(20*time.Second, float64(limit))
+				t.Logf("%d owners in %d zones, limit %d at overload: open/limit %.3f", f.owners, f.zones, limit, full)
+				So(full, ShouldBeGreaterThan, 0.9)
+			}
+		}
+	})
+}
+
+func TestSmallLimitsAreBoundedByTheNumberOfOwners(t *testing.T) {
+	Convey("A burst out of nothing overshoots a small limit by no more than minGrowth flows for each owner", t, func() {
+		for _, f := range fleets {
+			for _, limit := range []uint32{20, 100, 200} {
+				s := newSim(1, f.owners, f.zones, model.Plan{OpenFlows: limit})
+				worst := s.worstOpen(10*time.Second, 2000)
+				t.Logf("%d owners in %d zones, limit %d, burst of 2000/s out of nothing: open/limit %.3f", f.owners, f.zones, limit, worst)
+				So(worst*float64(limit), ShouldBeLessThanOrEqualTo, max(overshootGoal*float64(limit), float64(minGrowth*f.owners)))
+			}
+		}
+	})
+}
+
+func TestOvershootOfRates(t *testing.T) {
+	Convey("A healthy fleet holds a rate limit within 5 %, after a burst of one second or of minDepth flows for each owner", t, func() {
+		for _, f := range fleets {
+			for _, limit := range []uint32{50, 1000} {
+				s := newSim(1, f.owners, f.zones, model.Plan{NewFlowsPerSecond: limit})
+				below := s.rate(20*time.Second, 0.7*float64(limit))
+				refused := float64(s.refused) / float64(s.refused+s.admitted)
+				change := s.rate(10*time.Second, 3*float64(limit))
+				over := s.rate(20*time.Second, 3*float64(limit))
+				t.Logf("%d owners in %d zones, limit %d/s: at 70 %% load %.3f admitted and %.4f refused; first 10 s of 3x load %.3f, then %.3f",
+					f.owners, f.zones, limit, below, refused, change, over)
+				burst := max(float64(limit), float64(minDepth*f.owners))
+				So(change, ShouldBeLessThan, overshootGoal*(1+burst/(10*float64(limit))))
+				So(over, ShouldBeLessThan, overshootGoal)
+				So(over, ShouldBeGreaterThan, 0.9)
+			}
+		}
+	})
+}
+
+func TestPartitionsMultiplyLimitsByAtMostTwo(t *testing.T) {
+	Convey("However a fleet is cut, all its parts together stay within twice the limit", t, func() {
+		cuts := []struct {
+			name string
+			side func(int) int
+		}{
+			{"halves", func(i int) int { return i % 2 }},
+			{"zones", func(i int) int { return i % 3 }},
+			{"one alone", func(i int) int { return min(i, 1) }},
+			{"all parted", func(i int) int { return i }},
+		}
+		for _, f := range fleets[:2] {
+			for _, cut := range cuts {
+				s := newSim(1, f.owners, f.zones, model.Plan{OpenFlows: 2000, NewFlowsPerSecond: 0})
+				s.run(20*time.Second, 500)
+				s.cut(cut.side)
+				open := s.worstOpen(60*time.Second, 500)
+				r := newSim(1, f.owners, f.zones, model.Plan{NewFlowsPerSecond: 500})
+				r.run(10*time.Second, 1500)
+				r.cut(cut.side)
+				rate := r.rate(20*time.Second, 1500)
+				t.Logf("%d owners in %d zones cut into %s: open/limit %.3f, rate/limit %.3f", f.owners, f.zones, cut.name, open, rate)
+				So(open, ShouldBeLessThan, 2*overshootGoal)
+				So(rate, ShouldBeLessThan, 2*overshootGoal)
+			}
+		}
+	})
+}
+
+func TestTargetsAndSummaries(t *testing.T) {
+	target := &model.Target{ID: 7, Name: "booking-1", MaxConnections: 3}
+	customer := &model.Customer{Name: "quinta", Plan: &model.Plan{OpenFlows: 10, NewFlowsPerSecond: 10}}
+	zone := model.Zone{Region: "r", Name: "a"}
+	newLimiter := func() *Limiter { return New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(1, 1))}) }
+
+	Convey("A target takes no more flows than it can hold, and flows taken over count", t, func() {
+		l := newLimiter()
+		So(l.OpenTarget(epoch, target), ShouldBeTrue)
+		So(l.OpenTarget(epoch, target), ShouldBeTrue)
+		l.TakeOverTarget(epoch, target)
+		So(l.OpenTarget(epoch, target), ShouldBeFalse)
+		l.CloseTarget(epoch, target)
+		So(l.OpenTarget(epoch, target), ShouldBeTrue)
+	})
+	Convey("Reports of the own zone and of others count until they expire or their sender is gone", t, func() {
+		a, b := newLimiter(), newLimiter()
+		for range 9 {
+			So(a.Open(epoch, customer), ShouldEqual, errkind.None)
+		}
+		summary := a.Summary(epoch, nil)
+		So(b.Open(epoch, customer), ShouldEqual, errkind.None)
+		So(b.Handle(epoch, 1, zone, summary), ShouldBeTrue)
+		So(b.Open(epoch, customer), ShouldEqual, errkind.CustomerOpenLimit)
+		b.Forget(1)
+		So(b.Open(epoch, customer), ShouldEqual, errkind.None)
+
+		other := model.Zone{Region: "r", Name: "b"}
+		So(b.Handle(epoch, 1, other, summary), ShouldBeTrue)
+		So(b.Open(epoch, customer), ShouldEqual, errkind.CustomerOpenLimit)
+		b.ForgetZone(other)
+		So(b.Open(epoch, customer), ShouldEqual, errkind.None)
+
+		So(b.Handle(epoch, 1, zone, summary), ShouldBeTrue)
+		later := epoch.Add(time.Minute)
+		b.Summary(later, nil)
+		So(b.Open(later, customer), ShouldEqual, errkind.None)
+	})
+	Convey("A rate limit refuses with its kind", t, func() {
+		l := newLimiter()
+		fast := &model.Customer{Name: "fast", Plan: &model.Plan{NewFlowsPerSecond: 4}}
+		for range 4 {
+			So(l.Open(epoch, fast), ShouldEqual, errkind.None)
+		}
+		So(l.Open(epoch, fast), ShouldEqual, errkind.CustomerRateLimit)
+		So(l.Open(epoch.Add(time.Second), fast), ShouldEqual, errkind.None)
+	})
+	Convey("A summary is bounded, and unused limits are forgotten", t, func() {
+		l := newLimiter()
+		for i := range 500 {
+			l.Open(epoch, &model.Customer{Name: fmt.Sprint("c", i), Plan: &model.Plan{OpenFlows: 5}})
+		}
+		So(len(l.Summary(epoch, nil)), ShouldBeLessThanOrEqualTo, 2+12*10)
+		for i := range 500 {
+			l.Close(epoch, &model.Customer{Name: fmt.Sprint("c", i)})
+		}
+		l.Summary(epoch.Add(time.Minute), nil)
+		l.Summary(epoch.Add(2*time.Minute), nil)
+		So(len(l.usages), ShouldEqual, 0)
+	})
+	Convey("Bytes that are no summary are refused", t, func() {
+		l := newLimiter()
+		l.Open(epoch, customer)
+		summary := l.Summary(epoch, nil)
+		So(l.Handle(epoch, 1, zone, summary), ShouldBeTrue)
+		for i := range summary {
+			So(l.Handle(epoch, 1, zone, summary[:i]), ShouldBeFalse)
+		}
+		So(l.Handle(epoch, 1, zone, append(summary, 0)), ShouldBeFalse)
+		So(l.Handle(epoch, 1, zone, []byte{255, 0}), ShouldBeFalse)
+	})
+	Convey("Retry times are jittered between one and two times the table's", t, func() {
+		rng := rand.New(rand.NewPCG(1, 1))
+		So(RetryAfter(errkind.PlanForbids, rng), ShouldEqual, 0)
+		for range 100 {
+			So(RetryAfter(errkind.CustomerRateLimit, rng), ShouldBeBetween, time.Second-1, 2*time.Second)
+		}
+	})
+}
+
+func BenchmarkOpenClose(b *testing.B) {
+	l := New(Config{Rand: rand.New(rand.NewPCG(1, 1))})
+	customers := make([]*model.Customer, 1000)
+	for i := range customers {
+		customers[i] = &model.Customer{Name: fmt.Sprint("customer-", i), Plan: &model.Plan{OpenFlows: 1 << 30, NewFlowsPerSecond: 1 << 30}}
+	}
+	b.ReportAllocs()
+	now, i := epoch, 0
+	for b.Loop() {
+		now = now.Add(10 * time.Microsecond)
+		c := customers[i%len(customers)]
+		l.Open(now, c)
+		l.Close(now, c)
+		i++
+	}
+}
+
+func BenchmarkSummary1000Limits(b *testing.B) {
+	l := New(Config{Rand: rand.New(rand.NewPCG(1, 1))})
+	for i := range 1000 {
+		l.Open(epoch, &model.Customer{Name: fmt.Sprint("customer-", i), Plan: &model.Plan{OpenFlows: 10}})
+	}
+	b.ReportAllocs()
+	var buf []byte
+	for b.Loop() {
+		buf = l.Summary(epoch, buf[:0])
+	}
+}
