--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -32,6 +32,7 @@
 			newStandinCommand(),
 			newRelayCommand(),
 			newMeasureCommand(),
+			newLabCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/internal/placementlab/lab_test.go
@@ -0,0 +1,95 @@
+package placementlab
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/samber/lo"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// booking is the first workload in a shorter run.
+func booking(f Fault, seed uint64) Scenario {
+	sc := NewScenario(Workloads[0], f, seed)
+	sc.Warmup = 60 * time.Second
+	sc.Measure = 60 * time.Second
+	return sc
+}
+
+func candidate(name string) Candidate {
+	for _, c := range Candidates() {
+		if c.Name == name {
+			return c
+		}
+	}
+	panic("no such candidate: " + name)
+}
+
+// results holds the runs that the tests look at, made once and side by side: plain hashing and the
+// chosen policy under every fault, and two more seeds of the steady state.
+var results = sync.OnceValue(func() []Result {
+	var runs []func() Result
+	for _, f := range Faults {
+		runs = append(runs, func() Result { return Run(booking(f, 1), candidate("plain")) })
+		runs = append(runs, func() Result { return Run(booking(f, 1), candidate("chosen")) })
+	}
+	for _, seed := range []uint64{2, 3} {
+		runs = append(runs, func() Result { return Run(booking(Healthy, seed), candidate("chosen")) })
+	}
+	return runAll(runs, 4)
+})
+
+func find(f Fault, policy string) Result {
+	for _, r := range results() {
+		if r.Fault == f && r.Policy == policy {
+			return r
+		}
+	}
+	panic("no such run")
+}
+
+func TestRunsRepeat(t *testing.T) {
+	Convey("The same seed gives the same result", t, func() {
+		So(Run(booking(Lying, 1), candidate("chosen")), ShouldResemble, find(Lying, "chosen"))
+	})
+}
+
+func TestSteadyStateAim(t *testing.T) {
+	Convey("Today's size: max/mean of flows at most 1.02 with at most 6 % exceptions", t, func() {
+		healthy := lo.Filter(results(), func(r Result, _ int) bool { return r.Fault == Healthy && r.Policy == "chosen" })
+		So(healthy, ShouldHaveLength, 3)
+		mean := Means(healthy)[0]
+		So(mean.FlowsMax, ShouldBeLessThanOrEqualTo, 1.02)
+		So(mean.Exceptions, ShouldBeLessThanOrEqualTo, 0.06)
+	})
+}
+
+func TestFaults(t *testing.T) {
+	Convey("The chosen policy is no worse than plain hashing in any fault", t, func() {
+		for _, f := range Faults {
+			So(find(f, "chosen").FlowsMax, ShouldBeLessThanOrEqualTo, find(f, "plain").FlowsMax)
+		}
+	})
+	Convey("A lying target loses its new flows within 5 s", t, func() {
+		So(find(Lying, "chosen").LostAfter, ShouldBeBetweenOrEqual, 0, 5)
+	})
+	Convey("A leaving target gets no new flow 3 s after the announcement", t, func() {
+		So(find(Drain, "chosen").Late, ShouldEqual, 0)
+	})
+}
+
+func TestMeans(t *testing.T) {
+	Convey("Means join the seeds of a case and keep cases apart", t, func() {
+		means := Means([]Result{
+			{Policy: "a", Seed: 1, FlowsMax: 1, Late: 1, Refused: map[string]int{"service_full": 2}},
+			{Policy: "a", Seed: 2, FlowsMax: 3, Late: 2, Refused: map[string]int{"service_full": 1}},
+			{Policy: "b", Seed: 1, FlowsMax: 5},
+		})
+		So(means, ShouldHaveLength, 2)
+		So(means[0].FlowsMax, ShouldEqual, 2)
+		So(means[0].FlowsMaxMost, ShouldEqual, 3)
+		So(means[0].Refused["service_full"], ShouldEqual, 3)
+		So(means[1].FlowsMax, ShouldEqual, 5)
+	})
+}
--- a/internal/placementlab/run.go
+++ b/internal/placementlab/run.go
@@ -39,7 +39,6 @@
 	zone    string
 	gone    bool
 	loads   *placement.LoadTable
-	view    placement.Loads
 	monitor *health.Monitor
 	policy  placement.Policy
 	budget  *retry.Budget
@@ -183,13 +182,10 @@
 		l := placement.NewLoadTable()
 		l.SetOwners(r.sc.Owners)
 		o := &owner{
-			id: model.MachineID(i + 1), zone: r.zone(i), loads: l, view: l,
+			id: model.MachineID(i + 1), zone: r.zone(i), loads: l,
 			budget: retry.NewBudget(retry.BudgetConfig{}),
 		}
 		o.monitor = health.New(health.Config{}, o.id, l)
-		if r.candidate.Wrap != nil {
-			o.view = r.candidate.Wrap(l)
-		}
 		r.owners = append(r.owners, o)
 	}
 	r.publish()
@@ -408,9 +404,9 @@
 
 // attempt places a flow and sends its SYN.
 func (r *run) attempt(o *owner, f newFlow, tried []model.TargetID) {
-	var seen placement.Loads = o.view
+	var seen placement.Loads = o.loads
 	if len(tried) > 0 {
-		seen = placement.Except{Loads: o.view, Tried: tried}
+		seen = placement.Except{Loads: o.loads, Tried: tried}
 	}
 	t, kind := o.policy.Choose(r.now, f.hash, r.table, seen)
 	if kind != errkind.None {
--- a/internal/placementlab/scenario.go
+++ b/internal/placementlab/scenario.go
@@ -1,6 +1,7 @@
 package placementlab
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/fireflypin/fireflypin/placement"
@@ -103,8 +104,6 @@
 	New func(st *placement.ServiceTable) placement.Policy
 	// Margin replaces the workload's margin while it is positive.
 	Margin float64
-	// Wrap changes what an owner's policy sees, when set.
-	Wrap func(l placement.Loads) placement.Loads
 }
 
 // Candidates are the policies that are compared side by side.
@@ -122,20 +121,16 @@
 }
 
 func chosen(name string, margin float64) Candidate {
-	return configured(name, margin, placement.ChosenConfig{})
-}
-
-func configured(name string, margin float64, cfg placement.ChosenConfig) Candidate {
 	return Candidate{Name: name, Margin: margin, New: func(*placement.ServiceTable) placement.Policy {
-		return placement.NewChosen(cfg)
+		return placement.NewChosen(placement.ChosenConfig{})
 	}}
 }
 
-// MarginCurve are candidates of the chosen policy over a range of margins.
+// MarginCurve are candidates of the chosen policy over a range of margins, and plain hashing.
 func MarginCurve() []Candidate {
-	return []Candidate{
-		chosen("chosen-0.01", 0.01), chosen("chosen-0.02", 0.02), chosen("chosen-0.03", 0.03),
-		chosen("chosen-0.05", 0.05), chosen("chosen-0.08", 0.08), chosen("chosen-0.12", 0.12),
-		chosen("chosen-0.20", 0.20),
+	curve := Candidates()[:1]
+	for _, margin := range []float64{0.20, 0.12, 0.08, 0.06, 0.05, 0.04, 0.03, 0.02, 0.01} {
+		curve = append(curve, chosen(fmt.Sprintf("chosen-%.2f", margin), margin))
 	}
+	return curve
 }
