--- a/core/config.go
+++ b/core/config.go
@@ -8,6 +8,7 @@
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/placement"
 )
@@ -28,9 +29,15 @@
 	// LogInterval is the time between two batches of the log to one peer. A longer one costs fewer
 	// bytes, lets young flows hop for longer and risks more exceptions in a crash. Default 500 ms.
 	LogInterval time.Duration
-	// SettleTime is how long after a change of the members an owner leaves flows that it does not know
-	// to the daemon that owned them before. Default 2 s.
+	// SettleTime is how long after a change of the owners an owner waits at most for the other logs; until
+	// then it leaves flows that it does not know to the daemon that owned them before. Default 30 s.
 	SettleTime time.Duration
+	// LatePatience is how long, during a partition, packets of a flow that nobody on this side has known
+	// from before are sent beyond the partition before this daemon decides. Default 1 s.
+	LatePatience time.Duration
+	// JoinTime is how long a starting daemon waits at most to hear of every published one before it owns
+	// flows. Default 6 s, above the time in which a silent zone is found unreachable.
+	JoinTime time.Duration
 	// SnapshotInterval is the least time between two requests for the same owner's snapshot. Default 1 s.
 	SnapshotInterval time.Duration
 	// FleetScope is how many entry VMs the list may hold for the log to go to all of them. In a larger
@@ -45,6 +52,9 @@
 	Log  flow.LogConfig
 	// Members sets failure detection; its Self, Zone, Incarnation and Rand are filled in.
 	Members membership.Config
+	// Sections returns what other modules add to each regular heartbeat. It may not call the engine.
+	// Default: nothing.
+	Sections func() []wire.Section
 	// Policy chooses the targets of new flows. Default placement.Chosen.
 	Policy placement.Policy
 	// Limits bounds customers' flows. Default: no bounds.
@@ -53,7 +63,9 @@
 
 const (
 	defaultLogInterval      = 500 * time.Millisecond
-	defaultSettleTime       = 2 * time.Second
+	defaultSettleTime       = 30 * time.Second
+	defaultJoinTime         = 6 * time.Second
+	defaultLatePatience     = time.Second
 	defaultSnapshotInterval = time.Second
 	defaultFleetScope       = 16
 	defaultBackups          = 1
@@ -63,6 +75,8 @@
 func (c Config) withDefaults() Config {
 	setDefault(&c.LogInterval, defaultLogInterval)
 	setDefault(&c.SettleTime, defaultSettleTime)
+	setDefault(&c.JoinTime, defaultJoinTime)
+	setDefault(&c.LatePatience, defaultLatePatience)
 	setDefault(&c.SnapshotInterval, defaultSnapshotInterval)
 	setDefault(&c.FleetScope, defaultFleetScope)
 	setDefault(&c.Backups, defaultBackups)
@@ -76,6 +90,9 @@
 	if c.Policy == nil {
 		c.Policy = placement.NewChosen(placement.ChosenConfig{})
 	}
+	if c.Sections == nil {
+		c.Sections = func() []wire.Section { return nil }
+	}
 	if c.Limits == nil {
 		c.Limits = noLimits{}
 	}
@@ -96,8 +113,9 @@
 
 // Admitter decides who may use what. It belongs to one set of lists and is immutable.
 type Admitter interface {
-	// Admit returns errkind.None, or NoSuchService, UnknownCustomer or PlanForbids.
-	Admit(caller netip.Addr, service netip.AddrPort) (Admission, errkind.Kind)
+	// Admit returns errkind.None with the customer and the service, or NoSuchService, UnknownCustomer or
+	// PlanForbids.
+	Admit(caller netip.Addr, service netip.AddrPort) (*model.Customer, *model.Service, errkind.Kind)
 }
 
 // Limits bounds what customers use. It must be safe for concurrent use.
--- a/core/peers.go
+++ b/core/peers.go
@@ -1,8 +1,11 @@
 package core
 
 import (
+	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
@@ -53,7 +56,19 @@
 	actions := e.members.HandleHeartbeat(now, membership.Heartbeat{
 		From: env.Sender, Incarnation: env.Incarnation, Message: &hb,
 	})
-	return e.handleMembers(now, actions), errkind.None
+	out := e.handleMembers(now, actions)
+	return append(out, e.peerSections(env.Sender, hb.Sections)...), errkind.None
+}
+
+// peerSections passes the sections of a published peer's heartbeat on; their data outlives the datagram.
+func (e *Engine) peerSections(from model.MachineID, sections []wire.Section) []Action {
+	m, ok := e.members.View().Member(from)
+	if !ok {
+		return nil
+	}
+	return lo.Map(sections, func(s wire.Section, _ int) Action {
+		return PeerSection{From: m.Entry, Section: wire.Section{ID: s.ID, Data: slices.Clone(s.Data)}}
+	})
 }
 
 func (e *Engine) handleBatch(now time.Time, env wire.Envelope, message []byte) errkind.Kind {
@@ -68,25 +83,24 @@
 	cp := e.copies.Ensure(now, env.Sender, env.Incarnation)
 	if cp != nil && cp.Apply(now, b) {
 		e.yieldTo(w, env.Sender, b.Records)
+		e.inheritRecords(now, w, b.Records)
 	}
 	return errkind.None
 }
 
-// yieldTo drops flows of the table that another daemon has placed on another target, where that
-// daemon's word counts for more: it owns the flow in this daemon's view.
+// yieldTo drops flows of the table that another daemon has placed on another target or has seen end,
+// where that daemon's word counts for more: it owns the flow in this daemon's view.
 func (e *Engine) yieldTo(w *world, peer model.MachineID, records []wire.Record) {
 	for _, r := range records {
-		if r.Remove {
+		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer {
 			continue
 		}
-		entry, ok := e.table.Get(r.Hash)
-		if !ok || entry.Target == r.Target {
-			continue
+		if r.Remove {
+			e.copies.Ended(r.Hash)
 		}
-		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer {
-			continue
+		if entry, ok := e.table.Get(r.Hash); ok && entry.Target != r.Target {
+			e.forget(r.Hash)
 		}
-		e.forget(r.Hash)
 	}
 }
 
@@ -127,4 +141,5 @@
 		live := known && m.Here && m.Incarnation == s.Incarnation && e.takesLog(w, s.Owner, e.cfg.Self)
 		e.copies.Restore(now, s, live)
 	}
+	e.inherit(now, w)
 }
--- /dev/null
+++ b/internal/daemon/sources.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"math/rand/v2"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/do/v2"
+
+	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// newLists returns the reader of the platform's service or of local files.
+func newLists(i do.Injector) (Lists, error) {
+	peers, err := do.Invoke[*bulk.Client](i)
+	if err != nil {
+		return nil, err
+	}
+	o := do.MustInvoke[Options](i)
+	s := o.Settings
+	seed := uint64(model.MachineIDOf(s.Name))
+	cfg := platform.ClientConfig{
+		Reader: platform.Config{
+			Self:           s.Bulk,
+			Rand:           rand.New(rand.NewPCG(seed, uint64(o.Now.UnixNano()))),
+			WatchWait:      s.Platform.WatchWait,
+			CallsPerSecond: s.Platform.CallsPerSecond,
+			CallBurst:      s.Platform.CallBurst,
+		},
+		Files:       filesOf(s),
+		Peers:       peers,
+		CallTimeout: s.Platform.CallTimeout,
+		Log:         do.MustInvoke[*log.Logger](i),
+		Metrics:     platform.NewMetrics(do.MustInvoke[*metrics.Set](i)),
+	}
+	if s.UsesPlatform() {
+		cfg.Platform = platform.NewHTTP(s.Platform.URL)
+	}
+	return platform.NewClient(cfg), nil
+}
+
+func filesOf(s *settings.Settings) [3]string {
+	return [3]string{s.Lists.Customers, s.Lists.Plans, s.Lists.Machines}
+}
+
+// newTLS returns the config of calls between daemons; nil where the settings name no certificate.
+func newTLS(i do.Injector) (*tls.Config, error) {
+	files := do.MustInvoke[*settings.Settings](i).TLS
+	if files.CertFile == "" {
+		return nil, nil
+	}
+	return bulk.LoadTLS(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
+}
+
+func newBulk(i do.Injector) (*bulk.Client, error) {
+	config, err := do.Invoke[*tls.Config](i)
+	if err != nil {
+		return nil, err
+	}
+	return bulk.NewClient(config), nil
+}
--- a/internal/flow/log.go
+++ b/internal/flow/log.go
@@ -44,6 +44,8 @@
 	marks   []generationMark
 	live    map[model.FlowHash]model.TargetID
 	peers   map[model.MachineID]*logPeer
+	// incomplete is true while the owner may not know all flows that it owns.
+	incomplete bool
 }
 
 // generationMark says from which position on a generation is the log's.
@@ -178,6 +180,19 @@
 	l.trimAcknowledged()
 }
 
+// SetComplete says whether the log names every exception among the flows of this owner. Peers rely on
+// a complete log alone; when it becomes complete, they are told again how far it covers their marks.
+func (l *Log) SetComplete(complete bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.incomplete && complete {
+		for _, p := range l.peers {
+			p.echoed = 0
+		}
+	}
+	l.incomplete = !complete
+}
+
 // Batch returns the next batch for a peer, and false where nothing needs to be sent now.
 func (l *Log) Batch(now time.Time, peer model.MachineID) (wire.LogBatch, bool) {
 	l.mu.Lock()
@@ -223,6 +238,7 @@
 		Records:    append([]wire.Record(nil), l.records[from-l.first:to-l.first]...),
 		Generation: l.generationAt(to),
 		Echo:       p.echoed,
+		Complete:   !l.incomplete,
 	}
 }
 
--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -11,6 +11,15 @@
 // that echoes a mark was cut after the owner had received it.
 type Mark uint64
 
+// Run identifies one run of an owner's process. An owner that restarts begins a new run: it does not
+// know what it owned before.
+type Run uint32
+
+// runOf mixes a machine and its incarnation to 32 bits.
+func runOf(id model.MachineID, incarnation uint64) Run {
+	return Run(uint64(id) ^ (incarnation * 0x9e3779b97f4a7c15 >> 32))
+}
+
 // Seen caches, for flows that other daemons own, since when this daemon has known them. It only
 // saves hops: a flow that is not in it goes by its owner, which is always right. It holds at most
 // two generations of entries per shard, so its memory is bounded.
@@ -28,9 +37,11 @@
 }
 
 type seenEntry struct {
-	owner model.MachineID
+	owner Run
 	// since is the mark at which the flow was first sent by this owner, cut to 32 bits.
 	since uint32
+	// born is the mark at which the flow was first seen under any owner, cut to 32 bits.
+	born uint32
 	// lastHop is when a packet last went by the owner, in milliseconds since the epoch.
 	lastHop uint32
 }
@@ -68,27 +79,31 @@
 // Direct reports whether a packet of the flow may go straight to its target: the flow was first
 // sent by this owner before the mark that the owner has echoed, and its last hop is recent. Where it
 // reports false, the caller hops the packet, and the cache has noted that.
-func (s *Seen) Direct(now time.Time, h model.FlowHash, owner model.MachineID, current, echoed Mark) bool {
-	ms := uint32(now.Sub(s.epoch) / time.Millisecond)
+func (s *Seen) Direct(now time.Time, h model.FlowHash, owner Run, current, echoed Mark) bool {
+	ms := millisSince(s.epoch, now)
 	sh := &s.shards[shardIndex(h)]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	e, ok := sh.lookup(h, s.perShard)
-	if !ok || e.owner != owner {
-		sh.store(h, seenEntry{owner: owner, since: uint32(current), lastHop: ms}, s.perShard)
+	if !ok {
+		e.born = uint32(current)
+	}
+	if e.owner != owner {
+		e.owner, e.since, e.lastHop = owner, uint32(current), ms
+		sh.store(h, e, s.perShard)
 		return false
 	}
 	// The difference survives the cut to 32 bits as long as a flow is younger than 2^31 marks.
 	if int32(uint32(echoed)-e.since) <= 0 {
 		return false
 	}
-	silent := ms - e.lastHop
+	silent := silence(ms, e.lastHop)
 	if silent < s.refreshMillis() {
 		return true
 	}
 	// After a long silence the address and port may belong to a new flow.
 	if silent > 2*s.refreshMillis() {
-		e.since = uint32(current)
+		e.since, e.born = uint32(current), uint32(current)
 	}
 	e.lastHop = ms
 	sh.store(h, e, s.perShard)
@@ -110,6 +125,15 @@
 	}
 }
 
+// KnownBefore reports whether a flow was first seen here before a mark.
+func (s *Seen) KnownBefore(h model.FlowHash, m Mark) bool {
+	sh := &s.shards[shardIndex(h)]
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e, ok := sh.lookup(h, s.perShard)
+	return ok && int32(uint32(m)-e.born) > 0
+}
+
 // Forget drops a flow from the cache.
 func (s *Seen) Forget(h model.FlowHash) {
 	sh := &s.shards[shardIndex(h)]
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -7,7 +7,13 @@
 	"github.com/fireflypin/fireflypin/model"
 )
 
-const shardCount = 64
+const (
+	shardCount = 64
+
+	// touchInterval is how old a flow's LastSeen must be before a packet renews it, in milliseconds. It
+	// spares busy flows a write to the map for every packet.
+	touchInterval = 100
+)
 
 // Table holds the flows that this daemon owns, in shards with their own locks.
 type Table struct {
@@ -35,12 +41,25 @@
 	return int(h >> 58)
 }
 
-// millis returns the time since the epoch cut to 32 bits; differences of up to 49 days survive the cut.
+// millis returns the time since the epoch cut to 32 bits.
 func (t *Table) millis(now time.Time) uint32 {
-	return uint32(now.Sub(t.epoch) / time.Millisecond)
+	return millisSince(t.epoch, now)
 }
 
-// Touch notes a packet of a known flow and returns the flow. The state moves forward only.
+// millisSince returns the time since an epoch in milliseconds, cut to 32 bits.
+func millisSince(epoch, now time.Time) uint32 {
+	return uint32(now.Sub(epoch) / time.Millisecond)
+}
+
+// silence returns the milliseconds from one cut time to a later one, up to 24 days. Goroutines read the
+// clock one after the other and act in any order: a last packet that lies ahead of now counts as just
+// come.
+func silence(now, last uint32) uint32 {
+	return uint32(max(int32(now-last), 0))
+}
+
+// Touch notes a packet of a known flow and returns the flow. The state moves forward only; LastSeen
+// lags behind by less than touchInterval.
 func (t *Table) Touch(now time.Time, h model.FlowHash, state State) (Entry, bool) {
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
@@ -49,7 +68,11 @@
 	if !ok {
 		return Entry{}, false
 	}
-	e.LastSeen = t.millis(now)
+	ms := t.millis(now)
+	if state <= e.State && silence(ms, e.LastSeen) < touchInterval {
+		return e, true
+	}
+	e.LastSeen += silence(ms, e.LastSeen)
 	e.State = max(e.State, state)
 	s.flows[h] = e
 	return e, true
@@ -57,7 +80,7 @@
 
 // Age returns the time since the last packet of a flow.
 func (t *Table) Age(now time.Time, e Entry) time.Duration {
-	return time.Duration(t.millis(now)-e.LastSeen) * time.Millisecond
+	return time.Duration(silence(t.millis(now), e.LastSeen)) * time.Millisecond
 }
 
 // Get returns a flow without noting a packet.
@@ -93,6 +116,17 @@
 	return e, ok
 }
 
+// Identify writes the ends of a flow that was known from a log alone.
+func (t *Table) Identify(h model.FlowHash, caller, service Endpoint) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.flows[h]; ok {
+		e.Caller, e.Service = caller, service
+		s.flows[h] = e
+	}
+}
+
 // SetException notes whether the owner's log names the flow.
 func (t *Table) SetException(h model.FlowHash, exception bool) {
 	s := &t.shards[shardIndex(h)]
@@ -111,15 +145,18 @@
 }
 
 // Expire forgets the flows of one shard that were silent for longer than their state allows. Calls
-// with a counter that grows by one visit every shard in turn.
-func (t *Table) Expire(now time.Time, turn uint64) []Expired {
+// with a counter that grows by one visit every shard in turn. With keepOpen, open flows stay.
+func (t *Table) Expire(now time.Time, turn uint64, keepOpen bool) []Expired {
 	s := &t.shards[turn%shardCount]
 	ms := t.millis(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var gone []Expired
 	for h, e := range s.flows {
-		if ms-e.LastSeen > t.cfg.timeout(e.State) {
+		if keepOpen && e.State == StateOpen {
+			continue
+		}
+		if silence(ms, e.LastSeen) > t.cfg.timeout(e.State) {
 			gone = append(gone, Expired{Hash: h, Entry: e})
 			delete(s.flows, h)
 		}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -25,6 +25,8 @@
 	// FleetOpen estimates the open flows of all owners; valid while FleetKnown.
 	FleetOpen  int
 	FleetKnown bool
+	// Reported is the number of connections of the last report itself; valid while FleetKnown.
+	Reported int
 	// ReportAge is the time since the report was read; valid while FleetKnown.
 	ReportAge time.Duration
 	// BusySlots is the reported number of busy slots; valid while FleetKnown.
@@ -33,6 +35,8 @@
 	Warming   bool
 	// Unanswered is the share of recent connection attempts that got no answer, 0 to 1.
 	Unanswered float64
+	// MissesInRow is the number of attempts without an answer since the last answer.
+	MissesInRow int
 	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
 	Handshake time.Duration
 	// Since is the time at which the target joined; zero when it was there from the start.
@@ -65,10 +69,19 @@
 	update  sync.Mutex
 }
 
+// Evidence is what this daemon's own connection attempts to a target met.
+type Evidence struct {
+	// MissesInRow is the number of attempts without an answer since the last answer.
+	MissesInRow int
+	// LastAnswer and LastMiss are the times of the last attempts with and without an answer; zero when
+	// there was none.
+	LastAnswer, LastMiss time.Time
+}
+
 type targetLoad struct {
 	mu         sync.Mutex
 	open       int
-	opened     int
+	evidence   Evidence
 	report     Report
 	reportOpen int
 	unanswered float64
@@ -130,10 +143,7 @@
 
 // Opened counts a flow that this owner placed on the target.
 func (l *LoadTable) Opened(id model.TargetID) {
-	l.with(id, func(t *targetLoad) {
-		t.open++
-		t.opened++
-	})
+	l.with(id, func(t *targetLoad) { t.open++ })
 }
 
 // Closed counts the end of a flow that this owner had placed on the target.
@@ -154,6 +164,11 @@
 	})
 }
 
+// DropReport forgets a target's load report.
+func (l *LoadTable) DropReport(id model.TargetID) {
+	l.with(id, func(t *targetLoad) { t.report = Report{} })
+}
+
 // SetDown puts a target aside or takes it back.
 func (l *LoadTable) SetDown(id model.TargetID, down bool) {
 	l.with(id, func(t *targetLoad) { t.down = down })
@@ -163,6 +178,8 @@
 func (l *LoadTable) Answered(now time.Time, id model.TargetID, d time.Duration) {
 	l.with(id, func(t *targetLoad) {
 		t.noteAttempt(now, 0)
+		t.evidence.MissesInRow = 0
+		t.evidence.LastAnswer = now
 		if t.handshake == 0 {
 			t.handshake = d
 			return
@@ -173,7 +190,18 @@
 
 // Unanswered notes that the target shed a connection attempt or left it unanswered.
 func (l *LoadTable) Unanswered(now time.Time, id model.TargetID) {
-	l.with(id, func(t *targetLoad) { t.noteAttempt(now, 1) })
+	l.with(id, func(t *targetLoad) {
+		t.noteAttempt(now, 1)
+		t.evidence.MissesInRow++
+		t.evidence.LastMiss = now
+	})
+}
+
+// Evidence returns what own connection attempts to the target met.
+func (l *LoadTable) Evidence(id model.TargetID) Evidence {
+	var e Evidence
+	l.with(id, func(t *targetLoad) { e = t.evidence })
+	return e
 }
 
 // Open implements Loads.
@@ -229,11 +257,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := Observation{
-		Open:       t.open,
-		Unanswered: t.unansweredAt(now),
-		Handshake:  t.handshake,
-		Since:      t.since,
-		Down:       t.down,
+		Open:        t.open,
+		Unanswered:  t.unansweredAt(now),
+		MissesInRow: t.evidence.MissesInRow,
+		Handshake:   t.handshake,
+		Since:       t.since,
+		Down:        t.down,
 	}
 	if t.report.At.IsZero() {
 		return o
@@ -241,6 +270,7 @@
 	o.FleetKnown = true
 	o.ReportAge = max(now.Sub(t.report.At), 0)
 	o.FleetOpen = t.fleetOpen(owners)
+	o.Reported = t.report.Connections
 	o.BusySlots = t.report.BusySlots
 	o.Shedding = t.report.Shedding
 	o.Warming = t.report.Warming
