Begin a model of the ownership protocol

Cause: directed tests cover chosen interleavings only. Conclusion: a step towards the exhaustive check.

--- /dev/null
+++ b/internal/modelcheck/events.go
@@ -0,0 +1,276 @@
+package modelcheck
+
+import "fmt"
+
+// successors returns the states after each possible event, with the events' names.
+func (m *model) successors(s state) (states []state, names []string) {
+	add := func(name string, next ...state) {
+		for _, n := range next {
+			states = append(states, n)
+			names = append(names, name)
+		}
+	}
+	m.packetEvents(s, add)
+	for d := range daemons {
+		if s.d[d].up {
+			m.ownEvents(s, d, add)
+			m.pairEvents(s, d, add)
+			m.viewEvents(s, d, add)
+		}
+	}
+	m.failures(s, add)
+	return states, names
+}
+
+type addFunc func(name string, next ...state)
+
+// packetEvents lets a packet arrive from the fabric, or the one in flight at its daemon.
+func (m *model) packetEvents(s state, add addFunc) {
+	if !s.packet.present {
+		for d := range daemons {
+			if s.d[d].up {
+				p := packet{syn: s.established == 0}
+				add(fmt.Sprintf("packet (syn %v) at %d", p.syn, d), m.handle(s, d, p)...)
+			}
+		}
+		return
+	}
+	lost := s
+	lost.packet = packet{}
+	add("packet lost", lost)
+	if to := int(s.packet.to); s.d[to].up {
+		add(fmt.Sprintf("packet (syn %v, hops %d, delegated %v) handed on to %d", s.packet.syn, s.packet.hops, s.packet.delegated, to), m.handle(s, to, s.packet)...)
+	}
+}
+
+func (m *model) handle(s state, d int, p packet) []state {
+	m.next = nil
+	m.arrive(s, d, p)
+	return m.next
+}
+
+// ownEvents are the events of one daemon by itself.
+func (m *model) ownEvents(s state, d int, add addFunc) {
+	if next, ok := m.settle(s, d); ok {
+		add(fmt.Sprintf("%d settles", d), next)
+	}
+	if s.left.Switches > 0 && s.d[d].generation == 0 {
+		add(fmt.Sprintf("%d adopts generation 1", d), m.switchGeneration(s, d))
+	}
+	if s.caughtUp(d) {
+		next := s
+		next.d[d].ready = true
+		next.d[d].owners = next.d[d].owners.with(d)
+		m.viewChanged(&next, d, set(0).with(d))
+		add(fmt.Sprintf("%d becomes ready", d), next)
+	}
+	if s.d[d].leaving && (m.mutation == StopAtOnce || s.drained(d)) {
+		next := s
+		next.d[d].up = false
+		next.loseFlight(d)
+		add(fmt.Sprintf("%d has left", d), next)
+	}
+}
+
+func (s *state) caughtUp(d int) bool {
+	if s.d[d].ready || s.d[d].leaving {
+		return false
+	}
+	for o := range daemons {
+		if o != d && s.d[d].here.has(o) && !s.d[d].copies[o].synced {
+			return false
+		}
+	}
+	return true
+}
+
+// drained reports whether every peer has applied the whole log.
+func (s *state) drained(d int) bool {
+	for o := range daemons {
+		if o == d || !s.d[d].here.has(o) {
+			continue
+		}
+		c := s.d[o].copies[d]
+		if !s.d[o].up || !c.synced || c.pos < s.d[d].logLen {
+			return false
+		}
+	}
+	return true
+}
+
+// loseFlight drops what a daemon that is gone had under way.
+func (s *state) loseFlight(d int) {
+	s.d[d].sent = [daemons]batch{}
+	for o := range daemons {
+		s.d[o].sent[d] = batch{}
+	}
+}
+
+// pairEvents are the messages between d and each other daemon.
+func (m *model) pairEvents(s state, d int, add addFunc) {
+	for o := range daemons {
+		if o == d || !s.d[o].up || !s.d[d].here.has(o) {
+			continue
+		}
+		m.markEvent(s, d, o, add)
+		m.batchEvents(s, o, d, add)
+		if !s.d[d].copies[o].synced {
+			next := s
+			next.d[d].copies[o] = logCopy{synced: true, pos: s.d[o].logLen}
+			if !s.d[d].ready {
+				next.takeCopies(d, o)
+			}
+			m.inherit(&next, d)
+			add(fmt.Sprintf("%d fetches snapshots of %d", d, o), next)
+		}
+	}
+}
+
+// takeCopies is a starting daemon's fetch of all that a peer holds.
+func (s *state) takeCopies(d, peer int) {
+	for o := range daemons {
+		theirs := s.d[peer].copies[o]
+		if o != d && o != peer && theirs.synced && !s.d[d].copies[o].synced {
+			s.d[d].copies[o] = logCopy{synced: true, pos: theirs.pos, dropped: theirs.dropped}
+		}
+	}
+}
+
+// markEvent lets a mark of d reach o.
+func (m *model) markEvent(s state, d, o int, add addFunc) {
+	bits := marks(0)
+	if s.d[d].seen == int8(o)+1 {
+		bits |= sinceSeen
+	}
+	if s.d[d].unsettled {
+		bits |= sinceChange
+	}
+	if !s.d[o].here.has(d) || s.d[o].received[d]|bits == s.d[o].received[d] {
+		return
+	}
+	next := s
+	next.d[o].received[d] |= bits
+	add(fmt.Sprintf("a mark of %d reaches %d", d, o), next)
+}
+
+// batchEvents let o cut a batch for d, and a batch in flight arrive.
+func (m *model) batchEvents(s state, o, d int, add addFunc) {
+	if s.d[o].sent[d].present {
+		add(fmt.Sprintf("a batch of %d reaches %d", o, d), m.apply(s, o, d))
+	}
+	b := batch{present: true, pos: s.d[o].logLen, echo: s.d[o].received[d], complete: s.d[o].complete}
+	c := s.d[d].copies[o]
+	news := b.pos > c.pos || b.echo&^c.heard != 0 || (b.complete && b.echo&^c.echoed != 0)
+	if !c.synced || !s.d[o].here.has(d) || !news || s.d[o].sent[d] == b {
+		return
+	}
+	next := s
+	next.d[o].sent[d] = b
+	add(fmt.Sprintf("%d cuts a batch for %d", o, d), next)
+}
+
+// viewEvents let d learn of the others.
+func (m *model) viewEvents(s state, d int, add addFunc) {
+	for o := range daemons {
+		if o == d {
+			continue
+		}
+		next := s
+		self, other := &next.d[d], &s.d[o]
+		switch {
+		case !other.up && self.here.has(o):
+			owned := self.owners.has(o)
+			self.here, self.owners = self.here.without(o), self.owners.without(o)
+			if owned {
+				m.viewChanged(&next, d, 0)
+			}
+			add(fmt.Sprintf("%d learns that %d is gone", d, o), next)
+		case other.up && !self.here.has(o):
+			self.here = self.here.with(o)
+			add(fmt.Sprintf("%d learns that %d is here", d, o), next)
+		case other.up && other.leaving && self.owners.has(o):
+			self.owners = self.owners.without(o)
+			m.viewChanged(&next, d, 0)
+			add(fmt.Sprintf("%d learns that %d leaves", d, o), next)
+		case other.up && other.ready && !other.leaving && !self.owners.has(o):
+			self.owners = self.owners.with(o)
+			m.viewChanged(&next, d, set(0).with(o))
+			add(fmt.Sprintf("%d learns that %d is ready", d, o), next)
+		}
+	}
+}
+
+// failures are crashes, planned stops and joins.
+func (m *model) failures(s state, add addFunc) {
+	for d := range daemons {
+		if s.left.Crashes > 0 && s.d[d].up && s.anotherOwner(d) {
+			next := s
+			next.left.Crashes--
+			next.excused = next.excused || s.unprotected(d)
+			next.d[d].up = false
+			next.loseFlight(d)
+			add(fmt.Sprintf("%d crashes", d), next)
+		}
+		if s.left.Stops > 0 && s.d[d].up && s.d[d].ready && !s.d[d].leaving && s.anotherOwner(d) {
+			next := s
+			next.left.Stops--
+			next.d[d].leaving = true
+			next.d[d].owners = next.d[d].owners.without(d)
+			m.viewChanged(&next, d, 0)
+			add(fmt.Sprintf("%d starts to leave", d), next)
+		}
+	}
+	if s.left.Joins > 0 {
+		for generation := range s.left.Switches + 1 {
+			add(fmt.Sprintf("%d joins with generation %d", s.left.Joiner, generation), m.join(s, generation))
+		}
+	}
+}
+
+func (s *state) anotherOwner(d int) bool {
+	for o := range daemons {
+		if o != d && s.d[o].up && s.d[o].ready && !s.d[o].leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// unprotected reports whether a crash of d now meets the protocol's stated limit: d alone knows what
+// became of the flow, since a live daemon's copy of d's log says otherwise.
+func (s *state) unprotected(d int) bool {
+	if s.d[d].table == 0 || s.established == 0 {
+		return false
+	}
+	for o := range daemons {
+		if o == d || !s.d[o].up || !s.d[o].copies[d].synced {
+			continue
+		}
+		p := s.copyAt(o, d)
+		if p.exception == 0 {
+			p.exception = defaultOf(p.generation)
+		}
+		if p.exception != s.d[d].table {
+			return true
+		}
+	}
+	return false
+}
+
+// join starts a daemon that knows nothing but the members and one generation of lists.
+func (m *model) join(s state, generation int8) state {
+	d := int(s.left.Joiner)
+	s.left.Joins--
+	self := daemon{up: true, generation: generation, base: generation, holds: set(1 << generation)}
+	for o := range daemons {
+		if o != d && s.d[o].up {
+			self.here = self.here.with(o)
+			if s.d[o].ready && !s.d[o].leaving {
+				self.owners = self.owners.with(o)
+			}
+		}
+	}
+	s.d[d] = self
+	m.viewChanged(&s, d, self.owners)
+	return s
+}
--- /dev/null
+++ b/internal/modelcheck/explore.go
@@ -0,0 +1,85 @@
+package modelcheck
+
+import (
+	"hash/maphash"
+	"slices"
+)
+
+// Result is what an exploration found.
+type Result struct {
+	// States counts the different states.
+	States int
+	// Complete is true when there are no further states within the budget.
+	Complete bool
+	// Trace holds the events that lead to a violation; empty where there is none.
+	Trace []string
+}
+
+// visit remembers how a state was first reached.
+type visit struct {
+	from  uint64
+	event string
+}
+
+// Explore visits the states of a run breadth-first until one violates the invariant or maxStates were
+// visited. States are told apart by a 64-bit hash: with ten million states the odds that two of them
+// share one, so that a state is missed, are about 1 in 400,000.
+func Explore(b Budget, mutation Mutation, maxStates int) Result {
+	seed := maphash.MakeSeed()
+	visited := make(map[uint64]visit)
+	first := initial(b)
+	visited[maphash.Comparable(seed, first)] = visit{}
+	frontier := []state{first}
+	m := &model{mutation: mutation}
+	for len(frontier) > 0 {
+		var next []state
+		for _, s := range frontier {
+			from := maphash.Comparable(seed, s)
+			m.violation = false
+			states, names := m.successors(s)
+			for i, n := range states {
+				if n.excused {
+					continue
+				}
+				h := maphash.Comparable(seed, n)
+				if _, ok := visited[h]; ok && !m.violation {
+					continue
+				}
+				if _, ok := visited[h]; !ok {
+					visited[h] = visit{from: from, event: names[i]}
+					next = append(next, n)
+				}
+			}
+			if m.violation {
+				return Result{States: len(visited), Trace: append(trace(visited, from), m.culprit(s))}
+			}
+		}
+		if len(visited) > maxStates {
+			return Result{States: len(visited)}
+		}
+		frontier = next
+	}
+	return Result{States: len(visited), Complete: true}
+}
+
+// trace returns the events that lead to a state.
+func trace(visited map[uint64]visit, h uint64) []string {
+	var events []string
+	for v := visited[h]; v.event != ""; v = visited[v.from] {
+		events = append(events, v.event)
+	}
+	slices.Reverse(events)
+	return events
+}
+
+// culprit names the event of a state that violates the invariant.
+func (m *model) culprit(s state) string {
+	culprit := ""
+	m.violation = false
+	m.packetEvents(s, func(name string, _ ...state) {
+		if m.violation && culprit == "" {
+			culprit = name
+		}
+	})
+	return culprit
+}
