--- a/internal/modelcheck/events.go
+++ b/internal/modelcheck/events.go
@@ -2,12 +2,47 @@
 
 import "fmt"
 
-// successors returns the states after each possible event, with the events' names.
-func (m *model) successors(s state) (states []state, names []string) {
-	add := func(name string, next ...state) {
+// event names what happened; it is formatted only for a trace.
+type event struct {
+	format string
+	a, b   int
+	packet packet
+}
+
+// String returns the event in words.
+func (e event) String() string {
+	switch e.format {
+	case "":
+		return ""
+	case arrives:
+		return fmt.Sprintf(e.format, e.packet.syn, e.a)
+	case handedOn:
+		return fmt.Sprintf(e.format, e.packet.syn, e.packet.hops, e.packet.delegated, e.a)
+	case lost:
+		return e.format
+	}
+	if e.b < 0 {
+		return fmt.Sprintf(e.format, e.a)
+	}
+	return fmt.Sprintf(e.format, e.a, e.b)
+}
+
+const (
+	arrives  = "packet (syn %v) at %d"
+	handedOn = "packet (syn %v, hops %d, delegated %v) handed on to %d"
+	lost     = "packet lost"
+)
+
+func one(format string, a int) event    { return event{format: format, a: a, b: -1} }
+func two(format string, a, b int) event { return event{format: format, a: a, b: b} }
+
+// successors returns the states after each possible event, with the events.
+func (m *model) successors(s state) (states []state, events []event) {
+	add := func(e event, next ...state) {
 		for _, n := range next {
+			n.canonical()
 			states = append(states, n)
-			names = append(names, name)
+			events = append(events, e)
 		}
 	}
 	m.packetEvents(s, add)
@@ -19,10 +54,10 @@
 		}
 	}
 	m.failures(s, add)
-	return states, names
+	return states, events
 }
 
-type addFunc func(name string, next ...state)
+type addFunc func(e event, next ...state)
 
 // packetEvents lets a packet arrive from the fabric, or the one in flight at its daemon.
 func (m *model) packetEvents(s state, add addFunc) {
@@ -30,16 +65,16 @@
 		for d := range daemons {
 			if s.d[d].up {
 				p := packet{syn: s.established == 0}
-				add(fmt.Sprintf("packet (syn %v) at %d", p.syn, d), m.handle(s, d, p)...)
+				add(event{format: arrives, a: d, packet: p}, m.handle(s, d, p)...)
 			}
 		}
 		return
 	}
-	lost := s
-	lost.packet = packet{}
-	add("packet lost", lost)
+	without := s
+	without.packet = packet{}
+	add(event{format: lost}, without)
 	if to := int(s.packet.to); s.d[to].up {
-		add(fmt.Sprintf("packet (syn %v, hops %d, delegated %v) handed on to %d", s.packet.syn, s.packet.hops, s.packet.delegated, to), m.handle(s, to, s.packet)...)
+		add(event{format: handedOn, a: to, packet: s.packet}, m.handle(s, to, s.packet)...)
 	}
 }
 
@@ -52,23 +87,23 @@
 // ownEvents are the events of one daemon by itself.
 func (m *model) ownEvents(s state, d int, add addFunc) {
 	if next, ok := m.settle(s, d); ok {
-		add(fmt.Sprintf("%d settles", d), next)
+		add(one("%d settles", d), next)
 	}
 	if s.left.Switches > 0 && s.d[d].generation == 0 {
-		add(fmt.Sprintf("%d adopts generation 1", d), m.switchGeneration(s, d))
+		add(one("%d adopts generation 1", d), m.switchGeneration(s, d))
 	}
 	if s.caughtUp(d) {
 		next := s
 		next.d[d].ready = true
 		next.d[d].owners = next.d[d].owners.with(d)
-		m.viewChanged(&next, d, set(0).with(d))
-		add(fmt.Sprintf("%d becomes ready", d), next)
+		m.viewChanged(&next, d, set(0).with(d), 0)
+		add(one("%d becomes ready", d), next)
 	}
 	if s.d[d].leaving && (m.mutation == StopAtOnce || s.drained(d)) {
 		next := s
 		next.d[d].up = false
 		next.loseFlight(d)
-		add(fmt.Sprintf("%d has left", d), next)
+		add(one("%d has left", d), next)
 	}
 }
 
@@ -121,7 +156,7 @@
 				next.takeCopies(d, o)
 			}
 			m.inherit(&next, d)
-			add(fmt.Sprintf("%d fetches snapshots of %d", d, o), next)
+			add(two("%d fetches snapshots of %d", d, o), next)
 		}
 	}
 }
@@ -150,23 +185,36 @@
 	}
 	next := s
 	next.d[o].received[d] |= bits
-	add(fmt.Sprintf("a mark of %d reaches %d", d, o), next)
+	add(two("a mark of %d reaches %d", d, o), next)
 }
 
 // batchEvents let o cut a batch for d, and a batch in flight arrive.
 func (m *model) batchEvents(s state, o, d int, add addFunc) {
 	if s.d[o].sent[d].present {
-		add(fmt.Sprintf("a batch of %d reaches %d", o, d), m.apply(s, o, d))
+		add(two("a batch of %d reaches %d", o, d), m.apply(s, o, d))
 	}
-	b := batch{present: true, pos: s.d[o].logLen, echo: s.d[o].received[d], complete: s.d[o].complete}
+	b := batch{present: true, pos: s.d[o].logLen, echo: s.d[o].received[d], complete: s.d[o].complete, owners: s.d[o].owners}
 	c := s.d[d].copies[o]
-	news := b.pos > c.pos || b.echo&^c.heard != 0 || (b.complete && b.echo&^c.echoed != 0)
-	if !c.synced || !s.d[o].here.has(d) || !news || s.d[o].sent[d] == b {
+	news := b.pos > c.pos || b.tellsMarks(&c)
+	if !c.synced || !s.d[o].here.has(d) || !news || s.d[o].sent[d] == b || s.inFlight() >= s.left.Batches {
 		return
 	}
 	next := s
 	next.d[o].sent[d] = b
-	add(fmt.Sprintf("%d cuts a batch for %d", o, d), next)
+	add(two("%d cuts a batch for %d", o, d), next)
+}
+
+// inFlight counts the batches under way.
+func (s *state) inFlight() int8 {
+	n := int8(0)
+	for d := range daemons {
+		for o := range daemons {
+			if s.d[d].sent[o].present {
+				n++
+			}
+		}
+	}
+	return n
 }
 
 // viewEvents let d learn of the others.
@@ -182,20 +230,20 @@
 			owned := self.owners.has(o)
 			self.here, self.owners = self.here.without(o), self.owners.without(o)
 			if owned {
-				m.viewChanged(&next, d, 0)
+				m.viewChanged(&next, d, 0, set(0).with(o))
 			}
-			add(fmt.Sprintf("%d learns that %d is gone", d, o), next)
+			add(two("%d learns that %d is gone", d, o), next)
 		case other.up && !self.here.has(o):
 			self.here = self.here.with(o)
-			add(fmt.Sprintf("%d learns that %d is here", d, o), next)
+			add(two("%d learns that %d is here", d, o), next)
 		case other.up && other.leaving && self.owners.has(o):
 			self.owners = self.owners.without(o)
-			m.viewChanged(&next, d, 0)
-			add(fmt.Sprintf("%d learns that %d leaves", d, o), next)
+			m.viewChanged(&next, d, 0, set(0).with(o))
+			add(two("%d learns that %d leaves", d, o), next)
 		case other.up && other.ready && !other.leaving && !self.owners.has(o):
 			self.owners = self.owners.with(o)
-			m.viewChanged(&next, d, set(0).with(o))
-			add(fmt.Sprintf("%d learns that %d is ready", d, o), next)
+			m.viewChanged(&next, d, set(0).with(o), 0)
+			add(two("%d learns that %d is ready", d, o), next)
 		}
 	}
 }
@@ -209,20 +257,20 @@
 			next.excused = next.excused || s.unprotected(d)
 			next.d[d].up = false
 			next.loseFlight(d)
-			add(fmt.Sprintf("%d crashes", d), next)
+			add(one("%d crashes", d), next)
 		}
 		if s.left.Stops > 0 && s.d[d].up && s.d[d].ready && !s.d[d].leaving && s.anotherOwner(d) {
 			next := s
 			next.left.Stops--
 			next.d[d].leaving = true
 			next.d[d].owners = next.d[d].owners.without(d)
-			m.viewChanged(&next, d, 0)
-			add(fmt.Sprintf("%d starts to leave", d), next)
+			m.viewChanged(&next, d, 0, set(0).with(d))
+			add(one("%d starts to leave", d), next)
 		}
 	}
 	if s.left.Joins > 0 {
 		for generation := range s.left.Switches + 1 {
-			add(fmt.Sprintf("%d joins with generation %d", s.left.Joiner, generation), m.join(s, generation))
+			add(two("%d joins with generation %d", int(s.left.Joiner), int(generation)), m.join(s, generation))
 		}
 	}
 }
@@ -271,6 +319,6 @@
 		}
 	}
 	s.d[d] = self
-	m.viewChanged(&s, d, self.owners)
+	m.viewChanged(&s, d, self.owners, 0)
 	return s
 }
--- a/internal/modelcheck/explore.go
+++ b/internal/modelcheck/explore.go
@@ -18,7 +18,7 @@
 // visit remembers how a state was first reached.
 type visit struct {
 	from  uint64
-	event string
+	event event
 }
 
 // Explore visits the states of a run breadth-first until one violates the invariant or maxStates were
@@ -36,7 +36,7 @@
 		for _, s := range frontier {
 			from := maphash.Comparable(seed, s)
 			m.violation = false
-			states, names := m.successors(s)
+			states, events := m.successors(s)
 			for i, n := range states {
 				if n.excused {
 					continue
@@ -46,7 +46,7 @@
 					continue
 				}
 				if _, ok := visited[h]; !ok {
-					visited[h] = visit{from: from, event: names[i]}
+					visited[h] = visit{from: from, event: events[i]}
 					next = append(next, n)
 				}
 			}
@@ -65,8 +65,8 @@
 // trace returns the events that lead to a state.
 func trace(visited map[uint64]visit, h uint64) []string {
 	var events []string
-	for v := visited[h]; v.event != ""; v = visited[v.from] {
-		events = append(events, v.event)
+	for v := visited[h]; v.event.format != ""; v = visited[v.from] {
+		events = append(events, v.event.String())
 	}
 	slices.Reverse(events)
 	return events
@@ -76,9 +76,9 @@
 func (m *model) culprit(s state) string {
 	culprit := ""
 	m.violation = false
-	m.packetEvents(s, func(name string, _ ...state) {
+	m.packetEvents(s, func(e event, _ ...state) {
 		if m.violation && culprit == "" {
-			culprit = name
+			culprit = e.String()
 		}
 	})
 	return culprit
--- a/internal/modelcheck/protocol.go
+++ b/internal/modelcheck/protocol.go
@@ -16,6 +16,15 @@
 	SwitchFirst
 	// StopAtOnce ends a planned stop before the log is acknowledged.
 	StopAtOnce
+	// AnyView relies on a complete log although its owner has another view of the owners.
+	AnyView
+	// AllAppeared counts the owners that a joining daemon meets as new ones, like itself.
+	AllAppeared
+	// NoLeaver decides at once on flows of a daemon that leaves.
+	NoLeaver
+	// Guess sends a packet to the newest default target where the lists of the flow's generation are
+	// missing.
+	Guess
 	// NoInheritance leaves the exceptions of former owners out of the new owner's log.
 	NoInheritance
 )
@@ -235,7 +244,7 @@
 // carryOn decides on a packet of a flow that d owns but does not know.
 func (m *model) carryOn(s state, d int, p packet) {
 	if p.hops < maxHops && m.mutation != NoDelegation {
-		if former, ok := s.delegate(d); ok {
+		if former, ok := m.delegate(&s, d); ok {
 			m.hand(s, d, former, p, true)
 			return
 		}
@@ -249,17 +258,34 @@
 			return
 		}
 	}
+	m.takeOver(s, d, t, sure, p)
+}
+
+// takeOver sends a packet of an unknown flow to its target and remembers the flow. A packet whose target
+// is not sure is dropped: the caller repeats it.
+func (m *model) takeOver(s state, d int, t target, sure bool, p packet) {
+	if !sure && m.mutation != Guess {
+		m.drop(s)
+		return
+	}
 	s.enter(d, t)
-	m.reach(s, t, false)
+	m.reach(s, t, p.syn)
 }
 
 // delegate is core's formerOwner.
-func (s *state) delegate(d int) (int, bool) {
+func (m *model) delegate(s *state, d int) (int, bool) {
 	self := &s.d[d]
 	if self.former != 0 && self.here.has(int(self.former)-1) {
 		return int(self.former) - 1, true
 	}
-	if !self.delegating || self.appeared == 0 {
+	if !self.delegating {
+		return 0, false
+	}
+	if leaver, ok := s.leaver(d); ok && m.mutation != NoLeaver {
+		self.former = int8(leaver) + 1
+		return leaver, true
+	}
+	if self.appeared == 0 {
 		return 0, false
 	}
 	selfAppeared := self.appeared.has(d)
@@ -270,6 +296,13 @@
 	return former, ok
 }
 
+// leaver returns the first daemon in the flow's order that ceased to own flows but can be reached, if it
+// comes before d.
+func (s *state) leaver(d int) (int, bool) {
+	self := &s.d[d]
+	return (self.ceased & self.here).firstWhere(func(o int) bool { return o < d })
+}
+
 // decideFor decides on a packet that another owner does not know.
 func (m *model) decideFor(s state, d, owner int, p packet) {
 	if s.d[d].table != 0 {
@@ -277,9 +310,8 @@
 		return
 	}
 	former, ok := s.predecessor(d, owner)
-	t, _ := m.resolveFrom(&s, d, former, ok, owner)
-	s.enter(d, t)
-	m.reach(s, t, p.syn)
+	t, sure := m.resolveFrom(&s, d, former, ok, owner)
+	m.takeOver(s, d, t, sure, p)
 }
 
 // disputed handles a hop to a daemon that holds another to be the owner.
@@ -292,7 +324,11 @@
 	case p.syn:
 		m.drop(s)
 	default:
-		t, _ := m.resolve(&s, d)
+		t, sure := m.resolve(&s, d)
+		if !sure && m.mutation != Guess {
+			m.drop(s)
+			return
+		}
 		m.reach(s, t, false)
 	}
 }
@@ -307,9 +343,11 @@
 	}
 	old := c.pos
 	c.pos = b.pos
-	c.heard |= b.echo
-	if b.complete {
-		c.echoed |= b.echo
+	if b.owners == s.d[d].owners || m.mutation == AnyView {
+		c.heard |= b.echo
+		if b.complete {
+			c.echoed |= b.echo
+		}
 	}
 	s.yieldTo(d, from, old)
 	m.inherit(&s, d)
@@ -365,21 +403,25 @@
 }
 
 // viewChanged is core's refreshView for a change of the owners.
-func (m *model) viewChanged(s *state, d int, appeared set) {
-	s.unsettle(d, appeared)
+func (m *model) viewChanged(s *state, d int, appeared, ceased set) {
+	s.unsettle(d, appeared, ceased)
+	if appeared.has(d) && m.mutation != AllAppeared {
+		s.d[d].appeared = appeared
+	}
 	m.inherit(s, d)
 }
 
-func (s *state) unsettle(d int, appeared set) {
+func (s *state) unsettle(d int, appeared, ceased set) {
 	self := &s.d[d]
 	self.complete = false
 	self.doubting = false
 	if !self.unsettled {
-		self.appeared = 0
+		self.appeared, self.ceased = 0, 0
 		self.former = 0
 	}
 	self.unsettled, self.delegating = true, true
 	self.appeared |= appeared
+	self.ceased = (self.ceased | ceased) &^ appeared
 	s.forgetMarks(d, sinceChange)
 }
 
@@ -387,7 +429,7 @@
 func (m *model) settle(s state, d int) (state, bool) {
 	self := &s.d[d]
 	if self.doubting {
-		s.unsettle(d, 0)
+		s.unsettle(d, 0, 0)
 		return s, true
 	}
 	if !self.unsettled || !s.current(d) {
@@ -402,7 +444,7 @@
 		m.takeIn(&s, d)
 	}
 	self.unsettled, self.delegating = false, false
-	self.former, self.appeared = 0, 0
+	self.former, self.appeared, self.ceased = 0, 0, 0
 	self.complete = true
 	return s, true
 }
@@ -410,7 +452,8 @@
 // current reports whether all other owners were heard of since the change.
 func (s *state) current(d int) bool {
 	for o := range daemons {
-		if o == d || !s.d[d].owners.has(o) {
+		waited := s.d[d].owners | s.d[d].ceased&s.d[d].here
+		if o == d || !waited.has(o) {
 			continue
 		}
 		c := s.d[d].copies[o]
--- a/internal/modelcheck/state.go
+++ b/internal/modelcheck/state.go
@@ -75,6 +75,8 @@
 	pos      int8
 	echo     marks
 	complete bool
+	// owners are those in the sender's view.
+	owners set
 }
 
 // daemon is one daemon. Sets and arrays are indexed by daemon.
@@ -103,7 +105,8 @@
 	seen int8
 
 	unsettled, delegating, doubting bool
-	appeared                        set
+	// appeared became owners in the change that settles; ceased are no owners any more.
+	appeared, ceased set
 	// former is 1 + the daemon that the flow is delegated to.
 	former int8
 }
@@ -131,6 +134,8 @@
 	Crashes, Stops, Joins int8
 	// Switches is 1 when the lists change once.
 	Switches int8
+	// Batches bounds the batches that are under way at a time.
+	Batches int8
 	// Joiner is the daemon that is down at first, when Joins is 1.
 	Joiner int8
 }
