Let a daemon be ended at once, and run its servers as one process

Cause: daemons inside the load tool had no server for calls, so none became ready; a killed one went on answering calls. Ruled out: cutting sockets alone: the server for calls listens on TCP. Conclusion: Process.Kill ends everything as a crash does.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -88,6 +89,8 @@
 	tasksCtx    context.Context
 	ready       atomic.Bool
 	outdated    chan uint64
+	killed      chan struct{}
+	kill        sync.Once
 }
 
 // New returns a daemon that has not opened its sockets yet.
@@ -108,6 +111,7 @@
 		counter:     new(wire.Counter),
 		replay:      wire.NewReplay(wire.ReplayConfig{}),
 		outdated:    make(chan uint64, 1),
+		killed:      make(chan struct{}),
 	}
 	d.engine = core.New(core.Config{
 		Self:        self,
@@ -155,6 +159,7 @@
 		d.drain()
 	case newest := <-d.outdated:
 		cause = fmt.Errorf("run as incarnation %d: peers know the newer incarnation %d of this machine", d.incarnation, newest)
+	case <-d.killed:
 	case <-d.tasksCtx.Done():
 	}
 	stop()
@@ -165,6 +170,11 @@
 	return cause
 }
 
+// Kill makes Run return at once, without the graceful stop.
+func (d *Daemon) Kill() {
+	d.kill.Do(func() { close(d.killed) })
+}
+
 // sockets are the daemon's open sockets.
 type sockets struct {
 	data []udpio.Conn
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -49,3 +49,9 @@
 	defer cancel()
 	return errors.Join(err, p.Ops.Shutdown(shutdownCtx))
 }
+
+// Kill ends the process's work at once, as a crash does.
+func (p *Process) Kill() {
+	p.bulk.Close()
+	p.Daemon.Kill()
+}
--- a/internal/fleet/daemonmember.go
+++ b/internal/fleet/daemonmember.go
@@ -6,10 +6,7 @@
 	"io"
 	"time"
 
-	"github.com/samber/do/v2"
-
 	"github.com/fireflypin/fireflypin/internal/daemon"
-	"github.com/fireflypin/fireflypin/internal/ops"
 	"github.com/fireflypin/fireflypin/internal/scenario"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
@@ -18,11 +15,11 @@
 
 // daemonMember is a daemon that runs in this process.
 type daemonMember struct {
-	daemon *daemon.Daemon
-	ops    *ops.Server
-	cancel context.CancelFunc
-	done   chan struct{}
-	err    error
+	process *daemon.Process
+	daemon  *daemon.Daemon
+	cancel  context.CancelFunc
+	done    chan struct{}
+	err     error
 }
 
 // startDaemon starts the product with the settings file that a process of its own would read.
@@ -35,30 +32,19 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	injector := daemon.Wire(daemon.Options{Settings: s, LogTo: logTo, Network: network, Now: time.Now()})
-	d, err := do.Invoke[*daemon.Daemon](injector)
+	p, err := daemon.NewProcess(daemon.Options{Settings: s, LogTo: logTo, Network: network, Now: time.Now()})
 	if err != nil {
 		return nil, fmt.Errorf("wire daemon: %w", err)
 	}
-	server, err := do.Invoke[*ops.Server](injector)
-	if err != nil {
-		return nil, fmt.Errorf("wire operators' server: %w", err)
-	}
-	if err := server.Listen(); err != nil {
-		return nil, err
-	}
 	ctx, cancel := context.WithCancel(context.Background())
-	m := &daemonMember{daemon: d, ops: server, cancel: cancel, done: make(chan struct{})}
+	m := &daemonMember{process: p, daemon: p.Daemon, cancel: cancel, done: make(chan struct{})}
 	go m.run(ctx)
 	return m, nil
 }
 
 func (m *daemonMember) run(ctx context.Context) {
 	defer close(m.done)
-	m.err = m.daemon.Run(ctx)
-	ended, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	cancel()
-	_ = m.ops.Shutdown(ended)
+	m.err = m.process.Run(ctx)
 }
 
 // Ready reports whether the daemon serves.
@@ -75,9 +61,11 @@
 	}
 }
 
-// Kill ends the daemon. Its sockets were cut off before, so that the rest of its graceful stop, which
-// runs on in the background, reaches nobody.
-func (m *daemonMember) Kill() { m.cancel() }
+// Kill ends the daemon as a crash does.
+func (m *daemonMember) Kill() {
+	m.process.Kill()
+	m.cancel()
+}
 
 // Status returns the daemon's counters.
 func (m *daemonMember) Status() Status {
--- a/internal/relay/forward_bench_test.go
+++ b/internal/relay/forward_bench_test.go
@@ -14,6 +14,7 @@
 	"github.com/fireflypin/fireflypin/internal/daemon"
 	"github.com/fireflypin/fireflypin/internal/lists"
 	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -35,6 +36,11 @@
 // fixedLists puts one snapshot in force.
 type fixedLists struct{ snapshot *model.Snapshot }
 
+func (l fixedLists) Digest() platform.Digest                      { return platform.Digest{} }
+func (l fixedLists) Document(lists.Kind) *platform.Document       { return nil }
+func (l fixedLists) HandleDigest(netip.AddrPort, platform.Digest) {}
+func (l fixedLists) Status() platform.Status                      { return platform.Status{} }
+
 func (l fixedLists) Run(ctx context.Context, adopt func(*model.Snapshot)) error {
 	adopt(l.snapshot)
 	<-ctx.Done()
