Keep histograms of handshakes by customer and service

The engine tells an injected observer of each SYN-ACK at the flow's owner; the daemon keeps it in at most 512 histograms. Services that return directly have none, since no daemon sees their answers. Additive change in core: Config.Observer and one call in ownAnswer.

--- a/core/answers.go
+++ b/core/answers.go
@@ -48,7 +48,9 @@
 	case m.Flags.Has(packet.RST):
 		e.noteReset(now, h, entry)
 	case m.Flags.Has(packet.SYN):
-		e.loads.Answered(now, entry.Target, e.table.Age(now, entry))
+		handshake := e.table.Age(now, entry)
+		e.loads.Answered(now, entry.Target, handshake)
+		e.observeAnswer(m, handshake)
 	}
 	return Verdict{Op: OpReturn}
 }
--- a/core/config.go
+++ b/core/config.go
@@ -55,6 +55,8 @@
 	Policy placement.Policy
 	// Limits bounds customers' flows. Default: no bounds.
 	Limits Limits
+	// Observer is told of flows. Default: nobody.
+	Observer Observer
 }
 
 const (
@@ -89,6 +91,9 @@
 	if c.Limits == nil {
 		c.Limits = noLimits{}
 	}
+	if c.Observer == nil {
+		c.Observer = noObserver{}
+	}
 	return c
 }
 
--- /dev/null
+++ b/core/observer.go
@@ -0,0 +1,29 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// Observer is told what an engine sees of flows. Its methods must be safe for concurrent use and must
+// not block.
+type Observer interface {
+	// Answered tells that a target has accepted a connection of a service that returns through the
+	// daemons. handshake is the time from the caller's SYN to the target's SYN-ACK, both at the flow's
+	// owner, in steps of 1 ms.
+	Answered(a Admission, handshake time.Duration)
+}
+
+type noObserver struct{}
+
+func (noObserver) Answered(Admission, time.Duration) {}
+
+// observeAnswer tells the observer of the SYN-ACK m.
+func (e *Engine) observeAnswer(m *packet.Meta, handshake time.Duration) {
+	ad, kind := e.world.Load().admitter.Admit(m.Dst.Addr(), m.Src)
+	if kind == errkind.None {
+		e.cfg.Observer.Answered(ad, handshake)
+	}
+}
--- /dev/null
+++ b/core/observer_test.go
@@ -0,0 +1,39 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// recorder keeps what an Observer is told.
+type recorder struct {
+	services   []string
+	handshakes []time.Duration
+}
+
+func (r *recorder) Answered(a Admission, handshake time.Duration) {
+	r.services = append(r.services, a.Service.Name)
+	r.handshakes = append(r.handshakes, handshake)
+}
+
+func TestObserverOfHandshakes(t *testing.T) {
+	Convey("The owner tells its observer of a SYN-ACK and of no other answer", t, func() {
+		f := newFleet(t, 1, testLists(1, 1, 1))
+		f.startAll()
+		r := &recorder{}
+		f.nodes[0].engine.cfg.Observer = r
+		fl, v := f.open(0)
+		So(v.Op, ShouldEqual, OpForward)
+		f.now = f.now.Add(7 * time.Millisecond)
+		for _, flags := range []packet.Flags{packet.SYN | packet.ACK, packet.ACK, packet.FIN | packet.ACK} {
+			answer := packet.Meta{Src: testService, Dst: fl.caller, Flags: flags, HopLimit: 64}
+			So(f.nodes[0].engine.FromFabric(f.now, fl.target, &answer).Op, ShouldEqual, OpReturn)
+		}
+		So(r.services, ShouldResemble, []string{f.lists.Services[0].Name})
+		So(r.handshakes, ShouldResemble, []time.Duration{7 * time.Millisecond})
+	})
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,7 @@
 	keys     wire.KeyringProvider
 	log      *log.Logger
 	metrics  *meters
+	observer *flowObserver
 
 	engine      *core.Engine
 	incarnation uint64
@@ -93,6 +94,7 @@
 		keys:        deps.Keys,
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
+		observer:    newFlowObserver(deps.Metrics),
 		incarnation: incarnation,
 		counter:     new(wire.Counter),
 		replay:      wire.NewReplay(wire.ReplayConfig{}),
@@ -105,6 +107,7 @@
 		Rand:        rand.New(rand.NewPCG(uint64(self), incarnation)),
 		Epoch:       deps.Now,
 		LogInterval: s.LogBatchInterval,
+		Observer:    d.observer,
 		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
 	})
 	return d
@@ -229,6 +232,7 @@
 	if !taken {
 		return
 	}
+	d.observer.retain(s)
 	d.log.Info("lists in force", "op", "lists", "event", "adopted",
 		"customers", s.Revisions.Customers, "plans", s.Revisions.Plans, "machines", s.Revisions.Machines)
 	d.perform(actions)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/model"
 )
 
 // meters are the daemon's own metrics.
@@ -52,6 +53,34 @@
 	gauge("fireflypin_unacknowledged_records", "Log records that a peer has not applied yet.", func(st core.Status) int { return st.Unacknowledged })
 }
 
+// maxHandshakeSeries bounds the histograms of handshakes, one for each customer and service in use.
+const maxHandshakeSeries = 512
+
+// flowObserver keeps histograms by customer and service.
+type flowObserver struct {
+	handshake *metrics.HistogramVec
+}
+
+func newFlowObserver(s *metrics.Set) *flowObserver {
+	return &flowObserver{handshake: s.HistogramVec(
+		metrics.Family{Name: "fireflypin_handshake_milliseconds", Help: "Time from a caller's SYN to its target's SYN-ACK at the flow's owner, for services that return through the daemons."},
+		maxHandshakeSeries, "customer", "service")}
+}
+
+// Answered implements core.Observer.
+func (o *flowObserver) Answered(a core.Admission, handshake time.Duration) {
+	o.handshake.With(a.Customer.Name, a.Service.Name).Update(handshake.Milliseconds())
+}
+
+// retain drops the histograms of customers that the lists no longer name.
+func (o *flowObserver) retain(s *model.Snapshot) {
+	named := make(map[string]bool)
+	for _, c := range s.Customers {
+		named[c.Name] = true
+	}
+	o.handshake.Retain(func(labels []metrics.Label) bool { return named[labels[0].Value] })
+}
+
 // packetAt notes that packets came.
 func (m *meters) packetAt(now time.Time) {
 	m.lastPacket.Store(now.UnixNano())
