--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -79,6 +79,7 @@
 	keys     wire.KeyringProvider
 	log      *log.Logger
 	metrics  *meters
+	observer *flowObserver
 
 	engine      *core.Engine
 	incarnation uint64
@@ -107,6 +108,7 @@
 		keys:        deps.Keys,
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
+		observer:    newFlowObserver(deps.Metrics),
 		incarnation: incarnation,
 		counter:     new(wire.Counter),
 		replay:      wire.NewReplay(wire.ReplayConfig{}),
@@ -120,6 +122,7 @@
 		Rand:        rand.New(rand.NewPCG(uint64(self), incarnation)),
 		Epoch:       deps.Now,
 		LogInterval: s.LogBatchInterval,
+		Observer:    d.observer,
 		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
 		Members:     membership.Config{HeartbeatInterval: s.HeartbeatInterval},
 		Sections:    d.sections,
@@ -252,6 +255,7 @@
 	if !taken {
 		return
 	}
+	d.observer.retain(s)
 	d.log.Info("lists in force", "op", "lists", "event", "adopted",
 		"customers", s.Revisions.Customers, "plans", s.Revisions.Plans, "machines", s.Revisions.Machines)
 	d.perform(actions)
