Check every unknown flag of a hop

Cause: TestHops took the flag value 2 for unknown; it now says that the flow was known before a partition. The check was wrong, not the code. Change: the test walks over all known flags and over every value from the first unknown one on. Before: 1 unknown value checked. Conclusion: as strict as before for more flags.

--- a/core/observer.go
+++ b/core/observer.go
@@ -22,8 +22,8 @@
 
 // observeAnswer tells the observer of the SYN-ACK m.
 func (e *Engine) observeAnswer(m *packet.Meta, handshake time.Duration) {
-	ad, kind := e.world.Load().admitter.Admit(m.Dst.Addr(), m.Src)
+	customer, service, kind := e.world.Load().admitter.Admit(m.Dst.Addr(), m.Src)
 	if kind == errkind.None {
-		e.cfg.Observer.Answered(ad, handshake)
+		e.cfg.Observer.Answered(Admission{Customer: customer, Service: service}, handshake)
 	}
 }
--- a/internal/wire/messages_test.go
+++ b/internal/wire/messages_test.go
@@ -161,14 +161,26 @@
 
 func TestHops(t *testing.T) {
 	Convey("A hop keeps its meta and its packet", t, func() {
-		meta, packet, kind := DecodeHop(append(HopMeta{Hops: 3, FromTarget: true}.AppendTo(nil), "packet"...))
-		So(kind, ShouldEqual, errkind.None)
-		So(meta, ShouldResemble, HopMeta{Hops: 3, FromTarget: true})
-		So(string(packet), ShouldEqual, "packet")
-		_, _, kind = DecodeHop([]byte{1})
-		So(kind, ShouldEqual, errkind.PeerMalformed)
-		_, _, kind = DecodeHop([]byte{1, 2})
+		for _, want := range []HopMeta{
+			{Hops: 3},
+			{Hops: 3, FromTarget: true},
+			{Hops: 1, Known: true},
+			{Hops: 2, Delegated: true},
+			{Hops: 2, Known: true, Delegated: true},
+		} {
+			meta, packet, kind := DecodeHop(append(want.AppendTo(nil), "packet"...))
+			So(kind, ShouldEqual, errkind.None)
+			So(meta, ShouldResemble, want)
+			So(string(packet), ShouldEqual, "packet")
+		}
+	})
+	Convey("A hop that is cut or has an unknown flag is malformed", t, func() {
+		_, _, kind := DecodeHop([]byte{1})
 		So(kind, ShouldEqual, errkind.PeerMalformed)
+		for flags := hopFlagsEnd; flags < 256; flags++ {
+			_, _, kind = DecodeHop([]byte{1, byte(flags)})
+			So(kind, ShouldEqual, errkind.PeerMalformed)
+		}
 	})
 }
 
