--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -26,7 +26,11 @@
 	return &cli.Command{
 		Name:  "fireflypin",
 		Usage: "operate and try out the fireflypin load balancer",
+
+		Version: version(),
 		Commands: []*cli.Command{
+			newCheckCommand(),
+			newExplainCommand(),
 			newBenchCommand(),
 			newDemoCommand(),
 			newStandinCommand(),
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -140,3 +140,14 @@
 	}
 	ns[name] = m.LineOf(key)
 }
+
+// HasKind reports whether a document is meant as a published list: it has a key named kind, or cannot be
+// read at all.
+func HasKind(d Document) bool {
+	has, visited := false, false
+	yamldoc.Read(d, func(m *yamldoc.Map) {
+		has, visited = m.Has("kind"), true
+		m.Ignore()
+	})
+	return has || !visited
+}
