--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -12,6 +12,7 @@
 	"github.com/fireflypin/fireflypin/internal/fleet"
 	"github.com/fireflypin/fireflypin/internal/history"
 	"github.com/fireflypin/fireflypin/internal/scenario"
+	"github.com/fireflypin/fireflypin/packet"
 )
 
 const (
@@ -32,11 +33,11 @@
 	Flows int `json:"flows"`
 	// BrokenPer100k is the number of broken flows per 100,000 of them.
 	BrokenPer100k float64 `json:"broken_per_100k"`
-	// BrokenOneSide counts broken flows whose caller and target lie in one zone.
-	BrokenOneSide int              `json:"broken_one_side"`
-	Summary       scenario.Summary `json:"summary"`
-	Imbalance     []Imbalance      `json:"imbalance"`
-	Latencies     []Latency        `json:"latencies"`
+	// BrokenConnected counts broken flows whose caller and target no partition cut off from each other.
+	BrokenConnected int              `json:"broken_one_side"`
+	Summary         scenario.Summary `json:"summary"`
+	Imbalance       []Imbalance      `json:"imbalance"`
+	Latencies       []Latency        `json:"latencies"`
 	// HopShare is the share of packets from the fabric that a daemon passed to another, 0 to 1.
 	HopShare float64 `json:"hop_share"`
 	// ExceptionShare is the mean share of open flows that are exceptions, 0 to 1.
@@ -88,7 +89,7 @@
 		Seconds:               seconds,
 		Summary:               scenario.Summarize(h),
 		Flows:                 len(h.Flows),
-		BrokenOneSide:         r.brokenOneSide(h),
+		BrokenConnected:       r.brokenConnected(h),
 		Imbalance:             imbalances(r.samples),
 		Latencies:             latencies(h),
 		HopShare:              hopShare(r.first, last),
@@ -102,20 +103,25 @@
 	return res
 }
 
-// brokenOneSide counts broken flows whose caller and target lie in one zone.
-func (r *run) brokenOneSide(h history.History) int {
+// brokenConnected counts broken flows whose caller and target no partition cut off from each other.
+func (r *run) brokenConnected(h history.History) int {
 	zones := make(map[string]string)
 	for _, l := range r.site.Loads() {
 		zones[l.Name] = l.Zone
 	}
-	receipts := lo.SliceToMap(h.Receipts, func(rc history.Receipt) (string, string) {
-		return fmt.Sprint(rc.Flow), zones[rc.Target]
-	})
+	zoneOf := make(map[packet.FlowKey]string)
+	for _, rc := range h.Receipts {
+		zoneOf[rc.Flow] = zones[rc.Target]
+	}
 	return lo.CountBy(h.Flows, func(f history.FlowEnd) bool {
-		if f.Result != history.FlowBroken {
-			return false
-		}
-		return receipts[fmt.Sprint(f.Flow)] == r.cfg.Scenario.CallerZone(f.Flow.Caller.Addr())
+		return f.Result == history.FlowBroken && !r.separated(r.cfg.Scenario.CallerZone(f.Flow.Caller.Addr()), zoneOf[f.Flow])
+	})
+}
+
+// separated reports whether a partition of the scenario cuts two zones off from each other.
+func (r *run) separated(a, b string) bool {
+	return lo.SomeBy(r.cfg.Scenario.Faults, func(f scenario.Fault) bool {
+		return f.Kind == scenario.FaultPartition && (a == f.Name) != (b == f.Name)
 	})
 }
 
@@ -206,7 +212,7 @@
 func (r *Result) Print(w io.Writer) {
 	fmt.Fprintf(w, "\n%s, %s, seed %d, %.1f s counted\n", r.Scenario, r.Variant, r.Seed, r.Seconds)
 	r.Summary.Print(w)
-	fmt.Fprintf(w, "broken    %.1f per 100,000 flows, %d with caller and target in one zone\n", r.BrokenPer100k, r.BrokenOneSide)
+	fmt.Fprintf(w, "broken    %.1f per 100,000 flows, %d with caller and target never cut off\n", r.BrokenPer100k, r.BrokenConnected)
 	for _, i := range r.Imbalance {
 		fmt.Fprintf(w, "imbalance %-12s flows %.3f (worst %.3f), reported %.3f, busy slots %.3f\n",
 			i.Service, i.FlowsMean, i.FlowsWorst, i.ReportedMean, i.BusyMaxOverMean)
