--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -78,6 +79,7 @@
 	keys     wire.KeyringProvider
 	log      *log.Logger
 	metrics  *meters
+	observer *flowObserver
 
 	engine      *core.Engine
 	incarnation uint64
@@ -88,6 +90,8 @@
 	tasksCtx    context.Context
 	ready       atomic.Bool
 	outdated    chan uint64
+	killed      chan struct{}
+	kill        sync.Once
 }
 
 // New returns a daemon that has not opened its sockets yet.
@@ -104,10 +108,12 @@
 		keys:        deps.Keys,
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
+		observer:    newFlowObserver(deps.Metrics),
 		incarnation: incarnation,
 		counter:     new(wire.Counter),
 		replay:      wire.NewReplay(wire.ReplayConfig{}),
 		outdated:    make(chan uint64, 1),
+		killed:      make(chan struct{}),
 	}
 	d.engine = core.New(core.Config{
 		Self:        self,
@@ -116,6 +122,7 @@
 		Rand:        rand.New(rand.NewPCG(uint64(self), incarnation)),
 		Epoch:       deps.Now,
 		LogInterval: s.LogBatchInterval,
+		Observer:    d.observer,
 		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
 		Members:     membership.Config{HeartbeatInterval: s.HeartbeatInterval},
 		Sections:    d.sections,
@@ -155,6 +162,7 @@
 		d.drain()
 	case newest := <-d.outdated:
 		cause = fmt.Errorf("run as incarnation %d: peers know the newer incarnation %d of this machine", d.incarnation, newest)
+	case <-d.killed:
 	case <-d.tasksCtx.Done():
 	}
 	stop()
@@ -165,6 +173,11 @@
 	return cause
 }
 
+// Kill makes Run return at once, without the graceful stop.
+func (d *Daemon) Kill() {
+	d.kill.Do(func() { close(d.killed) })
+}
+
 // sockets are the daemon's open sockets.
 type sockets struct {
 	data []udpio.Conn
@@ -242,6 +255,7 @@
 	if !taken {
 		return
 	}
+	d.observer.retain(s)
 	d.log.Info("lists in force", "op", "lists", "event", "adopted",
 		"customers", s.Revisions.Customers, "plans", s.Revisions.Plans, "machines", s.Revisions.Machines)
 	d.perform(actions)
