Leave young flows of a leaving daemon, or of the owners before a join, to those that placed them

A planned stop moves the ownership at once, but the leaving daemon's log reaches the new owner up to a log interval later. The new owner now delegates unknown flows to daemons that ceased to own and can still be reached, and settles only after it has heard their logs. The same hole at a join: a daemon that became ready before it had settled counted the owners that it had met itself as new ones and delegated to none. Ruled out: waiting with the announcement until the log is acknowledged, since new flows go on meanwhile.

--- a/core/takeover.go
+++ b/core/takeover.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -22,6 +24,8 @@
 	flows  map[model.FlowHash]delegatedFlow
 	// appeared names the daemons, this one among them, that became owners in the change.
 	appeared []model.MachineID
+	// ceased names the daemons that were owners before the change.
+	ceased []model.MachineID
 }
 
 // delegatedFlow is a flow whose packets are left to its former owner.
@@ -71,7 +75,14 @@
 	if f, ok := e.delegated.flows[a.hash]; ok && w.view.Here(f.former) {
 		return w.snapshot.Entry(f.former)
 	}
-	if !e.delegated.active || len(e.delegated.appeared) == 0 {
+	if !e.delegated.active {
+		return nil
+	}
+	if leaver := e.leaver(w, a.hash); leaver != nil {
+		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: leaver.ID}
+		return leaver
+	}
+	if len(e.delegated.appeared) == 0 {
 		return nil
 	}
 	selfAppeared := slices.Contains(e.delegated.appeared, e.cfg.Self)
@@ -84,6 +95,19 @@
 	return former
 }
 
+// leaver returns the daemon that ceased to own flows in the change, can still be reached and comes first
+// in the flow's order, before this daemon; or nil. Its log may not have arrived here in full.
+func (e *Engine) leaver(w *world, h model.FlowHash) *model.EntryVM {
+	var first *model.EntryVM
+	best := w.rank(h, e.cfg.Self)
+	for _, id := range e.delegated.ceased {
+		if r := w.rank(h, id); id != e.cfg.Self && w.view.Here(id) && r < best {
+			first, best = w.snapshot.Entry(id), r
+		}
+	}
+	return first
+}
+
 // decideFor decides on a packet of a flow that another daemon owns but does not know. The flow enters
 // this daemon's log, from which the owner learns of it.
 func (e *Engine) decideFor(w *world, a *arrival, owner model.MachineID) Verdict {
@@ -123,7 +147,7 @@
 
 // unsettle starts the time in which unknown flows are left to their former owners: until every other
 // owner's log is known here as it was after the change.
-func (e *Engine) unsettle(now time.Time, appeared []model.MachineID) {
+func (e *Engine) unsettle(now time.Time, appeared, ceased []model.MachineID) {
 	e.log.SetComplete(false)
 	e.unsettled.Store(true)
 	e.settleBy = now.Add(e.cfg.SettleTime)
@@ -132,10 +156,15 @@
 	defer e.delegated.mu.Unlock()
 	if e.delegated.flows == nil {
 		e.delegated.flows = make(map[model.FlowHash]delegatedFlow)
-		e.delegated.appeared = nil
+		e.delegated.appeared, e.delegated.ceased = nil, nil
 	}
 	e.delegated.active = true
 	e.delegated.appeared = append(e.delegated.appeared, appeared...)
+	if slices.Contains(appeared, e.cfg.Self) {
+		// The others that appeared earlier in this change were owners before this daemon.
+		e.delegated.appeared = appeared
+	}
+	e.delegated.ceased = append(lo.Without(e.delegated.ceased, appeared...), ceased...)
 }
 
 // leaveToFormer adds flows to those that are taken in when the members have settled.
@@ -191,7 +220,12 @@
 func (e *Engine) current() bool {
 	w := e.world.Load()
 	all := true
-	owns := func(m membership.MemberView) bool { return m.Owner }
+	e.delegated.mu.Lock()
+	ceased := slices.Clone(e.delegated.ceased)
+	e.delegated.mu.Unlock()
+	owns := func(m membership.MemberView) bool {
+		return m.Owner || (m.Here && slices.Contains(ceased, m.Entry.ID))
+	}
 	for _, cp := range e.followed(owns) {
 		p := cp.Position()
 		if p.Heard > e.settleMark && w.routeOf(p.Generation) != nil {
--- a/core/tick.go
+++ b/core/tick.go
@@ -22,7 +22,7 @@
 	}
 	e.lastTick = now
 	if e.doubting.Swap(false) {
-		e.unsettle(now, nil)
+		e.unsettle(now, nil, nil)
 	}
 	e.judgeLate(now, e.world.Load())
 	e.settle(now)
@@ -102,12 +102,12 @@
 	if w == nil || w.view.Version == v.Version {
 		return
 	}
-	changed, appeared := compareOwners(w.view, v)
+	appeared, ceased := compareOwners(w.view, v)
 	next := w.withView(flow.Mark(e.mark.Load()), v)
 	e.world.Store(next)
 	e.arrangeCopies(now, next)
-	if changed {
-		e.unsettle(now, appeared)
+	if len(appeared)+len(ceased) > 0 {
+		e.unsettle(now, appeared, ceased)
 		e.inherit(now, next)
 	}
 	e.loads.SetOwners(countOwners(v))
@@ -241,22 +241,21 @@
 	return e.handleMembers(now, e.members.SetLeft(now))
 }
 
-// compareOwners reports whether flows may have other owners in b than in a, and which daemons became
-// owners, or became them anew.
-func compareOwners(a, b *membership.View) (changed bool, appeared []model.MachineID) {
+// compareOwners returns which daemons are owners in b and were none in a, or became them anew, and which
+// ceased to be owners.
+func compareOwners(a, b *membership.View) (appeared, ceased []model.MachineID) {
 	for _, m := range a.Members() {
 		if now, ok := b.Member(m.Entry.ID); m.Owner && (!ok || !now.Owner) {
-			changed = true
+			ceased = append(ceased, m.Entry.ID)
 		}
 	}
 	for _, m := range b.Members() {
 		before, ok := a.Member(m.Entry.ID)
 		if m.Owner && (!ok || !before.Owner || before.Incarnation != m.Incarnation) {
-			changed = true
 			appeared = append(appeared, m.Entry.ID)
 		}
 	}
-	return changed, appeared
+	return appeared, ceased
 }
 
 func countOwners(v *membership.View) int {
