Count a log's echo only when its owner sees the same owners

A daemon that has noticed a death relied on the log of the successor, which did not know yet that it owned the dead daemon's flows and called its log complete: exceptions that every daemon had acknowledged were read as default flows. Batches now carry a digest of the sender's owners, and an echo under another digest is not counted. Cost: 4 bytes a batch.

--- /dev/null
+++ b/core/lateview_test.go
@@ -0,0 +1,41 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/wire"
+)
+
+func TestSuccessorThatNoticesADeathLate(t *testing.T) {
+	Convey("Nobody relies on the log of a successor that has not noticed the owner's death yet", t, func() {
+		// The third machine is alone in its zone, so that each other one judges its silence by itself.
+		f := newFleet(t, 23, testLists(1, 5, 14))
+		f.startAll()
+		flows := f.openMany(1000)
+		f.run(5 * time.Second)
+		f.crash(2)
+		for step := range 150 {
+			if step < 100 {
+				f.heartbeatsOfDead(2, 1, 4)
+			}
+			f.run(100 * time.Millisecond)
+			So(f.probe(flows).wrong, ShouldEqual, 0)
+		}
+	})
+}
+
+// heartbeatsOfDead lets the heartbeats of a daemon that is down reach some others, as if they were late.
+func (f *fleet) heartbeatsOfDead(dead int, late ...int) {
+	for _, a := range f.nodes[dead].engine.Tick(f.now) {
+		s, ok := a.(SendPeer)
+		if !ok || s.Kind != wire.KindHeartbeat {
+			continue
+		}
+		for _, i := range late {
+			f.send(f.nodes[dead], f.nodes[i], s)
+		}
+	}
+}
--- a/core/peers.go
+++ b/core/peers.go
@@ -80,6 +80,10 @@
 	if w == nil || !w.view.Here(env.Sender) || !e.takesLog(w, env.Sender, e.cfg.Self) {
 		return errkind.None
 	}
+	if b.Owners != w.view.Digest {
+		// The sender may not know yet which flows it owns, so that its log covers none of them.
+		b.Echo = 0
+	}
 	cp := e.copies.Ensure(now, env.Sender, env.Incarnation)
 	if cp != nil && cp.Apply(now, b) {
 		e.yieldTo(w, env.Sender, b.Records)
--- a/core/tick.go
+++ b/core/tick.go
@@ -152,6 +152,7 @@
 	var body []byte
 	if b, ok := e.log.Batch(now, peer); ok {
 		b.OwnerIncarnation = e.cfg.Incarnation
+		b.Owners = e.world.Load().view.Digest
 		body = wire.AppendBundled(body, wire.KindLogBatch, b.AppendTo(nil))
 	}
 	cp := e.copies.Of(peer)
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -250,6 +250,7 @@
 			if owner {
 				zv.owners = append(zv.owners, m.entry)
 				zv.salts = append(zv.salts, saltOf(m.id))
+				v.Digest += uint32(mix(uint64(m.id) ^ mix(m.incarnation)))
 			}
 			v.members = append(v.members, l.memberView(z, m, owner))
 		}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -11,6 +11,9 @@
 type View struct {
 	// Version grows with each View that may route in another way.
 	Version uint64
+	// Digest sums up the machines that may own flows, with their incarnations. It is equal in two Views
+	// that give every flow the same owner.
+	Digest  uint32
 	zones   []zoneView
 	members []MemberView
 	byID    map[model.MachineID]int
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -227,7 +227,10 @@
 	// Complete is true when the log names every exception among the flows that the owner had when it
 	// received the echoed mark. It is false while the owner is still taking over flows of others.
 	Complete bool
-	Records  []Record
+	// Owners is a digest of the owners in the sender's view. The echo holds for a receiver with the same
+	// view alone: by another view the sender may not know yet that it owns a flow.
+	Owners  uint32
+	Records []Record
 }
 
 // A record ends in a reference to its target: recordRemove, recordNewTarget with the id after it, or
@@ -251,6 +254,7 @@
 	dst = binary.AppendUvarint(dst, b.Generation.Machines)
 	dst = binary.AppendUvarint(dst, b.Echo)
 	dst = append(dst, boolBit(b.Complete, 0))
+	dst = binary.BigEndian.AppendUint32(dst, b.Owners)
 	dst = binary.AppendUvarint(dst, uint64(len(b.Records)))
 	var known targetIndex
 	for _, r := range b.Records {
@@ -274,6 +278,7 @@
 		d.failed = true
 	}
 	b.Complete = flags == 1
+	b.Owners = d.uint32()
 	b.Records = b.Records[:0]
 	n := d.count(minRecordBytes)
 	if b.NextSeq < b.FirstSeq || b.NextSeq-b.FirstSeq < uint64(n) {
--- a/internal/wire/messages_test.go
+++ b/internal/wire/messages_test.go
@@ -49,6 +49,7 @@
 		FirstSeq:         rapid.Uint64Range(0, 1<<60).Draw(t, "seq"),
 		Generation:       model.Generation{Plans: rapid.Uint64().Draw(t, "plans"), Machines: rapid.Uint64().Draw(t, "machines")},
 		Echo:             rapid.Uint64().Draw(t, "echo"),
+		Owners:           rapid.Uint32().Draw(t, "owners"),
 	}
 	for range rapid.IntRange(0, 300).Draw(t, "records") {
 		r := Record{Hash: model.FlowHash(rapid.Uint64().Draw(t, "hash")), Remove: rapid.Bool().Draw(t, "remove")}
