Wait for the lists of a dead owner's flows, and hop flows on which logs of gone daemons differ

Three holes that the model check found where a crash meets a change of lists: - The successor and the others do not hold the lists of the dead owner's generation yet, and sent unnamed flows by their own. Such packets are dropped until the lists arrive; the caller repeats them. - An exception that became the default was withdrawn like one of a flow that is over, and daemons without the new lists forgot it. Record.Settled tells the two apart. - A daemon whose hop to the successor was lost read the successor's silence as the default of the newer lists. It now hops while a retired log gives the flow another target. The last two are shown by mutations in the model check alone. Logs of live former owners (a join that meets a change of lists and a lost hop) are not compared: left open.

--- a/core/lists.go
+++ b/core/lists.go
@@ -63,7 +63,7 @@
 		e.table.SetException(h, true)
 	}
 	for _, h := range settled {
-		e.log.Remove(h)
+		e.log.Settle(h)
 		e.table.SetException(h, false)
 	}
 }
--- a/core/owner.go
+++ b/core/owner.go
@@ -166,7 +166,8 @@
 }
 
 // resolveFrom returns the target that the predecessor's log names, or else another log, or else the
-// default of the predecessor's generation.
+// default of the predecessor's generation. There is no target while the lists of that generation have yet
+// to arrive: the caller repeats the packet, while a wrong target would reset the flow.
 func (e *Engine) resolveFrom(w *world, a *arrival, predecessor *flow.Copy, rank flow.Rank) (t *model.Target, sure bool) {
 	if predecessor != nil {
 		if id, ok := predecessor.Lookup(a.hash); ok {
@@ -179,12 +180,23 @@
 	if predecessor == nil {
 		return w.newest().defaultTarget(a.meta.Dst, a.hash), true
 	}
-	if r := w.routeOf(predecessor.Position().Generation); r != nil {
+	g := predecessor.Position().Generation
+	if r := w.routeOf(g); r != nil {
 		return r.defaultTarget(a.meta.Dst, a.hash), true
 	}
+	if w.awaits(g) {
+		return nil, false
+	}
 	return w.newest().defaultTarget(a.meta.Dst, a.hash), false
 }
 
+// awaits reports whether the lists of a generation are newer than those in force here, so that they will
+// arrive.
+func (w *world) awaits(g model.Generation) bool {
+	own := w.snapshot.Generation()
+	return g.Plans > own.Plans || g.Machines > own.Machines
+}
+
 // rank orders owners by how likely each was the flow's owner before: lower comes first.
 func (e *Engine) rank(w *world, h model.FlowHash) flow.Rank {
 	return func(owner model.MachineID) uint64 { return w.rank(h, owner) }
--- a/core/packets.go
+++ b/core/packets.go
@@ -124,7 +124,36 @@
 	if route == nil {
 		return nil
 	}
-	return route.defaultTarget(a.meta.Dst, a.hash)
+	t := route.defaultTarget(a.meta.Dst, a.hash)
+	if t == nil || e.contested(w, a, route, t) {
+		return nil
+	}
+	return t
+}
+
+// contested reports whether the log of a daemon that is gone gives an unnamed flow another target. The
+// present owner may not know such a flow, while the hop that would tell it was lost.
+func (e *Engine) contested(w *world, a *arrival, route *route, t *model.Target) bool {
+	for _, cp := range e.copies.Retired() {
+		r := cp.Route(a.hash)
+		if !r.Synced {
+			continue
+		}
+		if r.Exception {
+			if r.Target != t.ID {
+				return true
+			}
+			continue
+		}
+		former := w.routeOf(r.Generation)
+		if former == nil || former == route {
+			continue
+		}
+		if other := former.defaultTarget(a.meta.Dst, a.hash); other != nil && other.ID != t.ID {
+			return true
+		}
+	}
+	return false
 }
 
 // disputed handles a packet that a peer hopped here although this daemon holds another to be the
--- a/core/peers.go
+++ b/core/peers.go
@@ -96,7 +96,7 @@
 // where that daemon's word counts for more: it owns the flow in this daemon's view.
 func (e *Engine) yieldTo(w *world, peer model.MachineID, records []wire.Record) {
 	for _, r := range records {
-		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer {
+		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer || r.Settled {
 			continue
 		}
 		if r.Remove {
--- a/internal/flow/copies.go
+++ b/internal/flow/copies.go
@@ -172,6 +172,11 @@
 	return first
 }
 
+// Retired returns the copies of owners that are gone. The caller must not change the slice.
+func (c *Copies) Retired() []*Copy {
+	return c.current.Load().retired
+}
+
 // Expire drops retired copies whose retention is over.
 func (c *Copies) Expire(now time.Time) {
 	c.mu.Lock()
--- a/internal/flow/log.go
+++ b/internal/flow/log.go
@@ -90,15 +90,24 @@
 	l.append(wire.Record{Hash: h, Target: target})
 }
 
-// Remove logs that a flow has ended or has become a default one.
+// Remove logs that a flow has ended.
 func (l *Log) Remove(h model.FlowHash) {
+	l.withdraw(wire.Record{Hash: h, Remove: true})
+}
+
+// Settle logs that a flow's target has become its default one.
+func (l *Log) Settle(h model.FlowHash) {
+	l.withdraw(wire.Record{Hash: h, Remove: true, Settled: true})
+}
+
+func (l *Log) withdraw(r wire.Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.live[h]; !ok {
+	if _, ok := l.live[r.Hash]; !ok {
 		return
 	}
-	delete(l.live, h)
-	l.append(wire.Record{Hash: h, Remove: true})
+	delete(l.live, r.Hash)
+	l.append(r)
 }
 
 // SetGeneration logs that from here on unnamed flows have the default target of a generation. All
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -208,6 +208,9 @@
 	Target model.TargetID
 	// Remove is true when the flow is no exception any more.
 	Remove bool
+	// Settled is true with Remove when the flow goes on and its target has become its default one; else
+	// the flow is over.
+	Settled bool
 }
 
 // LogBatch carries consecutive records of an owner's exception log to one receiver.
@@ -233,12 +236,13 @@
 	Records []Record
 }
 
-// A record ends in a reference to its target: recordRemove, recordNewTarget with the id after it, or
-// recordFirstTarget plus the index of an id that appeared earlier in the batch.
+// A record ends in a reference to its target: recordRemove, recordSettled, recordNewTarget with the id
+// after it, or recordFirstTarget plus the index of an id that appeared earlier in the batch.
 const (
 	recordRemove      = 0
 	recordNewTarget   = 1
 	recordFirstTarget = 2
+	recordSettled     = 255
 
 	minRecordBytes = 9
 	// maxBatchTargets bounds the ids that a batch refers back to.
@@ -300,6 +304,9 @@
 }
 
 func (t *targetIndex) appendReference(dst []byte, r Record) []byte {
+	if r.Settled {
+		return append(dst, recordSettled)
+	}
 	if r.Remove {
 		return append(dst, recordRemove)
 	}
@@ -317,6 +324,8 @@
 	switch ref := d.byte(); {
 	case ref == recordRemove:
 		r.Remove = true
+	case ref == recordSettled:
+		r.Remove, r.Settled = true, true
 	case ref == recordNewTarget:
 		r.Target = model.TargetID(d.uint32())
 		t.add(r.Target)
--- a/internal/wire/messages_test.go
+++ b/internal/wire/messages_test.go
@@ -53,6 +53,7 @@
 	}
 	for range rapid.IntRange(0, 300).Draw(t, "records") {
 		r := Record{Hash: model.FlowHash(rapid.Uint64().Draw(t, "hash")), Remove: rapid.Bool().Draw(t, "remove")}
+		r.Settled = r.Remove && rapid.Bool().Draw(t, "settled")
 		if !r.Remove {
 			r.Target = model.TargetID(rapid.Uint32Range(1, 200).Draw(t, "target"))
 		}
