Check the ownership protocol exhaustively at small size; close three holes that it found at joins

Package modelcheck explores every interleaving of three daemons and one flow. The owner before the change is now looked for among those that remained and those that leave; - a daemon became ready before the others took its log, so that the one before it could stop, or resolve its flows, without it. It now waits until all have applied its log, at most JoinTime; - a daemon that took newer lists while it settled placed flows by them, while those that had not heard of the change resolved by its log's older generation. The log now follows new lists once the members have settled, and until then flows are placed by the log's generation.

--- a/core/lists.go
+++ b/core/lists.go
@@ -20,7 +20,9 @@
 	e.members.SetRevisions(s.Revisions)
 	e.adoptLists(now, s, a)
 	out := e.handleMembers(now, actions)
-	e.switchGeneration(s.Generation())
+	if !e.unsettled.Load() {
+		e.switchGeneration(s.Generation())
+	}
 	return out, true
 }
 
--- a/core/owner.go
+++ b/core/owner.go
@@ -79,20 +79,37 @@
 
 // place chooses the target of a new flow.
 func (e *Engine) place(w *world, a *arrival) (*model.Target, errkind.Kind) {
-	route := w.newest()
-	_, st := route.service(a.meta.Dst)
-	if st == nil {
-		return nil, errkind.NoTargetReachable
-	}
 	if e.unsettled.Load() {
-		// A predecessor may have placed the flow on its default target just now.
-		if t := st.Default(a.hash); t != nil && !t.Leaving {
+		// A predecessor may have placed the flow on its default target just now, and a daemon that does not
+		// know of the change yet derives that target from this daemon's log.
+		if t := w.settlingTarget(e.log.Generation(), a); t != nil {
 			return t, errkind.None
 		}
 	}
+	_, st := w.newest().service(a.meta.Dst)
+	if st == nil {
+		return nil, errkind.NoTargetReachable
+	}
 	return e.policy.Choose(a.now, a.hash, st, e.loads)
 }
 
+// settlingTarget returns a new flow's default target by the log's generation, or nil where it takes no
+// new flows any more.
+func (w *world) settlingTarget(g model.Generation, a *arrival) *model.Target {
+	route := w.routeOf(g)
+	if route == nil {
+		route = w.newest()
+	}
+	t := route.defaultTarget(a.meta.Dst, a.hash)
+	if t == nil {
+		return nil
+	}
+	if now := w.snapshot.Target(t.ID); now == nil || now.Leaving {
+		return nil
+	}
+	return t
+}
+
 // enter writes a flow into the table and, where its target is not the one that others would derive,
 // into the log.
 func (e *Engine) enter(w *world, a *arrival, t *model.Target, s flow.State) Verdict {
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -78,36 +78,48 @@
 	if !e.delegated.active {
 		return nil
 	}
-	if leaver := e.leaver(w, a.hash); leaver != nil {
-		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: leaver.ID}
-		return leaver
-	}
-	if len(e.delegated.appeared) == 0 {
-		return nil
-	}
-	selfAppeared := slices.Contains(e.delegated.appeared, e.cfg.Self)
-	former := e.firstOther(w, a.hash, func(id model.MachineID) bool {
-		return slices.Contains(e.delegated.appeared, id) != selfAppeared
-	})
+	former := e.ownerBefore(w, a.hash)
 	if former != nil {
 		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: former.ID}
 	}
 	return former
 }
 
-// leaver returns the daemon that ceased to own flows in the change, can still be reached and comes first
-// in the flow's order, before this daemon; or nil. Its log may not have arrived here in full.
-func (e *Engine) leaver(w *world, h model.FlowHash) *model.EntryVM {
+// ownerBefore returns the daemon that owned a flow before the change, or nil. It is the first in the
+// flow's order that was an owner and can be reached: one that still is, or one that leaves and whose log
+// may not have arrived here in full. Where this daemon was an owner itself, it is one that comes before it.
+func (e *Engine) ownerBefore(w *world, h model.FlowHash) *model.EntryVM {
+	appeared := func(id model.MachineID) bool { return slices.Contains(e.delegated.appeared, id) }
+	remained := func(id model.MachineID) bool { return !appeared(id) }
+	if appeared(e.cfg.Self) {
+		return e.earlier(w, h, e.firstOther(w, h, remained), e.firstCeased(w, h, lastRank))
+	}
+	if leaver := e.firstCeased(w, h, w.rank(h, e.cfg.Self)); leaver != nil {
+		return leaver
+	}
+	return e.firstOther(w, h, appeared)
+}
+
+// firstCeased returns the daemon that ceased to be an owner in the change, can be reached and comes first
+// in the flow's order, before a rank; or nil.
+func (e *Engine) firstCeased(w *world, h model.FlowHash, before uint64) *model.EntryVM {
 	var first *model.EntryVM
-	best := w.rank(h, e.cfg.Self)
 	for _, id := range e.delegated.ceased {
-		if r := w.rank(h, id); id != e.cfg.Self && w.view.Here(id) && r < best {
-			first, best = w.snapshot.Entry(id), r
+		if r := w.rank(h, id); id != e.cfg.Self && w.view.Here(id) && r < before {
+			first, before = w.snapshot.Entry(id), r
 		}
 	}
 	return first
 }
 
+// earlier returns the one of two daemons that comes first in a flow's order; either may be nil.
+func (e *Engine) earlier(w *world, h model.FlowHash, a, b *model.EntryVM) *model.EntryVM {
+	if a == nil || (b != nil && w.rank(h, b.ID) < w.rank(h, a.ID)) {
+		return b
+	}
+	return a
+}
+
 // decideFor decides on a packet of a flow that another daemon owns but does not know. The flow enters
 // this daemon's log, from which the owner learns of it.
 func (e *Engine) decideFor(w *world, a *arrival, owner model.MachineID) Verdict {
@@ -203,6 +215,7 @@
 	e.delegated.mu.Unlock()
 	e.unsettled.Store(false)
 	e.log.SetComplete(true)
+	e.switchGeneration(w.snapshot.Generation())
 }
 
 // endDelegation returns the delegated flows, and whether further ones could be added until now.
--- a/core/tick.go
+++ b/core/tick.go
@@ -193,11 +193,12 @@
 	return append(out, e.handleMembers(now, e.members.SetReady(now, true))...)
 }
 
-// caughtUp reports whether every published daemon was heard of or had the time to be, and every log that
-// this daemon follows has a snapshot here.
+// caughtUp reports whether every published daemon was heard of and follows this daemon's log, or had the
+// time to, and every log that this daemon follows has a snapshot here.
 func (e *Engine) caughtUp() bool {
 	unknown := func(m membership.MemberView) bool { return m.State == membership.Unknown && m.Entry.ID != e.cfg.Self }
-	if e.lastTick.Sub(e.listsAt) < e.cfg.JoinTime && lo.ContainsBy(e.View().Members(), unknown) {
+	patient := e.lastTick.Sub(e.listsAt) < e.cfg.JoinTime
+	if patient && (lo.ContainsBy(e.View().Members(), unknown) || !e.log.Applied()) {
 		return false
 	}
 	here := func(m membership.MemberView) bool { return m.Here }
--- a/internal/flow/log.go
+++ b/internal/flow/log.go
@@ -296,6 +296,18 @@
 	return int(l.head() - lowest)
 }
 
+// Applied reports whether every peer knows this daemon and has applied its whole log.
+func (l *Log) Applied() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		if p.acked < l.head() {
+			return false
+		}
+	}
+	return true
+}
+
 // Snapshot is the whole state of a log at one position.
 type Snapshot struct {
 	Owner       model.MachineID
--- a/internal/modelcheck/events.go
+++ b/internal/modelcheck/events.go
@@ -90,9 +90,9 @@
 		add(one("%d settles", d), next)
 	}
 	if s.left.Switches > 0 && s.d[d].generation == 0 {
-		add(one("%d adopts generation 1", d), m.switchGeneration(s, d))
+		add(one("%d adopts generation 1", d), m.adopt(s, d))
 	}
-	if s.caughtUp(d) {
+	if s.caughtUp(d) && (s.followed(d) || m.mutation == UnheardJoin) {
 		next := s
 		next.d[d].ready = true
 		next.d[d].owners = next.d[d].owners.with(d)
@@ -119,6 +119,16 @@
 	return true
 }
 
+// followed reports whether all others know d and have applied its whole log.
+func (s *state) followed(d int) bool {
+	for o := range daemons {
+		if o != d && s.d[d].here.has(o) && s.d[o].up && (!s.d[o].here.has(d) || !s.d[o].copies[d].synced || s.d[o].copies[d].pos < s.d[d].logLen) {
+			return false
+		}
+	}
+	return true
+}
+
 // drained reports whether every peer has applied the whole log.
 func (s *state) drained(d int) bool {
 	for o := range daemons {
@@ -188,20 +198,28 @@
 	add(two("a mark of %d reaches %d", d, o), next)
 }
 
-// batchEvents let o cut a batch for d, and a batch in flight arrive.
+// batchEvents let o cut a batch for d, and a batch in flight arrive. Only a batch that reaches the log's
+// end echoes marks.
 func (m *model) batchEvents(s state, o, d int, add addFunc) {
 	if s.d[o].sent[d].present {
 		add(two("a batch of %d reaches %d", o, d), m.apply(s, o, d))
 	}
-	b := batch{present: true, pos: s.d[o].logLen, echo: s.d[o].received[d], complete: s.d[o].complete, owners: s.d[o].owners}
 	c := s.d[d].copies[o]
-	news := b.pos > c.pos || b.tellsMarks(&c)
-	if !c.synced || !s.d[o].here.has(d) || !news || s.d[o].sent[d] == b || s.inFlight() >= s.left.Batches {
+	if !c.synced || !s.d[o].here.has(d) || s.inFlight() >= s.left.Batches {
 		return
 	}
-	next := s
-	next.d[o].sent[d] = b
-	add(two("%d cuts a batch for %d", o, d), next)
+	for pos := c.pos; pos <= s.d[o].logLen; pos++ {
+		b := batch{present: true, pos: pos, complete: s.d[o].complete, owners: s.d[o].owners}
+		if pos == s.d[o].logLen {
+			b.echo = s.d[o].received[d]
+		}
+		if (pos == c.pos && !b.tellsMarks(&c)) || s.d[o].sent[d] == b {
+			continue
+		}
+		next := s
+		next.d[o].sent[d] = b
+		add(two("%d cuts a batch for %d", o, d), next)
+	}
 }
 
 // inFlight counts the batches under way.
@@ -294,11 +312,7 @@
 		if o == d || !s.d[o].up || !s.d[o].copies[d].synced {
 			continue
 		}
-		p := s.copyAt(o, d)
-		if p.exception == 0 {
-			p.exception = defaultOf(p.generation)
-		}
-		if p.exception != s.d[d].table {
+		if s.copyAt(o, d).target() != s.d[d].table {
 			return true
 		}
 	}
--- a/internal/modelcheck/explore_test.go
+++ b/internal/modelcheck/explore_test.go
@@ -1,17 +1,101 @@
 package modelcheck
 
 import (
+	"flag"
 	"fmt"
+	"strings"
 	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
 )
 
-func TestTrial(t *testing.T) {
-	for _, b := range []Budget{{Switches: 1, Crashes: 1}, {Stops: 1}, {Joins: 1}, {Joins: 1, Joiner: 1}, {Switches: 1, Stops: 1}, {Crashes: 1, Stops: 1}} {
-			b.Batches = 1
-			r := Explore(b, Faithful, 3_000_000)
-			fmt.Printf("%+v states %d complete %v\n", b, r.States, r.Complete)
-			for _, e := range r.Trace {
-				fmt.Println("   ", e)
-			}
+// large is the number of states up to which TestLargeRuns goes.
+var large = flag.Int("large", 20_000, "states up to which the large runs are explored")
+
+func name(b Budget) string {
+	return fmt.Sprintf("%d machines, %d crashes, %d stops, %d joins of %d, %d switches, %d batches under way",
+		b.Machines, b.Crashes, b.Stops, b.Joins, b.Joiner, b.Switches, b.Batches)
+}
+
+func TestEveryInterleavingKeepsTheFlowOnItsTarget(t *testing.T) {
+	const maxStates = 1_000_000
+	Convey("These runs are explored to their end without a violation", t, func() {
+		for _, b := range []Budget{
+			{Machines: 3, Batches: 6},
+			{Machines: 3, Batches: 6, Crashes: 1},
+			{Machines: 3, Batches: 1, Switches: 1},
+			{Machines: 2, Batches: 2, Crashes: 1, Switches: 1},
+			{Machines: 2, Batches: 2, Stops: 1},
+			{Machines: 2, Batches: 2, Joins: 1},
+			{Machines: 2, Batches: 2, Joins: 1, Joiner: 1},
+			{Machines: 2, Batches: 2, Joins: 1, Switches: 1, Joiner: 1},
+			{Machines: 2, Batches: 2, Crashes: 1, Joins: 1},
+			{Machines: 2, Batches: 2, Stops: 1, Joins: 1, Joiner: 1},
+		} {
+			r := Explore(b, Faithful, maxStates)
+			t.Logf("%s: %d states", name(b), r.States)
+			So(strings.Join(r.Trace, "\n"), ShouldBeBlank)
+			So(r.Complete, ShouldBeTrue)
+		}
+	})
+}
+
+// mutant is a protocol with one mechanism off, and a run in which that shows.
+type mutant struct {
+	name     string
+	mutation Mutation
+	budget   Budget
+}
+
+// largeMutants need about two million states.
+var largeMutants = []mutant{
+	{"one log alone", OneLog, Budget{Machines: 3, Batches: 1, Crashes: 1, Switches: 1}},
+	{"settled is over", SettledIsOver, Budget{Machines: 3, Batches: 1, Crashes: 1, Switches: 1}},
+}
+
+func TestEachMechanismIsNeeded(t *testing.T) {
+	Convey("With one mechanism off, a flow reaches two targets", t, func() {
+		mutants := []mutant{
+			{"silence is read as default", SilenceIsDefault, Budget{Machines: 2, Batches: 1}},
+			{"no delegation", NoDelegation, Budget{Machines: 2, Batches: 1, Joins: 1}},
+			{"own generation", OwnGeneration, Budget{Machines: 2, Batches: 1, Switches: 1}},
+			{"generation before its exceptions", SwitchFirst, Budget{Machines: 2, Batches: 1, Switches: 1}},
+			{"stop before the log is acknowledged", StopAtOnce, Budget{Machines: 2, Batches: 1, Stops: 1}},
+			{"another view of the owners", AnyView, Budget{Machines: 2, Batches: 1, Joins: 1}},
+			{"all owners count as new", AllAppeared, Budget{Machines: 2, Batches: 1, Joins: 1}},
+			{"no delegation to a leaving daemon", NoLeaver, Budget{Machines: 2, Batches: 1, Stops: 1}},
+			{"a guess without the lists", Guess, Budget{Machines: 2, Batches: 1, Crashes: 1, Switches: 1}},
+			{"ready before the others know", UnheardJoin, Budget{Machines: 2, Batches: 1, Stops: 1, Joins: 1, Joiner: 1}},
+			{"new lists while settling", SwitchUnsettled, Budget{Machines: 2, Batches: 1, Joins: 1, Switches: 1}},
+		}
+		if *large >= 2_000_000 {
+			mutants = append(mutants, largeMutants...)
+		}
+		for _, c := range mutants {
+			r := Explore(c.budget, c.mutation, max(*large, 100_000))
+			t.Logf("%s: %d states, %d events", c.name, r.States, len(r.Trace))
+			So(r.Trace, ShouldNotBeEmpty)
+		}
+	})
+}
+
+func TestLargeRuns(t *testing.T) {
+	for _, b := range []Budget{
+		{Machines: 3, Batches: 6, Switches: 1},
+		{Machines: 3, Batches: 1, Crashes: 1, Switches: 1},
+		{Machines: 3, Batches: 1, Stops: 1},
+		{Machines: 3, Batches: 1, Joins: 1},
+		{Machines: 3, Batches: 1, Joins: 1, Joiner: 1},
+		{Machines: 3, Batches: 1, Crashes: 1, Stops: 1},
+		{Machines: 2, Batches: 2, Stops: 1, Switches: 1},
+		{Machines: 2, Batches: 2, Joins: 1, Switches: 1},
+		{Machines: 2, Batches: 2, Stops: 1, Joins: 1, Switches: 1},
+		{Machines: 2, Batches: 2, Stops: 1, Joins: 1, Switches: 1, Joiner: 1},
+	} {
+		r := Explore(b, Faithful, *large)
+		t.Logf("%s: %d states, complete %v", name(b), r.States, r.Complete)
+		for _, e := range r.Trace {
+			t.Errorf("  %s", e)
+		}
 	}
 }
--- a/internal/modelcheck/protocol.go
+++ b/internal/modelcheck/protocol.go
@@ -25,8 +25,14 @@
 	// Guess sends a packet to the newest default target where the lists of the flow's generation are
 	// missing.
 	Guess
-	// NoInheritance leaves the exceptions of former owners out of the new owner's log.
-	NoInheritance
+	// OneLog trusts the owner's log for unnamed flows, whatever other logs say.
+	OneLog
+	// SettledIsOver withdraws the exception of a flow that became a default one as if the flow were over.
+	SettledIsOver
+	// UnheardJoin makes a joining daemon ready before the others take its log.
+	UnheardJoin
+	// SwitchUnsettled lets the log follow new lists while the members are settling.
+	SwitchUnsettled
 )
 
 // model is the protocol with or without a mutation.
@@ -107,7 +113,28 @@
 	if c.echoed&sinceSeen == 0 && m.mutation != SilenceIsDefault {
 		return 0
 	}
-	return m.unnamedOr(s, d, s.copyAt(d, owner))
+	p := s.copyAt(d, owner)
+	t := m.unnamedOr(s, d, p)
+	if p.exception == 0 && !s.undisputed(d, owner, t) && m.mutation != OneLog {
+		return 0
+	}
+	return t
+}
+
+// undisputed reports whether no other log that d knows, its own among them, gives the flow another
+// target. A flow of a former owner may be unknown to the present one while
+// the hop that would tell it was lost.
+func (s *state) undisputed(d, owner int, t target) bool {
+	for o := range daemons {
+		p := s.d[d].end()
+		if o != d {
+			p = s.copyAt(d, o)
+		}
+		if o != owner && (o == d || s.d[d].copies[o].synced) && p.target() != t {
+			return false
+		}
+	}
+	return true
 }
 
 // unnamedOr returns the target at a position: the exception, or the default of the position's
@@ -146,10 +173,11 @@
 	}
 }
 
-// place chooses the target of a new flow: either, unless the members are settling.
+// place chooses the target of a new flow: either, unless the members are settling. Then it is the default
+// one of the log, which a daemon that has not heard of the change derives as well.
 func (m *model) place(s state, d int) {
 	if s.d[d].unsettled {
-		t := defaultOf(s.d[d].generation)
+		t := defaultOf(s.d[d].end().generation)
 		s.enter(d, t)
 		m.reach(s, t, true)
 		return
@@ -281,26 +309,29 @@
 	if !self.delegating {
 		return 0, false
 	}
-	if leaver, ok := s.leaver(d); ok && m.mutation != NoLeaver {
-		self.former = int8(leaver) + 1
-		return leaver, true
-	}
-	if self.appeared == 0 {
-		return 0, false
-	}
-	selfAppeared := self.appeared.has(d)
-	former, ok := self.owners.firstWhere(func(o int) bool { return o != d && self.appeared.has(o) != selfAppeared })
+	former, ok := m.formerOwner(self, d)
 	if ok {
 		self.former = int8(former) + 1
 	}
 	return former, ok
 }
 
-// leaver returns the first daemon in the flow's order that ceased to own flows but can be reached, if it
-// comes before d.
-func (s *state) leaver(d int) (int, bool) {
-	self := &s.d[d]
-	return (self.ceased & self.here).firstWhere(func(o int) bool { return o < d })
+// formerOwner returns the daemon that owned the flow before the change that settles: the first in the
+// flow's order that was an owner and can be reached. Where d was an owner itself, it is one that comes
+// before d: one that ceased to be an owner, or one that appeared and may have been an owner on the other
+// side of a partition.
+func (m *model) formerOwner(self *daemon, d int) (int, bool) {
+	ceased := self.ceased & self.here
+	if m.mutation == NoLeaver {
+		ceased = 0
+	}
+	if self.appeared.has(d) {
+		return (self.owners&^self.appeared | ceased).firstWhere(func(o int) bool { return o != d })
+	}
+	if former, ok := ceased.firstWhere(func(o int) bool { return o < d }); ok {
+		return former, true
+	}
+	return (self.owners & self.appeared).firstWhere(func(o int) bool { return o != d })
 }
 
 // decideFor decides on a packet that another owner does not know.
@@ -361,7 +392,7 @@
 		return
 	}
 	for _, r := range s.d[from].log[old:s.d[d].copies[from].pos] {
-		if r >= recordGeneration {
+		if r >= recordSettled {
 			continue
 		}
 		if r == recordRemove {
@@ -377,7 +408,7 @@
 func (s *state) forget(d int) {
 	s.d[d].table = 0
 	s.d[d].exception = false
-	s.d[d].removeException()
+	s.d[d].removeException(recordRemove)
 }
 
 // dropRetired forgets the flow in the copies of daemons that are gone.
@@ -392,7 +423,7 @@
 // inherit takes in an exception of another log when the flow is d's.
 func (m *model) inherit(s *state, d int) {
 	owner, ok := s.d[d].owners.first()
-	if m.mutation == NoInheritance || !ok || owner != d || s.d[d].table != 0 {
+	if !ok || owner != d || s.d[d].table != 0 {
 		return
 	}
 	if t, found := s.find(d, -1); found {
@@ -446,6 +477,7 @@
 	self.unsettled, self.delegating = false, false
 	self.former, self.appeared, self.ceased = 0, 0, 0
 	self.complete = true
+	m.switchLog(&s, d)
 	return s, true
 }
 
@@ -478,12 +510,30 @@
 	}
 }
 
-// switchGeneration is core's: first the exceptions of the new generation, then the generation, then the
-// exceptions that became defaults.
-func (m *model) switchGeneration(s state, d int) state {
+func (m *model) settledRecord() record {
+	if m.mutation == SettledIsOver {
+		return recordRemove
+	}
+	return recordSettled
+}
+
+// adopt takes the lists of generation 1. The log follows once the members are settled.
+func (m *model) adopt(s state, d int) state {
+	s.d[d].generation = 1
+	s.d[d].holds = s.d[d].holds.with(1)
+	if !s.d[d].unsettled || m.mutation == SwitchUnsettled {
+		m.switchLog(&s, d)
+	}
+	return s
+}
+
+// switchLog is core's switchGeneration: first the exceptions of the new generation, then the generation,
+// then the exceptions that became defaults.
+func (m *model) switchLog(s *state, d int) {
 	self := &s.d[d]
-	self.generation = 1
-	self.holds = self.holds.with(1)
+	if self.end().generation == self.generation {
+		return
+	}
 	moves := self.table != 0 && self.table != defaultOf(1)
 	if m.mutation == SwitchFirst {
 		self.append(recordGeneration + 1)
@@ -496,8 +546,7 @@
 		self.append(recordGeneration + 1)
 	}
 	if self.table != 0 && !moves && self.exception {
-		self.removeException()
+		self.removeException(m.settledRecord())
 		self.exception = false
 	}
-	return s
 }
--- a/internal/modelcheck/state.go
+++ b/internal/modelcheck/state.go
@@ -40,8 +40,12 @@
 type record int8
 
 const (
-	recordRemove     record = 0
-	recordGeneration record = 10 // plus the generation
+	// recordRemove withdraws the exception of a flow that is over here, recordSettled that of a flow whose
+	// target became its default one.
+	recordRemove  record = 0
+	recordSettled record = 9
+	// recordGeneration, plus the generation, names the generation from there on.
+	recordGeneration record = 10
 )
 
 // position is what a log says at one of its positions.
@@ -50,6 +54,14 @@
 	generation int8
 }
 
+// target returns where the flow goes.
+func (p position) target() target {
+	if p.exception != 0 {
+		return p.exception
+	}
+	return defaultOf(p.generation)
+}
+
 // marks are the bits of a mark that is later than a moment of the daemon that issued it.
 type marks uint8
 
@@ -130,6 +142,8 @@
 
 // Budget bounds the events of a run.
 type Budget struct {
+	// Machines is the number of daemons, 2 or 3; the joining one is among them.
+	Machines int8
 	// Crashes, Stops and Joins bound how often a daemon crashes, stops as planned, or joins.
 	Crashes, Stops, Joins int8
 	// Switches is 1 when the lists change once.
@@ -145,7 +159,7 @@
 	p := position{generation: m.base}
 	for _, r := range m.log[:pos] {
 		switch {
-		case r == recordRemove:
+		case r == recordRemove || r == recordSettled:
 			p.exception = 0
 		case r >= recordGeneration:
 			p.generation = int8(r - recordGeneration)
@@ -172,9 +186,9 @@
 	}
 }
 
-func (m *daemon) removeException() {
+func (m *daemon) removeException(r record) {
 	if m.end().exception != 0 {
-		m.append(recordRemove)
+		m.append(r)
 	}
 }
 
@@ -192,7 +206,7 @@
 func initial(b Budget) state {
 	s := state{left: b}
 	all := set(0)
-	for d := range daemons {
+	for d := range int(b.Machines) {
 		if b.Joins == 0 || int(b.Joiner) != d {
 			all = all.with(d)
 		}
