Check random histories of lists and a slow platform

40 seeds of changes, faults, cuts and restarts: no daemon's revisions go down, no new daemon begins behind what a peer has shown, and all agree once the platform answers.

--- a/internal/platform/fleet_test.go
+++ b/internal/platform/fleet_test.go
@@ -48,8 +48,9 @@
 type fakePlatform struct {
 	docs    [3][][]byte // every text published, by lists.Kind; revision i is at index i-1
 	down    bool
-	stale   float64 // share of reads and watches that a replica answers which lags one revision behind
-	cut     float64 // share of reads whose text is cut in the middle without notice
+	stale   float64       // share of reads and watches that a replica answers which lags one revision behind
+	slow    time.Duration // added to every answer
+	cut     float64       // share of reads whose text is cut in the middle without notice
 	budget  *rate.Limiter
 	calls   map[int64]int // by second
 	denied  int
@@ -92,6 +93,7 @@
 	refused []Refused
 	waiting int
 	reached []bool
+	behind  bool // its first lists were older than what a peer had shown it
 }
 
 type adopted struct {
@@ -188,6 +190,9 @@
 		case AskBody:
 			n.askBody(a)
 		case Apply:
+			if len(n.history) == 0 && !a.Snapshot.Revisions.Covers(n.reader.Status().Shown) {
+				n.behind = true
+			}
 			n.history = append(n.history, adopted{n.f.now, a.Snapshot.Revisions, a.Snapshot})
 		case Refused:
 			n.refused = append(n.refused, a)
@@ -238,7 +243,7 @@
 // answer delivers the platform's answer after the way back.
 func (n *node) answer(event func(r *Reader) []Action) {
 	reader := n.reader
-	n.f.after(2*n.f.latency(), func() {
+	n.f.after(2*n.f.latency()+n.f.platform.slow, func() {
 		if n.reader == reader && !n.stopped {
 			n.perform(event(reader))
 		}
--- a/internal/platform/reader_test.go
+++ b/internal/platform/reader_test.go
@@ -17,6 +17,12 @@
 // seeds are the fixed seeds that every scenario runs with.
 var seeds = []uint64{1, 2, 3, 4, 5}
 
+// restart replaces a node's process by a new one, which holds nothing and begins a new history.
+func (n *node) restart() {
+	n.start(func(c *Config) { c.Seeds = []netip.AddrPort{bulkOf(0), bulkOf(1)} })
+	n.history = nil
+}
+
 // goesDown returns the first step of a node's history at which a revision went down.
 func goesDown(f *fleet) (string, bool) {
 	for _, n := range f.nodes {
@@ -29,11 +35,13 @@
 	return "", false
 }
 
-// so asserts that the histories of a fleet never go down and that every node has a set in force.
+// soInForce asserts that the histories of a fleet never go down, that no new daemon began behind what
+// its peers had shown, and that every node has a set in force.
 func soInForce(f *fleet, want model.Revisions) {
 	_, down := goesDown(f)
 	So(down, ShouldBeFalse)
 	for _, n := range f.nodes {
+		So(n.behind, ShouldBeFalse)
 		So(n.inForce(), ShouldResemble, want)
 	}
 }
@@ -126,6 +134,17 @@
 			soInForce(f, model.Revisions{Customers: 6, Plans: 1, Machines: 1})
 		})
 	})
+	Convey("A slow platform delays changes by its own delay and little more", t, func() {
+		eachSeed(8, func(f *fleet) {
+			f.platform.slow = 2 * time.Second
+			f.start(nil)
+			f.run(15 * time.Second)
+			soInForce(f, first)
+			f.publish(lists.KindPlans, plansText("gold", "silver"))
+			f.run(2*f.platform.slow + time.Second)
+			soInForce(f, model.Revisions{Customers: 1, Plans: 2, Machines: 1})
+		})
+	})
 	Convey("Texts that are cut on their way are refused and read again", t, func() {
 		eachSeed(8, func(f *fleet) {
 			f.platform.cut = 0.6
@@ -235,6 +254,59 @@
 	})
 }
 
+// misfortune changes the fleet's world at random: changes, faults, cuts and restarts.
+func misfortune(f *fleet) {
+	switch f.rng.IntN(9) {
+	case 0:
+		f.publish(lists.KindCustomers, customersText([]string{"gold", "silver"}[f.rng.IntN(2)]))
+	case 1:
+		f.publish(lists.KindPlans, plansText([]string{"gold", "silver"}[f.rng.IntN(2)]))
+	case 2:
+		f.publish(lists.KindMachines, f.machinesText())
+	case 3:
+		f.publish(lists.KindPlans, "services: 3\nplans: []\n")
+	case 4:
+		f.setDown(f.rng.IntN(2) == 0)
+	case 5:
+		f.platform.stale = float64(f.rng.IntN(2)) / 2
+	case 6:
+		f.platform.cut = float64(f.rng.IntN(2)) / 3
+	case 7:
+		parts := 1 + f.rng.IntN(3)
+		f.sides = func(i int) int { return i % parts }
+		f.apart = func(i int) bool { return parts > 1 && i%parts == 0 }
+		f.wake()
+	case 8:
+		f.nodes[f.rng.IntN(len(f.nodes))].restart()
+	}
+}
+
+func TestRandomHistories(t *testing.T) {
+	Convey("In any history no daemon's revisions go down, its lists fit, and all agree in the end", t, func() {
+		for seed := uint64(1); seed <= 40; seed++ {
+			f := newFleet(seed, 6)
+			f.publishAll()
+			f.heartbeats = 2
+			f.start(func(c *Config) { c.Seeds = []netip.AddrPort{bulkOf(0), bulkOf(1)} })
+			for range 60 {
+				misfortune(f)
+				f.run(time.Duration(f.rng.Int64N(int64(3 * time.Second))))
+			}
+			f.setDown(false)
+			f.platform.stale, f.platform.cut, f.sides, f.apart = 0, 0, nil, nil
+			f.publish(lists.KindPlans, plansText("gold", "silver"))
+			f.publish(lists.KindCustomers, customersText("gold"))
+			f.publish(lists.KindMachines, f.machinesText())
+			f.run(2 * time.Minute)
+			soInForce(f, model.Revisions{
+				Customers: uint64(len(f.platform.docs[lists.KindCustomers])),
+				Plans:     uint64(len(f.platform.docs[lists.KindPlans])),
+				Machines:  uint64(len(f.platform.docs[lists.KindMachines])),
+			})
+		}
+	})
+}
+
 func TestRefusalsAreSaidOnce(t *testing.T) {
 	Convey("An invalid revision is refused whole, said once, and the last good one stays", t, func() {
 		f := newFleet(1, 1)
