--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -1,6 +1,7 @@
 package lists
 
 import (
+	"bytes"
 	"fmt"
 
 	"github.com/fireflypin/fireflypin/internal/yamldoc"
@@ -110,7 +111,8 @@
 	return h
 }
 
-// read opens a document that must be of one kind and returns its revision.
+// read opens a document that must be of one kind and returns its revision. A document must end with a
+// newline, so that most of those that were cut on their way are noticed.
 func read(d Document, want Kind, visit func(m *yamldoc.Map)) (uint64, Findings) {
 	var h Header
 	findings := yamldoc.Read(d, func(m *yamldoc.Map) {
@@ -123,6 +125,12 @@
 		}
 		visit(m)
 	})
+	if !bytes.HasSuffix(d.Data, []byte("\n")) {
+		findings = append(findings, Finding{
+			File: d.Name, Line: 1 + bytes.Count(d.Data, []byte("\n")),
+			Message: "the document does not end with a newline; it may have been cut",
+		})
+	}
 	return h.Revision, findings
 }
 
--- a/internal/lists/lists_test.go
+++ b/internal/lists/lists_test.go
@@ -97,6 +97,7 @@
 	cases := []struct{ what, doc, old, new, want string }{
 		{"revision missing", "plans", "revision: 5\n", "", "plans.yaml:1: revision: missing"},
 		{"revision zero", "plans", "revision: 5", "revision: 0", "plans.yaml:2: revision: 0 is out of range"},
+		{"no newline at the end", "plans", "[booking]}\n", "[booking]}", "plans.yaml:14: the document does not end with a newline"},
 		{"kind missing", "plans", "kind: plans\n", "", "plans.yaml:1: kind: missing"},
 		{"kind wrong", "plans", "kind: plans", "kind: machines", `plans.yaml:1: kind: is "machines"; a document of kind "plans" is expected`},
 		{"unknown key", "plans", "margin: 0.1", "margn: 0.1", "plans.yaml:7: services[0].margn: unknown key"},
--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"bytes"
 	"fmt"
 	"math"
 
@@ -50,8 +49,6 @@
 		return d, findings
 	case revision != anyRevision && found != revision:
 		return d, fmt.Errorf("%s: delivered as revision %d but says revision %d", text.Name, revision, found)
-	case !bytes.HasSuffix(text.Data, []byte("\n")):
-		return d, fmt.Errorf("%s: does not end with a newline; it may have been cut", text.Name)
 	}
 	return d, nil
 }
