Split a customer's limits among the zones that have targets of its services

Owners of zones that can never own a customer's flows took part of its limit: with services in one of 8 zones a limit was reached by an eighth of the rest per window only. The zones follow from the published lists, so every owner counts the same ones.

--- a/internal/limits/config.go
+++ b/internal/limits/config.go
@@ -62,6 +62,16 @@
 	Published int
 }
 
+func (o Owners) add(other Owners) Owners {
+	return Owners{Live: o.Live + other.Live, Published: o.Published + other.Published}
+}
+
+// ZoneOwners are the owners of one availability zone.
+type ZoneOwners struct {
+	Zone   model.Zone
+	Owners Owners
+}
+
 // share returns the owners that a limit is split among, at least 1: the live ones, but never fewer
 // than a fixed part of the published ones.
 func (o Owners) share(floor float64) float64 {
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -23,8 +23,8 @@
 	cfg Config
 
 	mu     sync.Mutex
-	fleet  Owners
-	zone   Owners
+	zones  map[model.Zone]Owners
+	plans  map[*model.Plan]Owners // derived from zones
 	usages map[key]*usage
 	turn   int // where the next summary goes on
 }
@@ -33,17 +33,52 @@
 func New(cfg Config) *Limiter {
 	return &Limiter{
 		cfg:    cfg.withDefaults(),
-		fleet:  Owners{Live: 1, Published: 1},
-		zone:   Owners{Live: 1, Published: 1},
+		zones:  map[model.Zone]Owners{cfg.Zone: {Live: 1, Published: 1}},
+		plans:  make(map[*model.Plan]Owners),
 		usages: make(map[key]*usage),
 	}
 }
 
-// SetOwners says how many daemons own flows, in the whole fleet and in the own zone.
-func (l *Limiter) SetOwners(fleet, zone Owners) {
+// SetOwners says how many daemons own flows in each zone. A zone that cannot be reached has no live ones.
+func (l *Limiter) SetOwners(zones []ZoneOwners) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.fleet, l.zone = fleet, zone
+	clear(l.zones)
+	for _, z := range zones {
+		l.zones[z.Zone] = z.Owners
+	}
+	clear(l.plans)
+}
+
+// planOwners returns the owners that flows of a plan can have: those of the zones with targets of the
+// services that it allows, or, where none of them is live, those of every zone.
+func (l *Limiter) planOwners(p *model.Plan) Owners {
+	if owners, known := l.plans[p]; known {
+		return owners
+	}
+	seen := make(map[model.Zone]bool)
+	var sum Owners
+	for _, s := range p.Services {
+		for _, t := range s.Targets {
+			if !seen[t.Zone] {
+				seen[t.Zone] = true
+				sum = sum.add(l.zones[t.Zone])
+			}
+		}
+	}
+	if sum.Live == 0 {
+		sum = l.allOwners()
+	}
+	l.plans[p] = sum
+	return sum
+}
+
+func (l *Limiter) allOwners() Owners {
+	var sum Owners
+	for _, o := range l.zones {
+		sum = sum.add(o)
+	}
+	return sum
 }
 
 // Open counts a new flow of a customer, or returns the kind of the limit that it would exceed.
@@ -52,8 +87,9 @@
 	defer l.mu.Unlock()
 	u := l.usage(now, customerKey(c))
 	u.limits = limitPair{open: c.Plan.OpenFlows, rate: c.Plan.NewFlowsPerSecond}
+	u.owners = l.planOwners(c.Plan)
 	u.ask()
-	if u.limits.open > 0 && !l.openFits(u, l.fleet) {
+	if u.limits.open > 0 && !l.openFits(u) {
 		return errkind.CustomerOpenLimit
 	}
 	if u.limits.rate > 0 && !l.rateFits(now, u) {
@@ -81,8 +117,9 @@
 	defer l.mu.Unlock()
 	u := l.usage(now, targetKey(t))
 	u.limits = limitPair{open: t.MaxConnections}
+	u.owners = l.zones[l.cfg.Zone]
 	u.ask()
-	if !l.openFits(u, l.zone) {
+	if !l.openFits(u) {
 		return false
 	}
 	u.admit()
@@ -123,14 +160,14 @@
 // What others know of an owner is at least the fewest flows that it held in the window. So each owner
 // takes at most an even part of the rest on top of its own fewest: all owners together then hold at most
 // the sum of the fewest and of the rest, which is the limit.
-func (l *Limiter) openFits(u *usage, owners Owners) bool {
-	limit := float64(u.limits.open) * owners.part(l.cfg.FleetFloor)
+func (l *Limiter) openFits(u *usage) bool {
+	limit := float64(u.limits.open) * u.owners.part(l.cfg.FleetFloor)
 	before := float64(u.leastOpen())
 	rest := limit - before - float64(u.others.open)
 	if rest <= 0 || float64(u.own.open)+float64(u.others.open)+1 > limit {
 		return false
 	}
-	return float64(u.own.open)+1 <= before+l.allowance(u, rest, float64(max(owners.Live, 1)))
+	return float64(u.own.open)+1 <= before+l.allowance(u, rest, float64(max(u.owners.Live, 1)))
 }
 
 // allowance returns by how many flows an owner may grow per window when rest flows are left for all. A
@@ -156,8 +193,8 @@
 // ownRate returns the own part of a rate limit in flows a second: what the own summary told last plus an
 // even part of what nobody told to use. Over all owners these parts add up to the limit.
 func (l *Limiter) ownRate(u *usage) float64 {
-	owners := l.fleet.share(l.cfg.FleetFloor)
-	limit := float64(u.limits.rate) * l.fleet.part(l.cfg.FleetFloor)
+	owners := u.owners.share(l.cfg.FleetFloor)
+	limit := float64(u.limits.rate) * u.owners.part(l.cfg.FleetFloor)
 	window := l.cfg.Window.Seconds()
 	own := float64(u.told.admitted) / window
 	total := own + float64(u.others.admitted)/window
@@ -165,7 +202,7 @@
 	if total > limit {
 		return (1-l.cfg.Leveling)*own*limit/total + l.cfg.Leveling*even
 	}
-	rest := (limit - total) / float64(max(l.fleet.Live, 1))
+	rest := (limit - total) / float64(max(u.owners.Live, 1))
 	return (1-l.cfg.Leveling)*(own+rest) + l.cfg.Leveling*even
 }
 
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -65,27 +66,31 @@
 		s.zones = append(s.zones, zone)
 		s.owners = append(s.owners, New(Config{Zone: zone, Rand: rand.New(rand.NewPCG(seed, uint64(i)))}))
 	}
+	service := &model.Service{Name: "booking"}
+	for i := range zones {
+		service.Targets = append(service.Targets, &model.Target{Zone: s.zones[i%len(s.zones)]})
+	}
+	plan.Services = []*model.Service{service}
 	s.countOwners()
 	return s
 }
 
-// countOwners tells every owner how many others it reaches.
+// countOwners tells every owner how many others it reaches in each zone.
 func (s *sim) countOwners() {
 	for i, l := range s.owners {
-		fleet, zone := Owners{Published: len(s.owners)}, Owners{}
-		for j := range s.owners {
-			if s.zones[i] == s.zones[j] {
-				zone.Published++
-			}
-			if s.side(i) != s.side(j) {
-				continue
+		var zones []ZoneOwners
+		for j, zone := range s.zones {
+			at := slices.IndexFunc(zones, func(z ZoneOwners) bool { return z.Zone == zone })
+			if at < 0 {
+				at = len(zones)
+				zones = append(zones, ZoneOwners{Zone: zone})
 			}
-			fleet.Live++
-			if s.zones[i] == s.zones[j] {
-				zone.Live++
+			zones[at].Owners.Published++
+			if s.side(i) == s.side(j) {
+				zones[at].Owners.Live++
 			}
 		}
-		l.SetOwners(fleet, zone)
+		l.SetOwners(zones)
 	}
 }
 
@@ -304,6 +309,34 @@
 	})
 }
 
+func TestOnlyZonesWithTargetsShareALimit(t *testing.T) {
+	Convey("A customer whose services are in one zone gets its whole limit from the owners there", t, func() {
+		here, there := model.Zone{Region: "r", Name: "a"}, model.Zone{Region: "r", Name: "b"}
+		l := New(Config{Zone: here, Rand: rand.New(rand.NewPCG(1, 1))})
+		l.SetOwners([]ZoneOwners{{here, Owners{Live: 1, Published: 1}}, {there, Owners{Live: 99, Published: 99}}})
+		service := &model.Service{Targets: []*model.Target{{Zone: here}}}
+		customer := &model.Customer{Name: "quinta", Plan: &model.Plan{OpenFlows: 10, Services: []*model.Service{service}}}
+		for range 10 {
+			So(l.Open(epoch, customer), ShouldEqual, errkind.None)
+		}
+		So(l.Open(epoch, customer), ShouldEqual, errkind.CustomerOpenLimit)
+	})
+	Convey("Owners of other zones that stand in for a lost zone share the limit among all of them", t, func() {
+		here, lost := model.Zone{Region: "r", Name: "a"}, model.Zone{Region: "r", Name: "b"}
+		l := New(Config{Zone: here, Rand: rand.New(rand.NewPCG(1, 1))})
+		l.SetOwners([]ZoneOwners{{here, Owners{Live: 10, Published: 10}}, {lost, Owners{Live: 0, Published: 10}}})
+		service := &model.Service{Targets: []*model.Target{{Zone: lost}}}
+		customer := &model.Customer{Name: "quinta", Plan: &model.Plan{OpenFlows: 100, Services: []*model.Service{service}}}
+		admitted := 0
+		for range 1000 {
+			if l.Open(epoch, customer) == errkind.None {
+				admitted++
+			}
+		}
+		So(admitted, ShouldEqual, 10)
+	})
+}
+
 func TestTargetsAndSummaries(t *testing.T) {
 	target := &model.Target{ID: 7, Name: "booking-1", MaxConnections: 3}
 	customer := &model.Customer{Name: "quinta", Plan: &model.Plan{OpenFlows: 10, NewFlowsPerSecond: 10}}
--- a/internal/limits/summary.go
+++ b/internal/limits/summary.go
@@ -43,6 +43,8 @@
 
 // collect returns the limits that are used enough to be told, and forgets those that nobody uses.
 func (l *Limiter) collect(now time.Time) (own, zone []candidate) {
+	members := float64(max(l.zones[l.cfg.Zone].Live, 1))
+	clear(l.plans)
 	for k, u := range l.usages {
 		u.advance(now, l.cfg.Window)
 		u.expire(now.Add(-l.cfg.Expiry))
@@ -51,8 +53,7 @@
 			continue
 		}
 		u.ended = time.Time{}
-		owners := l.owners(k)
-		if used := l.used(u, u.own, owners, 1); used >= l.cfg.ReportAbove {
+		if used := l.used(u, u.own, 1); used >= l.cfg.ReportAbove {
 			own = append(own, candidate{entry{k, u.own}, used})
 		} else {
 			u.told = use{}
@@ -61,7 +62,7 @@
 			continue
 		}
 		sum := u.zoneUse()
-		if used := l.used(u, sum, owners, float64(max(l.zone.Live, 1))); used >= l.cfg.ReportAbove {
+		if used := l.used(u, sum, members); used >= l.cfg.ReportAbove {
 			zone = append(zone, candidate{entry{k, sum}, used})
 		}
 	}
@@ -79,16 +80,9 @@
 	}
 }
 
-func (l *Limiter) owners(k key) Owners {
-	if k.scope == scopeTarget {
-		return l.zone
-	}
-	return l.fleet
-}
-
 // used returns a use as a share of the even part of a limit that a number of owners have.
-func (l *Limiter) used(u *usage, of use, owners Owners, members float64) float64 {
-	parts := owners.share(l.cfg.FleetFloor) / members
+func (l *Limiter) used(u *usage, of use, members float64) float64 {
+	parts := u.owners.share(l.cfg.FleetFloor) / members
 	most := 0.0
 	if u.limits.open > 0 {
 		most = float64(max(of.open, of.asked)) * parts / float64(u.limits.open)
--- a/internal/limits/usage.go
+++ b/internal/limits/usage.go
@@ -33,6 +33,7 @@
 // usage is what is known of the use of one limit.
 type usage struct {
 	limits limitPair
+	owners Owners // that the limits are split among
 	own    use
 	// told is the own use in the last summary; others know it at most.
 	told  use
