--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -124,6 +124,8 @@
 	FaultLieFull FaultKind = "lie-full"
 	// FaultSilent makes a target answer nothing, while its report looks well.
 	FaultSilent FaultKind = "silent"
+	// FaultSilentFlows makes a target lose track of every tenth of its open flows, for good.
+	FaultSilentFlows FaultKind = "silent-flows"
 )
 
 // Fault is something that happens during a run.
--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -49,6 +49,18 @@
 			So(countResults(h)[history.FlowRefused], ShouldBeGreaterThan, 0)
 			So(countResults(h)[history.FlowBroken], ShouldEqual, 0)
 		})
+		Convey("by a reset while it drains, and open flows go on", func() {
+			x := newExchange(2, Workload{Name: "s", Kind: WorkloadStream, Sessions: 5}, TargetConfig{})
+			x.run(5 * time.Second)
+			x.target.SetDraining(true)
+			x.caller.startWorkload(x.now, Workload{Name: "late", Kind: WorkloadStream, Service: serviceAddr, Sessions: 1})
+			x.run(5 * time.Second)
+			So(x.target.Connections(), ShouldEqual, 5)
+			h := x.finish()
+			So(countResults(h)[history.FlowFinished], ShouldEqual, 5)
+			So(countResults(h)[history.FlowRefused], ShouldBeGreaterThan, 0)
+			So(history.Check(h), ShouldBeEmpty)
+		})
 		Convey("by its connection limit", func() {
 			x := newExchange(2, Workload{Name: "s", Kind: WorkloadStream, Sessions: 20}, TargetConfig{MaxConnections: 10})
 			x.run(3 * time.Second)
