--- a/cmd/fireflypin/lab.go
+++ b/cmd/fireflypin/lab.go
@@ -30,6 +30,7 @@
 			&cli.IntFlag{Name: "parallel", Value: 4, Usage: "runs at the same time"},
 			&cli.StringFlag{Name: "workload", Usage: "only workloads whose name contains this"},
 			&cli.BoolFlag{Name: "margins", Usage: "compare margins of the chosen policy instead of policies, healthy only"},
+			&cli.BoolFlag{Name: "large", Usage: "one address of a fleet of 600 daemons and 6,100 targets instead"},
 			&cli.BoolFlag{Name: "json", Usage: "print the result of every run as JSON"},
 			&cli.StringFlag{Name: "plots", Usage: "directory to write plots to"},
 		},
@@ -55,6 +56,12 @@
 			comparison.Workloads = append(comparison.Workloads, w)
 		}
 	}
+	if c.Bool("large") {
+		comparison.Workloads = []placementlab.Workload{{}}
+		comparison.Scenario = func(_ placementlab.Workload, f placementlab.Fault, seed uint64) placementlab.Scenario {
+			return placementlab.NewLargeScenario(f, seed)
+		}
+	}
 	results := comparison.Run()
 	if err := printLab(os.Stdout, results, c.Bool("json")); err != nil {
 		return err
--- /dev/null
+++ b/internal/capacity/members.go
@@ -0,0 +1,149 @@
+package capacity
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func membershipExperiments() []experiment {
+	members := []int{8, 25, 50, 75, 100}
+	datagrams := []int{100, 200, 400, 800}
+	return []experiment{
+		{HeartbeatFanout, Messages, members, heartbeatFanout},
+		{HeartbeatBytes, Bytes, []int{0, 4, 8, 16}, heartbeatBytes},
+		{HeartbeatHandle, Nanoseconds, members, heartbeatHandle},
+		{MembershipTick, Nanoseconds, members, membershipTick},
+		{MembershipMemory, Bytes, members, func(n int) float64 { return heapBytes(func() any { return newZone(n) }) }},
+		{OwnerChoice, Nanoseconds, members, ownerChoice},
+		{Seal, Nanoseconds, datagrams, seal},
+		{Open, Nanoseconds, datagrams, open},
+	}
+}
+
+// zoneOf is a fleet with the given members in each of eight zones, seen by its first member. Every
+// member is here and ready.
+type zone struct {
+	list    *membership.List
+	entries []*model.EntryVM
+	now     time.Time
+}
+
+func newZone(members int) *zone {
+	z := &zone{now: epoch}
+	for i := range members * regions * zonesPerRegion {
+		name := "entry-" + address(i).String()
+		z.entries = append(z.entries, &model.EntryVM{
+			ID:   model.MachineIDOf(name),
+			Name: name,
+			Zone: model.Zone{Region: regionName(i / zonesPerRegion), Name: zoneName(i)},
+		})
+	}
+	z.list = membership.New(membership.Config{
+		Self: z.entries[0].ID, Zone: z.entries[0].Zone, Incarnation: 1, Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	z.list.SetPublished(z.now, z.entries)
+	z.hearAll()
+	z.list.SetReady(z.now, true)
+	return z
+}
+
+// hearAll takes a heartbeat of every machine.
+func (z *zone) hearAll() {
+	for _, e := range z.entries[1:] {
+		z.list.HandleHeartbeat(z.now, z.heartbeat(e))
+	}
+}
+
+func (z *zone) heartbeat(from *model.EntryVM) membership.Heartbeat {
+	return membership.Heartbeat{
+		From: from.ID, Incarnation: 1, Message: &wire.Heartbeat{Ready: true, Epoch: 1},
+	}
+}
+
+// heartbeatFanout returns the heartbeats that a daemon sends in a quiet second.
+func heartbeatFanout(members int) float64 {
+	z := newZone(members)
+	const seconds, ticks = 3, 10
+	sent := 0
+	for range seconds * ticks {
+		z.now = z.now.Add(time.Second / ticks)
+		z.hearAll()
+		for _, a := range z.list.Tick(z.now) {
+			if hb, ok := a.(membership.SendHeartbeat); ok && hb.Regular {
+				sent += len(hb.To)
+			}
+		}
+	}
+	return float64(sent) / seconds
+}
+
+func heartbeatBytes(rumours int) float64 {
+	hb := wire.Heartbeat{
+		Ready: true, Epoch: 3, View: 1,
+		Revisions: model.Revisions{Customers: 100_000, Plans: 100_000, Machines: 1_000_000},
+	}
+	for i := range rumours {
+		hb.Rumours = append(hb.Rumours, wire.Rumour{
+			Machine: model.MachineID(i + 1), Incarnation: wire.NewIncarnation(epoch), Epoch: 3, State: wire.RumourReady,
+		})
+	}
+	return float64(len(hb.AppendTo(nil)))
+}
+
+func heartbeatHandle(members int) float64 {
+	z := newZone(members)
+	neighbours := z.neighbours()
+	return nanoseconds(func(i int) {
+		z.list.HandleHeartbeat(z.now, z.heartbeat(neighbours[i%len(neighbours)]))
+	})
+}
+
+// neighbours returns the other members of the own zone.
+func (z *zone) neighbours() []*model.EntryVM {
+	var found []*model.EntryVM
+	for _, e := range z.entries[1:] {
+		if e.Zone == z.entries[0].Zone {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+func membershipTick(members int) float64 {
+	z := newZone(members)
+	return nanoseconds(func(int) { z.list.Tick(z.now) })
+}
+
+func ownerChoice(members int) float64 {
+	z := newZone(members)
+	view := z.list.View()
+	zones := []model.Zone{z.entries[0].Zone}
+	return nanoseconds(func(i int) { view.Owner(flowHash(i), zones) })
+}
+
+func keyring() wire.KeyringProvider {
+	ring, err := wire.NewKeyring(1, wire.Key{ID: 1, Secret: make([]byte, 32)})
+	if err != nil {
+		panic("capacity: own key is refused: " + err.Error())
+	}
+	return wire.NewKeyStore(ring)
+}
+
+func seal(size int) float64 {
+	sealer := wire.NewSealer(keyring(), 1, 1, new(wire.Counter))
+	body := make([]byte, size-wire.Overhead)
+	var buf []byte
+	return nanoseconds(func(int) { buf = sealer.AppendSealed(buf[:0], 2, wire.KindHeartbeat, body) })
+}
+
+func open(size int) float64 {
+	keys := keyring()
+	sealer := wire.NewSealer(keys, 1, wire.NewIncarnation(epoch), new(wire.Counter))
+	datagram := sealer.AppendSealed(nil, 2, wire.KindHeartbeat, make([]byte, size-wire.Overhead))
+	opener := wire.NewOpener(keys, 2, wire.NewReplay(wire.ReplayConfig{}))
+	return nanoseconds(func(int) { _, _ = opener.Open(datagram) })
+}
--- /dev/null
+++ b/internal/capacity/slope.go
@@ -0,0 +1,118 @@
+package capacity
+
+import (
+	"fmt"
+)
+
+// Unit is what a cost is counted in.
+type Unit string
+
+// The units.
+const (
+	Bytes       Unit = "B"
+	Nanoseconds Unit = "ns"
+	Messages    Unit = "messages"
+)
+
+// ID names a slope.
+type ID string
+
+// The slopes that roles are worked out from.
+const (
+	FlowMemory       ID = "flow table memory / flows"
+	FlowTouch        ID = "flow table touch / flows"
+	SeenMemory       ID = "cache of covered flows memory / flows"
+	LogBytes         ID = "log batch bytes / records"
+	LogMemory        ID = "log memory / exceptions"
+	CopyMemory       ID = "log copy memory / exceptions"
+	CopyApply        ID = "log copy apply / records"
+	HeartbeatFanout  ID = "heartbeats per second / zone members"
+	HeartbeatBytes   ID = "heartbeat bytes / rumours"
+	HeartbeatHandle  ID = "heartbeat handling / zone members"
+	MembershipTick   ID = "membership tick / zone members"
+	MembershipMemory ID = "membership memory / zone members"
+	OwnerChoice      ID = "owner choice / zone members"
+	Seal             ID = "seal a datagram / bytes"
+	Open             ID = "open a datagram / bytes"
+	HealthBytes      ID = "health section bytes / probed targets"
+	HealthMemory     ID = "health and load memory / targets"
+	HealthTick       ID = "health tick / targets"
+	PlacementMemory  ID = "placement table memory / targets"
+	PlacementBuild   ID = "placement table build / targets"
+	DefaultChoice    ID = "default target / targets of the service"
+	PolicyChoice     ID = "policy choice / targets of the service"
+	MachinesBytes    ID = "machines list bytes / targets"
+	MachinesParse    ID = "machines list parse / targets"
+	CustomersBytes   ID = "customers list bytes / customers"
+	CustomersParse   ID = "customers list parse / customers"
+	SnapshotMemory   ID = "snapshot memory / targets"
+	CustomerMemory   ID = "snapshot memory / customers"
+	AdmissionMemory  ID = "admission table memory / prefixes"
+	AdmissionBuild   ID = "admission table build / prefixes"
+	AdmissionCheck   ID = "admission check / prefixes"
+	GenerationSwitch ID = "default recheck at a list change / flows"
+)
+
+// experiment measures one slope.
+type experiment struct {
+	id      ID
+	unit    Unit
+	sizes   []int
+	measure func(size int) float64
+}
+
+// Slope is a measured dependence of a cost on a size.
+type Slope struct {
+	ID     ID      `json:"id"`
+	Unit   Unit    `json:"unit"`
+	Points []Point `json:"points"`
+	Line   Line    `json:"line"`
+}
+
+// String returns the slope as a line of text.
+func (s Slope) String() string {
+	return fmt.Sprintf("%s: %.4g + %.4g %s, residual %.0f %%", s.ID, s.Line.Fixed, s.Line.PerUnit, s.Unit, 100*s.Line.Residual)
+}
+
+// Slopes are measured slopes by name.
+type Slopes map[ID]Slope
+
+// Measure carries out every experiment, one after the other, and reports each to seen.
+func Measure(seen func(s Slope)) Slopes {
+	slopes := make(Slopes)
+	for _, e := range experiments() {
+		s := e.run()
+		slopes[e.id] = s
+		seen(s)
+	}
+	return slopes
+}
+
+func (e experiment) run() Slope {
+	s := Slope{ID: e.id, Unit: e.unit}
+	for _, size := range e.sizes {
+		s.Points = append(s.Points, Point{Size: float64(size), Cost: e.measure(size)})
+	}
+	s.Line = Fit(s.Points)
+	return s
+}
+
+// At returns the fitted cost of a slope at a size. A slope that was not measured panics: a role may
+// name only measured ones.
+func (s Slopes) At(id ID, size float64) float64 {
+	slope, ok := s[id]
+	if !ok {
+		panic(fmt.Sprintf("capacity: slope %q was not measured", id))
+	}
+	return slope.Line.At(size)
+}
+
+// experiments lists every experiment.
+func experiments() []experiment {
+	all := flowExperiments()
+	all = append(all, logExperiments()...)
+	all = append(all, membershipExperiments()...)
+	all = append(all, healthExperiments()...)
+	all = append(all, placementExperiments()...)
+	return append(all, listExperiments()...)
+}
--- a/internal/placementlab/compare.go
+++ b/internal/placementlab/compare.go
@@ -9,6 +9,8 @@
 	Workloads  []Workload
 	Faults     []Fault
 	Candidates []Candidate
+	// Scenario returns the scenario of a run; NewScenario by default.
+	Scenario func(w Workload, f Fault, seed uint64) Scenario
 	// Seeds is the number of seeds; they are 1, 2, and so on.
 	Seeds int
 	// Parallel is the number of runs at the same time; at least 1.
@@ -17,12 +19,16 @@
 
 // Run carries out the runs and returns the results in a fixed order: workload, fault, candidate, seed.
 func (c Comparison) Run() []Result {
+	scenario := c.Scenario
+	if scenario == nil {
+		scenario = NewScenario
+	}
 	var runs []func() Result
 	for _, w := range c.Workloads {
 		for _, f := range c.Faults {
 			for _, candidate := range c.Candidates {
 				for seed := range c.Seeds {
-					runs = append(runs, func() Result { return Run(NewScenario(w, f, uint64(seed)+1), candidate) })
+					runs = append(runs, func() Result { return Run(scenario(w, f, uint64(seed)+1), candidate) })
 				}
 			}
 		}
--- a/internal/placementlab/scenario.go
+++ b/internal/placementlab/scenario.go
@@ -97,6 +97,18 @@
 	}
 }
 
+// NewLargeScenario returns a scenario of one address of a fleet of 600 daemons, 6,100 targets, 680
+// addresses, 12 million open flows and 48,000 new ones a second: 9 targets and the 300 daemons of a
+// region in four zones.
+func NewLargeScenario(f Fault, seed uint64) Scenario {
+	sc := NewScenario(Workload{
+		Name: "large/address", Targets: 9, Open: 17650, NewPerSecond: 70.6, Life: 250 * time.Second,
+		RequestRate: 0.04, RateSpread: 1, RequestTime: 20 * time.Millisecond,
+	}, f, seed)
+	sc.Owners, sc.Zones = 300, 4
+	return sc
+}
+
 // Candidate is a policy under comparison.
 type Candidate struct {
 	Name string
--- a/placement/chosen.go
+++ b/placement/chosen.go
@@ -26,6 +26,9 @@
 	ReportWeight float64
 	// ReportLifetime is the age at which a report counts half; default 10 s.
 	ReportLifetime time.Duration
+	// OwnShare is the owner's number of open flows per target from which its own count has its full
+	// weight against a report; default 100.
+	OwnShare float64
 	// UnansweredLimit is the share of unanswered connection attempts from which a target is passed
 	// over while another can take the flow, 0 to 1; default 0.5.
 	UnansweredLimit float64
@@ -52,6 +55,9 @@
 	if c.ReportLifetime <= 0 {
 		c.ReportLifetime = 10 * time.Second
 	}
+	if c.OwnShare <= 0 {
+		c.OwnShare = 100
+	}
 	if c.UnansweredLimit <= 0 {
 		c.UnansweredLimit = 0.5
 	}
@@ -213,7 +219,7 @@
 		return false
 	}
 	if o.FleetKnown {
-		return o.FleetOpen >= int(t.MaxConnections)
+		return o.FleetMost >= int(t.MaxConnections)
 	}
 	share := float64(t.MaxConnections) / float64(owners)
 	if owners > 1 {
@@ -229,7 +235,7 @@
 // addition for a target that answers slowly or leaves attempts unanswered.
 func (c *Chosen) load(o *option, m means) float64 {
 	weight := float64(max(o.target.Weight, 1))
-	trust := c.trust(&o.seen)
+	trust := c.trust(&o.seen, m)
 	own := float64(o.seen.Open) / weight / max(m.own, 1)
 	fleet := float64(o.seen.FleetOpen) / weight / max(m.fleet, 1)
 	load := own*(1-trust) + fleet*trust + max(o.seen.Unanswered-lossShare, 0)
@@ -239,18 +245,21 @@
 	return load
 }
 
-// trust returns the weight of a target's report.
-func (c *Chosen) trust(o *Observation) float64 {
+// trust returns the weight of a target's report. An own count of few flows is mostly chance, so its
+// weight shrinks with the owner's share.
+func (c *Chosen) trust(o *Observation, m means) float64 {
 	if !o.FleetKnown || c.cfg.ReportWeight < 0 {
 		return 0
 	}
-	return c.cfg.ReportWeight / (1 + float64(o.ReportAge)/float64(c.cfg.ReportLifetime))
+	report := c.cfg.ReportWeight / (1 + float64(o.ReportAge)/float64(c.cfg.ReportLifetime))
+	own := (1 - report) * min(m.own/c.cfg.OwnShare, 1)
+	return report / (report + own)
 }
 
 // margin returns the margin as a share of the mean. The fewer flows a share counts, the more of its
 // lead is chance, so the margin widens.
 func (c *Chosen) margin(published float64, m means, o *option) float64 {
-	trust := c.trust(&o.seen)
+	trust := c.trust(&o.seen, m)
 	own := math.Sqrt(c.cfg.ReferenceShare / max(m.own, 1))
 	fleet := math.Sqrt(c.cfg.ReferenceShare / max(m.fleet, 1))
 	return min(published*(own*(1-trust)+fleet*trust), c.cfg.MaxMargin)
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,9 @@
 	// FleetOpen estimates the open flows of all owners; valid while FleetKnown.
 	FleetOpen  int
 	FleetKnown bool
+	// FleetMost is the highest likely number of open flows of all owners: the one that connection limits
+	// are held against; valid while FleetKnown.
+	FleetMost int
 	// Reported is the number of connections of the last report itself; valid while FleetKnown.
 	Reported int
 	// ReportAge is the time since the report was read; valid while FleetKnown.
@@ -269,7 +273,8 @@
 	}
 	o.FleetKnown = true
 	o.ReportAge = max(now.Sub(t.report.At), 0)
-	o.FleetOpen = t.fleetOpen(owners)
+	o.FleetOpen = t.fleetOpen(math.Sqrt(float64(owners)))
+	o.FleetMost = t.fleetOpen(float64(owners))
 	o.Reported = t.report.Connections
 	o.BusySlots = t.report.BusySlots
 	o.Shedding = t.report.Shedding
@@ -277,10 +282,11 @@
 	return o
 }
 
-// fleetOpen corrects the report for its age: the other owners are taken to have changed their counts
-// as this one did since the report. It is never less than the owner's own count.
-func (t *targetLoad) fleetOpen(owners int) int {
-	change := t.open - t.reportOpen
-	estimate := t.report.Connections + change*owners
-	return max(estimate, t.open)
+// fleetOpen corrects the report for its age by the owner's own change since, times a factor, and is
+// never less than the owner's own count. The owners' changes have a common part, of which one owner's
+// change is a sample that grows noisier the more owners there are: so the square root of their number
+// is the factor for an estimate, and the number itself for a bound.
+func (t *targetLoad) fleetOpen(factor float64) int {
+	change := float64(t.open-t.reportOpen) * factor
+	return max(t.report.Connections+int(math.Round(change)), t.open)
 }
--- a/placement/policy_test.go
+++ b/placement/policy_test.go
@@ -177,6 +177,18 @@
 	})
 }
 
+func TestTrustInReports(t *testing.T) {
+	Convey("An own count of few flows weighs less against a report, an old report less against it", t, func() {
+		c := NewChosen(ChosenConfig{})
+		fresh := &Observation{FleetKnown: true}
+		old := &Observation{FleetKnown: true, ReportAge: time.Hour}
+		So(c.trust(fresh, means{own: 500}), ShouldAlmostEqual, 0.75)
+		So(c.trust(fresh, means{own: 5}), ShouldBeGreaterThan, 0.95)
+		So(c.trust(old, means{own: 5}), ShouldBeLessThan, 0.1)
+		So(c.trust(&Observation{}, means{own: 5}), ShouldEqual, 0)
+	})
+}
+
 func TestRamp(t *testing.T) {
 	Convey("Given a target that joins a running service with a ramp of 30 s", t, func() {
 		table, _, l := loaded(fourteen()[:13])
