--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"runtime"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,8 +15,12 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/admission"
+	"github.com/fireflypin/fireflypin/internal/bulk"
 	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -40,8 +46,14 @@
 
 // Lists is where the published lists come from.
 type Lists interface {
-	// Run calls adopt for every set of lists that may come into force, until ctx ends.
+	// Run calls adopt for every set of lists that comes into force, until ctx ends.
 	Run(ctx context.Context, adopt func(*model.Snapshot)) error
+	// ListHolder tells peers what is held.
+	bulk.ListHolder
+	// HandleDigest takes the versions that a peer holds. The peer is named by its bulk address.
+	HandleDigest(peer netip.AddrPort, d platform.Digest)
+	// Status returns what operators see of the lists.
+	Status() platform.Status
 }
 
 // Deps are the modules that a Daemon works with.
@@ -62,11 +74,12 @@
 	settings *settings.Settings
 	self     model.MachineID
 	network  udpio.Network
-	bulk     Bulk
+	calls    Bulk
 	lists    Lists
 	keys     wire.KeyringProvider
 	log      *log.Logger
 	metrics  *meters
+	observer *flowObserver
 
 	engine      *core.Engine
 	incarnation uint64
@@ -77,6 +90,8 @@
 	tasksCtx    context.Context
 	ready       atomic.Bool
 	outdated    chan uint64
+	killed      chan struct{}
+	kill        sync.Once
 }
 
 // New returns a daemon that has not opened its sockets yet.
@@ -88,15 +103,17 @@
 		settings:    s,
 		self:        self,
 		network:     deps.Network,
-		bulk:        deps.Bulk,
+		calls:       deps.Bulk,
 		lists:       deps.Lists,
 		keys:        deps.Keys,
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
+		observer:    newFlowObserver(deps.Metrics),
 		incarnation: incarnation,
 		counter:     new(wire.Counter),
 		replay:      wire.NewReplay(wire.ReplayConfig{}),
 		outdated:    make(chan uint64, 1),
+		killed:      make(chan struct{}),
 	}
 	d.engine = core.New(core.Config{
 		Self:        self,
@@ -105,7 +122,10 @@
 		Rand:        rand.New(rand.NewPCG(uint64(self), incarnation)),
 		Epoch:       deps.Now,
 		LogInterval: s.LogBatchInterval,
+		Observer:    d.observer,
 		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
+		Members:     membership.Config{HeartbeatInterval: s.HeartbeatInterval},
+		Sections:    d.sections,
 	})
 	return d
 }
@@ -142,6 +162,7 @@
 		d.drain()
 	case newest := <-d.outdated:
 		cause = fmt.Errorf("run as incarnation %d: peers know the newer incarnation %d of this machine", d.incarnation, newest)
+	case <-d.killed:
 	case <-d.tasksCtx.Done():
 	}
 	stop()
@@ -152,6 +173,11 @@
 	return cause
 }
 
+// Kill makes Run return at once, without the graceful stop.
+func (d *Daemon) Kill() {
+	d.kill.Do(func() { close(d.killed) })
+}
+
 // sockets are the daemon's open sockets.
 type sockets struct {
 	data []udpio.Conn
@@ -225,10 +251,11 @@
 }
 
 func (d *Daemon) adopt(s *model.Snapshot) {
-	actions, taken := d.engine.HandleLists(time.Now(), s, newAdmitter(s))
+	actions, taken := d.engine.HandleLists(time.Now(), s, admission.NewTable(s))
 	if !taken {
 		return
 	}
+	d.observer.retain(s)
 	d.log.Info("lists in force", "op", "lists", "event", "adopted",
 		"customers", s.Revisions.Customers, "plans", s.Revisions.Plans, "machines", s.Revisions.Machines)
 	d.perform(actions)
