--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -37,6 +37,7 @@
 			newRelayCommand(),
 			newMeasureCommand(),
 			newLabCommand(),
+			newCapacityCommand(),
 		},
 	}
 }
--- a/internal/capacity/fixture.go
+++ b/internal/capacity/fixture.go
@@ -12,9 +12,11 @@
 
 const (
 	// targetsPerService is the number of targets behind one address.
-	targetsPerService = 9
-	zonesPerRegion    = 4
-	regions           = 2
+	targetsPerService   = 9
+	targetsPerEndpoint  = 2
+	prefixesPerCustomer = 30
+	zonesPerRegion      = 4
+	regions             = 2
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -38,12 +40,17 @@
 	return netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
 }
 
-// customersDocument names n customers with one prefix each.
+// customersDocument names n customers with thirty prefixes each.
 func customersDocument(n int) lists.Document {
 	var b strings.Builder
 	b.WriteString("kind: customers\nrevision: 1\ncustomers:\n")
 	for i := range n {
-		fmt.Fprintf(&b, "- {name: customer-%05d, plan: plan-%d, prefixes: [%v/24]}\n", i, i%4, address(i<<8))
+		fmt.Fprintf(&b, "  - name: customer-%d\n    plan: plan-%d\n    prefixes: [", i, i%4)
+		for j := range prefixesPerCustomer {
+			p := i*prefixesPerCustomer + j
+			fmt.Fprintf(&b, "%d.%d.%d.0/24, ", 11+p>>16, p>>8&255, p&255)
+		}
+		b.WriteString("]\n")
 	}
 	return lists.Document{Name: "customers.yaml", Data: []byte(b.String())}
 }
@@ -53,11 +60,11 @@
 	var b strings.Builder
 	b.WriteString("kind: plans\nrevision: 1\nservices:\n")
 	for i := range n {
-		fmt.Fprintf(&b, "- {name: service-%04d, addresses: [\"192.0.%d.%d:443\"], return: through, margin: 0.05, ramp: 30s}\n", i, i/250, i%250+1)
+		fmt.Fprintf(&b, "  - {name: service-%d, addresses: [\"198.18.%d.%d:443\"], return: through}\n", i, i>>8, i&255)
 	}
 	b.WriteString("plans:\n")
 	for i := range 4 {
-		fmt.Fprintf(&b, "- {name: plan-%d, new_flows_per_second: 100, open_flows: 20000, on_revoke: finish, services: [%s]}\n", i, planServices(i, n))
+		fmt.Fprintf(&b, "  - {name: plan-%d, new_flows_per_second: 100, open_flows: 20000, on_revoke: finish, services: [%s]}\n", i, planServices(i, n))
 	}
 	return lists.Document{Name: "plans.yaml", Data: []byte(b.String())}
 }
@@ -65,29 +72,35 @@
 func planServices(plan, n int) string {
 	var names []string
 	for i := plan; i < n; i += 4 {
-		names = append(names, fmt.Sprintf("service-%04d", i))
+		names = append(names, fmt.Sprintf("service-%d", i))
 	}
 	if len(names) == 0 {
-		names = append(names, "service-0000")
+		names = append(names, "service-0")
 	}
 	return strings.Join(names, ", ")
 }
 
-// machinesDocument names entry VMs and endpoints with one target each.
-func machinesDocument(entries, targets int) lists.Document {
+// machinesDocument names entry VMs, and endpoint VMs with two targets each. The weight of one target is
+// given, so that documents that differ in it alone can be made.
+func machinesDocument(entries, targets, weight int) lists.Document {
 	var b strings.Builder
 	b.WriteString("kind: machines\nrevision: 1\nentries:\n")
 	for i := range entries {
 		a := address(1<<20 + i)
-		fmt.Fprintf(&b, "- {name: entry-%03d, region: %s, zone: %s, state: live, data: \"%v:4754\", peer: \"%v:4755\", bulk: \"%v:4756\", ops: \"%v:4757\"}\n",
-			i, regionName(i/zonesPerRegion), zoneName(i), a, a, a, a)
+		fmt.Fprintf(&b, "  - {name: entry-%d, region: %s, zone: %s, data: \"%v:4754\", peer: \"%v:4755\", bulk: \"%v:4756\"}\n",
+			i, regionName(i/zonesPerRegion), zoneName(i), a, a, a)
 	}
 	b.WriteString("endpoints:\n")
-	for i := range targets {
+	for i := 0; i < targets; i += targetsPerEndpoint {
 		a := address(2<<20 + i)
-		fmt.Fprintf(&b, "- {name: endpoint-%04d, region: %s, zone: %s, state: live, targets: [{name: target-%04d, service: service-%04d, data: \"%v:4754\", report: \"%v:8080\", weight: 1, max_connections: 4000, slots: 3}]}\n",
-			i, regionName(i/targetsPerService), zoneName(i), i, i/targetsPerService, a, a)
+		fmt.Fprintf(&b, "  - name: vm-%d\n    region: %s\n    zone: %s\n    targets:\n", i, regionName(i/targetsPerService), zoneName(i))
+		for j := i; j < min(i+targetsPerEndpoint, targets); j++ {
+			fmt.Fprintf(&b, "      - {name: target-%d, service: service-%d, data: \"%v:%d\", report: \"%v:8080\"}\n",
+				j, j/targetsPerService, a, 4754+j-i, a)
+		}
 	}
+	b.WriteString("  - {name: vm-last, region: region-0, zone: a, targets: [{name: target-last, service: service-0, ")
+	fmt.Fprintf(&b, "data: \"10.255.0.1:4754\", weight: %d}]}\n", weight)
 	return lists.Document{Name: "machines.yaml", Data: []byte(b.String())}
 }
 
@@ -101,7 +114,7 @@
 	return lists.Documents{
 		Customers: customersDocument(f.customers),
 		Plans:     plansDocument(services),
-		Machines:  machinesDocument(f.entries, f.targets),
+		Machines:  machinesDocument(f.entries, f.targets, 1),
 	}
 }
 
--- a/internal/capacity/listcosts.go
+++ b/internal/capacity/listcosts.go
@@ -1,27 +1,30 @@
 package capacity
 
 import (
+	"math/rand/v2"
+
 	"github.com/fireflypin/fireflypin/internal/admission"
+	"github.com/fireflypin/fireflypin/internal/limits"
 	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/model"
 )
 
-// listFindings keeps the compiler from dropping a parse.
-var listFindings lists.Findings
-
 func listExperiments() []experiment {
-	targets := []int{800, 1600, 3200, 6400}
-	customers := []int{1000, 2000, 5000, 10_000}
+	targets := []int{700, 1500, 3000, 6100}
+	customers := []int{100, 250, 500, 1000}
 	return []experiment{
-		{MachinesBytes, Bytes, targets, func(n int) float64 { return float64(len(machines(n).Data)) }},
+		{MachinesBytes, Bytes, targets, func(n int) float64 { return float64(len(machines(n, 1).Data)) }},
 		{MachinesParse, Nanoseconds, targets, func(n int) float64 {
-			d := machines(n)
-			return nanoseconds(func(int) { _, listFindings = lists.ReadMachines(d) })
+			d := machines(n, 1)
+			return nanoseconds(func(int) { _, _ = lists.ReadMachines(d) })
 		}},
+		{MachinesChange, Nanoseconds, targets, machinesChange},
 		{CustomersBytes, Bytes, customers, func(n int) float64 { return float64(len(customersDocument(n).Data)) }},
 		{CustomersParse, Nanoseconds, customers, func(n int) float64 {
 			d := customersDocument(n)
-			return nanoseconds(func(int) { _, listFindings = lists.ReadCustomers(d) })
+			return nanoseconds(func(int) { _, _ = lists.ReadCustomers(d) })
 		}},
+		{CustomersChange, Nanoseconds, customers, customersChange},
 		{SnapshotMemory, Bytes, targets, func(n int) float64 {
 			return heapBytes(func() any { return fleet{customers: 4, entries: n / 10, targets: n}.snapshot() })
 		}},
@@ -30,24 +33,70 @@
 		}},
 		{AdmissionMemory, Bytes, customers, func(n int) float64 {
 			s := fleet{customers: n, entries: 8, targets: 18}.snapshot()
-			return heapBytes(func() any { return admission.NewTable(s) })
+			return heapBytes(func() any { return kept{s, admission.NewTable(s)} })
 		}},
 		{AdmissionBuild, Nanoseconds, customers, func(n int) float64 {
 			s := fleet{customers: n, entries: 8, targets: 18}.snapshot()
 			return nanoseconds(func(int) { admission.NewTable(s) })
 		}},
 		{AdmissionCheck, Nanoseconds, customers, admissionCheck},
+		{LimitsMemory, Bytes, customers, func(n int) float64 {
+			s := fleet{customers: n, entries: 8, targets: 18}.snapshot()
+			return heapBytes(func() any { return kept{s, limiter(s)} })
+		}},
+		{LimitsBytes, Bytes, customers, func(n int) float64 {
+			l := limiter(fleet{customers: n, entries: 8, targets: 18}.snapshot())
+			return float64(len(l.Summary(epoch, nil)))
+		}},
 	}
 }
 
+// kept holds what was built together with what it was built from, so that the latter is in use before
+// and after.
+type kept struct{ from, built any }
+
 // machines is the list of a fleet with one entry VM for ten targets.
-func machines(targets int) lists.Document {
-	return machinesDocument(targets/10, targets)
+func machines(targets, weight int) lists.Document {
+	return machinesDocument(targets/10, targets, weight)
+}
+
+// machinesChange measures reading a list in which one target changed.
+func machinesChange(targets int) float64 {
+	texts := [2]lists.Document{machines(targets, 1), machines(targets, 2)}
+	held, findings := lists.ReadMachines(texts[0])
+	if len(findings) > 0 {
+		panic("capacity: own list is refused: " + findings.Error())
+	}
+	return nanoseconds(func(i int) { held, _ = lists.NextMachines(texts[(i+1)%2], held) })
+}
+
+// customersChange measures reading a list in which the last customer joined or left.
+func customersChange(customers int) float64 {
+	texts := [2]lists.Document{customersDocument(customers), customersDocument(customers + 1)}
+	held, findings := lists.ReadCustomers(texts[0])
+	if len(findings) > 0 {
+		panic("capacity: own list is refused: " + findings.Error())
+	}
+	return nanoseconds(func(i int) { held, _ = lists.NextCustomers(texts[(i+1)%2], held) })
 }
 
 func admissionCheck(customers int) float64 {
 	s := fleet{customers: customers, entries: 8, targets: 18}.snapshot()
 	t := admission.NewTable(s)
 	destination := s.Services[0].Addresses[0]
-	return nanoseconds(func(i int) { _, _, _ = t.Admit(address((i%customers)<<8+7), destination) })
+	return nanoseconds(func(i int) {
+		_, _, _ = t.Admit(s.Customers[i%customers].Prefixes[i%prefixesPerCustomer].Addr(), destination)
+	})
+}
+
+// limiter returns the limiter of an owner on which every customer has open flows.
+func limiter(s *model.Snapshot) *limits.Limiter {
+	const flowsPerCustomer = 20
+	l := limits.New(limits.Config{Zone: model.Zone{Region: "region-0", Name: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
+	for _, c := range s.Customers {
+		for range flowsPerCustomer {
+			l.Open(epoch, c)
+		}
+	}
+	return l
 }
--- a/internal/capacity/members.go
+++ b/internal/capacity/members.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// zoneOf is a fleet with the given members in each of eight zones, seen by its first member. Every
+// zone is a fleet with the given members in each of eight zones, seen by its first member. Every
 // member is here and ready.
 type zone struct {
 	list    *membership.List
@@ -67,7 +67,14 @@
 // heartbeatFanout returns the heartbeats that a daemon sends in a quiet second.
 func heartbeatFanout(members int) float64 {
 	z := newZone(members)
-	const seconds, ticks = 3, 10
+	const seconds = 5
+	z.quietSeconds(1)
+	return float64(z.quietSeconds(seconds)) / seconds
+}
+
+// quietSeconds lets time go by while every machine is heard, and returns the heartbeats sent.
+func (z *zone) quietSeconds(seconds int) int {
+	const ticks = 10
 	sent := 0
 	for range seconds * ticks {
 		z.now = z.now.Add(time.Second / ticks)
@@ -78,7 +85,7 @@
 			}
 		}
 	}
-	return float64(sent) / seconds
+	return sent
 }
 
 func heartbeatBytes(rumours int) float64 {
--- a/internal/capacity/meter.go
+++ b/internal/capacity/meter.go
@@ -8,7 +8,7 @@
 
 const (
 	// timedRuns is the number of runs of which the best counts.
-	timedRuns = 3
+	timedRuns = 5
 	// timedRun is the least length of one run.
 	timedRun = 20 * time.Millisecond
 )
--- /dev/null
+++ b/internal/capacity/network.go
@@ -0,0 +1,69 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+)
+
+func networkExperiments() []experiment {
+	return []experiment{
+		{DatagramIO, Nanoseconds, []int{50, 100, 200, 400}, datagramIO},
+		{ProbeIO, Nanoseconds, []int{5, 10, 20, 40}, probeIO},
+	}
+}
+
+// datagramIO measures sending and receiving n datagrams of 200 bytes, one system call each, over
+// loopback.
+func datagramIO(n int) float64 {
+	const size = 200
+	from, to := mustListen(), mustListen()
+	defer from.Close()
+	defer to.Close()
+	buf := make([]byte, size)
+	return nanoseconds(func(int) {
+		for range n {
+			_, err := from.WriteToUDPAddrPort(buf, to.LocalAddr().(*net.UDPAddr).AddrPort())
+			must(err)
+			_, _, err = to.ReadFromUDPAddrPort(buf)
+			must(err)
+		}
+	})
+}
+
+func mustListen() *net.UDPConn {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	must(err)
+	return conn
+}
+
+// probeIO measures n load reports read over kept connections on loopback. Both ends run in this
+// process, so it is an upper bound for the daemon.
+func probeIO(n int) float64 {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must(err)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"connections":1500,"busy_slots":2,"shedding":false,"warming":false}`)
+	})}
+	defer server.Close()
+	go func() { _ = server.Serve(listener) }()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	url := "http://" + listener.Addr().String() + "/"
+	return nanoseconds(func(int) {
+		for range n {
+			resp, err := client.Get(url)
+			must(err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			must(err)
+			must(resp.Body.Close())
+		}
+	})
+}
+
+func must(err error) {
+	if err != nil {
+		panic(fmt.Sprintf("capacity: loopback fails: %v", err))
+	}
+}
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -42,14 +42,20 @@
 	DefaultChoice    ID = "default target / targets of the service"
 	PolicyChoice     ID = "policy choice / targets of the service"
 	MachinesBytes    ID = "machines list bytes / targets"
-	MachinesParse    ID = "machines list parse / targets"
-	CustomersBytes   ID = "customers list bytes / customers"
-	CustomersParse   ID = "customers list parse / customers"
+	MachinesParse    ID = "machines list, read whole / targets"
+	MachinesChange   ID = "machines list with one change, read / targets"
+	CustomersChange  ID = "customers list with one change, read / customers"
+	LimitsMemory     ID = "limits memory / customers with flows"
+	LimitsBytes      ID = "limits section bytes / customers with flows"
+	CustomersBytes   ID = "customers list bytes / customers of 30 prefixes"
+	CustomersParse   ID = "customers list, read whole / customers"
 	SnapshotMemory   ID = "snapshot memory / targets"
 	CustomerMemory   ID = "snapshot memory / customers"
-	AdmissionMemory  ID = "admission table memory / prefixes"
-	AdmissionBuild   ID = "admission table build / prefixes"
-	AdmissionCheck   ID = "admission check / prefixes"
+	AdmissionMemory  ID = "admission table memory / customers of 30 prefixes"
+	AdmissionBuild   ID = "admission table build / customers of 30 prefixes"
+	AdmissionCheck   ID = "admission check / customers of 30 prefixes"
+	DatagramIO       ID = "datagrams sent and received on loopback / datagrams"
+	ProbeIO          ID = "load reports read on loopback / reports"
 	GenerationSwitch ID = "default recheck at a list change / flows"
 )
 
@@ -114,5 +120,6 @@
 	all = append(all, membershipExperiments()...)
 	all = append(all, healthExperiments()...)
 	all = append(all, placementExperiments()...)
+	all = append(all, networkExperiments()...)
 	return append(all, listExperiments()...)
 }
