--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -31,6 +31,8 @@
 		Commands: []*cli.Command{
 			newCheckCommand(),
 			newExplainCommand(),
+			newStatusCommand(),
+			newDrainCommand(),
 			newBenchCommand(),
 			newDemoCommand(),
 			newStandinCommand(),
--- /dev/null
+++ b/cmd/fireflypin/status.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"text/tabwriter"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflypin/fireflypin/internal/daemon"
+	"github.com/fireflypin/fireflypin/internal/fleetstatus"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// newStatusCommand returns the command that shows daemons, revisions, targets and flows.
+func newStatusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show what the daemons tell: readiness, revisions, flows and targets",
+		Flags: append(fleetFlags(), &cli.BoolFlag{Name: "json", Usage: "write one JSON object"}),
+		Action: func(ctx context.Context, c *cli.Command) error {
+			ops, err := fleetAddresses(ctx, c)
+			if err != nil {
+				return err
+			}
+			client := fleetstatus.NewClient(fleetstatus.Config{})
+			defer client.Close()
+			return writeStatus(c.Root().Writer, fleetstatus.Summarise(client.Ask(ctx, ops)), c.Bool("json"))
+		},
+	}
+}
+
+// fleetFlags say which daemons to ask.
+func fleetFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "daemon", Usage: "ops `ADDR:PORT` of a daemon; may be given again, in place of lists"},
+		&cli.StringFlag{Name: "customers", Usage: "list `FILE`"},
+		&cli.StringFlag{Name: "plans", Usage: "list `FILE`"},
+		&cli.StringFlag{Name: "machines", Usage: "list `FILE`"},
+		&cli.StringFlag{Name: "platform", Usage: "`URL` to read the lists from, in place of files"},
+	}
+}
+
+// fleetAddresses returns the ops addresses that the flags name, or those of the lists.
+func fleetAddresses(ctx context.Context, c *cli.Command) ([]netip.AddrPort, error) {
+	if named := c.StringSlice("daemon"); len(named) > 0 {
+		return parseAddresses(named)
+	}
+	snapshot, err := readLists(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	return opsAddresses(snapshot)
+}
+
+func parseAddresses(texts []string) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for _, text := range texts {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return nil, fmt.Errorf("read --daemon: %w", err)
+		}
+		addresses = append(addresses, a)
+	}
+	return addresses, nil
+}
+
+func opsAddresses(s *model.Snapshot) ([]netip.AddrPort, error) {
+	var addresses []netip.AddrPort
+	for _, e := range s.Entries {
+		if e.Ops.IsValid() {
+			addresses = append(addresses, e.Ops)
+		}
+	}
+	if len(addresses) == 0 {
+		return nil, errors.New("the list of machines names no ops address of an entry VM; name daemons with --daemon")
+	}
+	return addresses, nil
+}
+
+func writeStatus(w io.Writer, s fleetstatus.Summary, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(s); err != nil {
+			return fmt.Errorf("write status: %w", err)
+		}
+		return nil
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "DAEMON\tZONE\tSTATE\tCUSTOMERS\tPLANS\tMACHINES\tOWNED\tEXCEPTIONS\tUNACKED\tFORWARDED\tHOPS")
+	for _, a := range s.Daemons {
+		writeDaemon(t, a)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "SERVICE\tTARGET\tZONE\tSTATE\tOPEN")
+	for _, target := range s.Targets {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\n", target.Service, target.Name, target.Zone, targetState(target), target.OpenFlows)
+	}
+	if len(s.Differing) > 0 {
+		fmt.Fprintln(t)
+		fmt.Fprintln(t, "MACHINE\tHELD TO BE\tBY DAEMONS")
+	}
+	for _, b := range s.Differing {
+		fmt.Fprintf(t, "%s\t%s\t%d\n", b.Machine, b.State, b.Daemons)
+	}
+	return t.Flush()
+}
+
+func writeDaemon(w io.Writer, a fleetstatus.Answer) {
+	if a.Report == nil {
+		fmt.Fprintf(w, "%s\t\tno answer: %s\n", a.Ops, a.Error)
+		return
+	}
+	r := a.Report
+	fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n",
+		r.Name, r.Zone, daemonState(r), r.Revisions.Customers, r.Revisions.Plans, r.Revisions.Machines,
+		r.OwnedFlows, r.Exceptions, r.Unacknowledged, r.ForwardedTotal, r.HopsSentTotal)
+}
+
+func daemonState(r *daemon.Report) string {
+	switch {
+	case r.Leaving:
+		return "leaving"
+	case r.Ready:
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
+
+func targetState(t fleetstatus.Target) string {
+	if t.Leaving {
+		return "leaving"
+	}
+	return "live"
+}
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -120,8 +120,10 @@
 // logRecords returns the records that an owner writes in a second: each exception begins and ends.
 func (w work) logRecords() float64 { return 2 * w.ownNew() * w.ExceptionsNew }
 
-// core turns nanoseconds in each second into a share of a core.
-func core(nanosecondsPerSecond float64) float64 { return nanosecondsPerSecond / float64(time.Second) }
+// coreShare turns nanoseconds in each second into a share of a core.
+func coreShare(nanosecondsPerSecond float64) float64 {
+	return nanosecondsPerSecond / float64(time.Second)
+}
 
 func perDay(n float64) float64 { return n / day.Seconds() }
 
@@ -135,7 +137,7 @@
 	handling := w.At(Seal, size) + w.At(Open, size) + w.At(HeartbeatHandle, w.zoneSize()) + w.each(DatagramIO, 1)
 	return []Item{{
 		Role: "member", Name: "heartbeats", Mechanism: "all of the own zone and two of each other zone, once an interval",
-		Memory: w.At(MembershipMemory, w.zoneSize()), Core: core(rate*handling + ticksPerSecond*w.At(MembershipTick, w.zoneSize())),
+		Memory: w.At(MembershipMemory, w.zoneSize()), Core: coreShare(rate*handling + ticksPerSecond*w.At(MembershipTick, w.zoneSize())),
 		Sent: rate * size, Received: rate * size, Messages: rate,
 	}}
 }
@@ -151,7 +153,7 @@
 		{Role: "ingress", Name: "cache of covered flows", Mechanism: "bounded; a flow that is not in it hops", Memory: w.At(SeenMemory, seen)},
 		{
 			Role: "ingress", Name: "copies of the zone's logs", Mechanism: "one copy per owner of the zone and backups of another zone",
-			Memory: owners * w.At(CopyMemory, w.exceptions()), Core: core(batches * w.At(CopyApply, max(records, 1))),
+			Memory: owners * w.At(CopyMemory, w.exceptions()), Core: coreShare(batches * w.At(CopyApply, max(records, 1))),
 		},
 		{
 			Role: "ingress", Name: "placement and admission tables", Mechanism: "derived from the lists, two generations held",
@@ -172,12 +174,12 @@
 		},
 		{
 			Role: "owner", Name: "exception log to peers", Mechanism: "a batch and an acknowledgement per peer and interval",
-			Memory: w.At(LogMemory, w.exceptions()), Core: core(rate * (w.At(Seal, size) + w.At(Open, size) + w.each(DatagramIO, 1))),
+			Memory: w.At(LogMemory, w.exceptions()), Core: coreShare(rate * (w.At(Seal, size) + w.At(Open, size) + w.each(DatagramIO, 1))),
 			Sent: rate * size, Received: rate * size, Messages: rate,
 		},
 		{
 			Role: "owner", Name: "admission and placement of new flows", Mechanism: "policy on published lists, own counts and reports",
-			Core: core(w.ownNew() * (w.At(AdmissionCheck, float64(w.Customers)) + w.At(PolicyChoice, float64(w.Targets)/float64(w.Services)))),
+			Core: coreShare(w.ownNew() * (w.At(AdmissionCheck, float64(w.Customers)) + w.At(PolicyChoice, float64(w.Targets)/float64(w.Services)))),
 		},
 		{
 			Role: "owner", Name: "limits of customers", Mechanism: "own use of the most used limits on each heartbeat",
@@ -200,7 +202,7 @@
 	return []Item{
 		{
 			Role: "prober", Name: "load reports over HTTP", Mechanism: "two daemons of the zone probe a target, by rendezvous order",
-			Core: core(w.each(ProbeIO, probes)), Sent: probes * probeBytes / 2, Received: probes * probeBytes / 2, Messages: probes,
+			Core: coreShare(w.each(ProbeIO, probes)), Sent: probes * probeBytes / 2, Received: probes * probeBytes / 2, Messages: probes,
 		},
 		{
 			Role: "prober", Name: "results on heartbeats", Mechanism: "bounded section, targets take turns",
@@ -208,7 +210,7 @@
 		},
 		{
 			Role: "prober", Name: "health and load of every target", Mechanism: "judged once a second",
-			Memory: w.At(HealthMemory, float64(w.Targets)), Core: core(w.At(HealthTick, float64(w.Targets)) / w.HealthTick.Seconds()),
+			Memory: w.At(HealthMemory, float64(w.Targets)), Core: coreShare(w.At(HealthTick, float64(w.Targets)) / w.HealthTick.Seconds()),
 		},
 	}
 }
@@ -233,12 +235,19 @@
 		},
 		{
 			Role: "reader", Name: "taking a change", Mechanism: "entries that did not change are not parsed again",
-			Core: core(machineChanges*(w.At(MachinesChange, float64(w.Targets))+recheck) +
+			Core: coreShare(machineChanges*(w.At(MachinesChange, float64(w.Targets))+recheck) +
 				otherChanges*(w.At(CustomersChange, float64(w.Customers))+w.At(AdmissionBuild, float64(w.Customers))+recheck)),
 		},
 	}
 }
 
+// Operator works out what one look at every daemon costs the operator's tool: bytes received and
+// seconds of one core, when each daemon is asked once.
+func Operator(s Slopes, z Size) (received, seconds float64) {
+	daemons, targets := float64(z.Daemons), float64(z.Targets)
+	return daemons * s.At(StatusBytes, targets), daemons * s.At(StatusRead, targets) / float64(time.Second)
+}
+
 // Total adds up items.
 func Total(items []Item) Item {
 	total := Item{Role: "total", Memory: processBytes}
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -56,6 +56,8 @@
 	AdmissionCheck   ID = "admission check / customers of 30 prefixes"
 	DatagramIO       ID = "datagrams sent and received on loopback / datagrams"
 	ProbeIO          ID = "load reports read on loopback / reports"
+	StatusBytes      ID = "status of a daemon / targets"
+	StatusRead       ID = "reading a status / targets"
 	GenerationSwitch ID = "default recheck at a list change / flows"
 )
 
@@ -121,5 +123,6 @@
 	all = append(all, healthExperiments()...)
 	all = append(all, placementExperiments()...)
 	all = append(all, networkExperiments()...)
+	all = append(all, operatorExperiments()...)
 	return append(all, listExperiments()...)
 }
--- /dev/null
+++ b/internal/fleetstatus/fleetstatus_test.go
@@ -0,0 +1,90 @@
+package fleetstatus
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/daemon"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func report(name string, machines uint64, owned, onTarget int, peerState string) *daemon.Report {
+	return &daemon.Report{Name: name, Status: core.Status{
+		Ready: true, OwnedFlows: owned,
+		Revisions: model.Revisions{Machines: machines},
+		Members:   []core.MemberStatus{{Name: "entry-a", State: "alive"}, {Name: "entry-b", State: peerState}},
+		Targets:   []core.TargetStatus{{Name: "t1", Service: "booking", OpenFlows: onTarget}, {Name: "t2", Service: "booking", OpenFlows: 1}},
+	}}
+}
+
+var (
+	opsA = netip.MustParseAddrPort("127.0.0.1:1001")
+	opsB = netip.MustParseAddrPort("127.0.0.1:1002")
+	opsC = netip.MustParseAddrPort("127.0.0.1:1003")
+)
+
+func answers() []Answer {
+	return []Answer{
+		{Ops: opsA, Report: report("entry-a", 7, 10, 4, "alive")},
+		{Ops: opsB, Report: report("entry-b", 8, 20, 5, "suspect")},
+		{Ops: opsC, Error: "connection refused"},
+	}
+}
+
+func TestSummarise(t *testing.T) {
+	Convey("Flows add up, the newest revision counts, and differing beliefs are shown", t, func() {
+		s := Summarise(answers())
+		So(s.Daemons, ShouldHaveLength, 3)
+		So(s.Newest.Machines, ShouldEqual, 8)
+		So(s.Targets, ShouldResemble, []Target{
+			{Name: "t1", Service: "booking", OpenFlows: 9}, {Name: "t2", Service: "booking", OpenFlows: 2},
+		})
+		So(s.Differing, ShouldResemble, []Belief{
+			{Machine: "entry-b", State: "alive", Daemons: 1}, {Machine: "entry-b", State: "suspect", Daemons: 1},
+		})
+	})
+}
+
+func TestRemaining(t *testing.T) {
+	Convey("A stop of targets waits for flows, lagging daemons and silent ones", t, func() {
+		So(TargetsRemaining(answers(), []string{"t1"}, 8), ShouldResemble, Remaining{Flows: 9, Behind: 1, Silent: 1})
+		So(TargetsRemaining(answers()[1:2], []string{"t3"}, 8).Done(), ShouldBeTrue)
+	})
+	Convey("A stop of a daemon waits for its own flows, and not for its answer", t, func() {
+		So(DaemonRemaining(answers(), opsB, 7), ShouldResemble, Remaining{Flows: 20, Silent: 1})
+		So(DaemonRemaining(answers(), opsC, 7).Done(), ShouldBeTrue)
+	})
+}
+
+func TestAsk(t *testing.T) {
+	Convey("A daemon's status is read, and an answer that is none is an error", t, func() {
+		mux := http.NewServeMux()
+		mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(report("entry-a", 7, 10, 4, "alive"))
+		})
+		good := httptest.NewServer(mux)
+		defer good.Close()
+		bad := httptest.NewServer(http.NotFoundHandler())
+		defer bad.Close()
+		c := NewClient(Config{Timeout: 5 * time.Second})
+		defer c.Close()
+		got := c.Ask(context.Background(), []netip.AddrPort{addressOf(good), addressOf(bad)})
+		So(got[0].Error, ShouldBeEmpty)
+		So(got[0].Report.Name, ShouldEqual, "entry-a")
+		So(got[0].Report.OwnedFlows, ShouldEqual, 10)
+		So(got[1].Report, ShouldBeNil)
+		So(got[1].Error, ShouldContainSubstring, "404")
+	})
+}
+
+func addressOf(s *httptest.Server) netip.AddrPort {
+	return netip.MustParseAddrPort(s.Listener.Addr().String())
+}
--- /dev/null
+++ b/internal/fleetstatus/query.go
@@ -0,0 +1,100 @@
+package fleetstatus
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/daemon"
+)
+
+// Config configures a Client. Zero values take the defaults.
+type Config struct {
+	// Timeout bounds one request; default 2 s.
+	Timeout time.Duration
+	// Parallel bounds the requests under way; default 16.
+	Parallel int
+}
+
+// maxStatusBytes bounds the answer of a daemon.
+const maxStatusBytes = 8 << 20
+
+// Client asks daemons for their status.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+// NewClient returns a client.
+func NewClient(cfg Config) *Client {
+	if cfg.Timeout <= 0 {
+		cfg.Timeout = 2 * time.Second
+	}
+	if cfg.Parallel <= 0 {
+		cfg.Parallel = 16
+	}
+	return &Client{cfg: cfg, http: &http.Client{Timeout: cfg.Timeout}}
+}
+
+// Answer is what a daemon's ops address gave.
+type Answer struct {
+	Ops netip.AddrPort `json:"ops"`
+	// Error says why there is no report; empty when there is one.
+	Error  string         `json:"error,omitempty"`
+	Report *daemon.Report `json:"report,omitempty"`
+}
+
+// Ask asks every address once and returns the answers in the same order.
+func (c *Client) Ask(ctx context.Context, ops []netip.AddrPort) []Answer {
+	answers := make([]Answer, len(ops))
+	slots := make(chan struct{}, c.cfg.Parallel)
+	var group sync.WaitGroup
+	for i, addr := range ops {
+		slots <- struct{}{}
+		group.Go(func() {
+			answers[i] = c.answer(ctx, addr)
+			<-slots
+		})
+	}
+	group.Wait()
+	return answers
+}
+
+func (c *Client) answer(ctx context.Context, ops netip.AddrPort) Answer {
+	report, err := c.read(ctx, ops)
+	if err != nil {
+		return Answer{Ops: ops, Error: err.Error()}
+	}
+	return Answer{Ops: ops, Report: report}
+}
+
+func (c *Client) read(ctx context.Context, ops netip.AddrPort) (*daemon.Report, error) {
+	url := "http://" + ops.String() + "/status"
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, fmt.Errorf("build request %s: %w", url, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("read status: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("read status of %s: HTTP status %d", url, resp.StatusCode)
+	}
+	report := new(daemon.Report)
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatusBytes)).Decode(report); err != nil {
+		return nil, fmt.Errorf("decode status of %s: %w", url, err)
+	}
+	return report, nil
+}
+
+// Close ends idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
