--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -31,12 +31,15 @@
 		Commands: []*cli.Command{
 			newCheckCommand(),
 			newExplainCommand(),
+			newStatusCommand(),
+			newDrainCommand(),
 			newBenchCommand(),
 			newDemoCommand(),
 			newStandinCommand(),
 			newRelayCommand(),
 			newMeasureCommand(),
 			newLabCommand(),
+			newCapacityCommand(),
 		},
 	}
 }
