Look for a flow's former owner by what peers saw, past views and how long it owned

Cause: random schedules (trials) sent 1 flow of 120 astray where views changed twice within seconds: the owner took a daemon that owned for a moment, or a restarted one, for the flow's predecessor. Ruled out: the order of owners alone; the last other owner without regard to time. Change: the cache keeps the owner that a flow was first sent by; past views carry their times; a former owner counts only in the same incarnation; a daemon that has just started does not guess.

--- a/core/engine.go
+++ b/core/engine.go
@@ -38,11 +38,13 @@
 	delegated delegation
 	late      lateFlows
 
+	// ready is true while this daemon owns flows or would but for a planned stop.
+	ready atomic.Bool
+
 	// control guards everything below.
 	control sync.Mutex
 	members *membership.List
 	awake   bool
-	ready   bool
 	leaving bool
 	// behind is true from a start or a pause until an owner has told all that it holds.
 	behind bool
@@ -88,7 +90,7 @@
 func (e *Engine) Ready() bool {
 	e.control.Lock()
 	defer e.control.Unlock()
-	return e.ready && !e.leaving
+	return e.ready.Load() && !e.leaving
 }
 
 // Loads returns the table of what is known of the targets' loads.
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -116,6 +116,12 @@
 }
 
 func (f *fleet) start(i int) {
+	f.boot(i)
+	f.publishTo(i)
+}
+
+// boot starts a daemon without lists.
+func (f *fleet) boot(i int) {
 	n := f.nodes[i]
 	n.inc = uint64(f.now.UnixMilli())
 	n.up, n.paused, n.counter = true, false, 0
@@ -123,7 +129,6 @@
 		Self: n.entry.ID, Zone: n.entry.Zone, Incarnation: n.inc, Epoch: f.now,
 		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), uint64(i))), Policy: f.policy,
 	})
-	f.publishTo(i)
 }
 
 func (f *fleet) startAll() {
@@ -140,11 +145,15 @@
 
 // publishTo hands the newest lists to one daemon.
 func (f *fleet) publishTo(i int) {
+	f.hand(i, f.lists)
+}
+
+func (f *fleet) hand(i int, lists *model.Snapshot) {
 	n := f.nodes[i]
-	if !n.up || n.paused {
+	if !n.up || n.paused || lists == nil {
 		return
 	}
-	actions, _ := n.engine.HandleLists(f.now, f.lists, allowAll{f.lists})
+	actions, _ := n.engine.HandleLists(f.now, lists, allowAll{lists})
 	f.perform(n, actions)
 }
 
--- a/core/owner.go
+++ b/core/owner.go
@@ -176,7 +176,7 @@
 			return cp
 		}
 	}
-	if former := w.formerly(a.hash, e.cfg.Self); former != 0 && rank(former) != lastRank {
+	if former := w.formerly(a.hash, e.cfg.Self, rank); former != 0 {
 		if cp := e.copies.Latest(former); cp != nil {
 			return cp
 		}
--- a/core/status.go
+++ b/core/status.go
@@ -42,7 +42,7 @@
 // Status returns what the engine tells operators.
 func (e *Engine) Status() Status {
 	e.control.Lock()
-	s := Status{Ready: e.ready && !e.leaving, Leaving: e.leaving}
+	s := Status{Ready: e.ready.Load() && !e.leaving, Leaving: e.leaving}
 	e.control.Unlock()
 	s.OwnedFlows = e.table.Len()
 	s.Exceptions = e.log.Len()
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -25,7 +26,7 @@
 	// appeared names the daemons, this one among them, that became owners in the change.
 	appeared []model.MachineID
 	// ceased names the daemons that were owners before the change.
-	ceased []model.MachineID
+	ceased []flow.Peer
 }
 
 // delegatedFlow is a flow whose packets are left to its former owner.
@@ -105,9 +106,10 @@
 func (e *Engine) leaver(w *world, h model.FlowHash) *model.EntryVM {
 	var first *model.EntryVM
 	best := w.rank(h, e.cfg.Self)
-	for _, id := range e.delegated.ceased {
-		if r := w.rank(h, id); id != e.cfg.Self && w.view.Here(id) && r < best {
-			first, best = w.snapshot.Entry(id), r
+	for _, p := range e.delegated.ceased {
+		r := w.rank(h, p.ID)
+		if p.ID != e.cfg.Self && r < best && w.runs(p) {
+			first, best = w.snapshot.Entry(p.ID), r
 		}
 	}
 	return first
@@ -119,13 +121,26 @@
 	if entry, ok := e.touch(a); ok {
 		return e.toTarget(w, entry.Target)
 	}
+	if a.former == 0 {
+		a.former = e.seen.Former(a.hash)
+	}
 	rank := func(id model.MachineID) uint64 {
 		if id == owner {
 			return lastRank
 		}
 		return w.rank(a.hash, id)
 	}
-	t, _ := e.resolveFrom(w, a, e.predecessor(w, a, rank), rank)
+	t, sure := e.resolveFrom(w, a, e.predecessor(w, a, rank), rank)
+	if !sure && a.hops < maxHops {
+		other := e.firstOther(w, a.hash, func(id model.MachineID) bool { return id != owner })
+		if other != nil {
+			return delegateTo(other, a)
+		}
+	}
+	if !sure && !e.ready.Load() {
+		// This daemon has just started; its guess is worse than a repetition of the packet.
+		return drop(errkind.NotReady)
+	}
 	return e.takeOver(w, a, t)
 }
 
@@ -165,7 +180,7 @@
 
 // unsettle starts the time in which unknown flows are left to their former owners: until every other
 // owner's log is known here as it was after the change.
-func (e *Engine) unsettle(now time.Time, appeared, ceased []model.MachineID) {
+func (e *Engine) unsettle(now time.Time, appeared []model.MachineID, ceased []flow.Peer) {
 	e.log.SetComplete(false)
 	e.unsettled.Store(true)
 	e.settleBy = now.Add(e.cfg.SettleTime)
@@ -182,11 +197,10 @@
 		e.delegated.appeared = nil
 	}
 	e.delegated.appeared = append(e.delegated.appeared, appeared...)
-	if slices.Contains(appeared, e.cfg.Self) {
-		// The others that appeared earlier in this change were owners before this daemon.
-		e.delegated.appeared = appeared
-	}
-	e.delegated.ceased = append(lo.Without(e.delegated.ceased, appeared...), ceased...)
+	e.delegated.ceased = lo.Reject(e.delegated.ceased, func(p flow.Peer, _ int) bool {
+		return slices.Contains(appeared, p.ID)
+	})
+	e.delegated.ceased = append(e.delegated.ceased, ceased...)
 }
 
 // leaveToFormer adds flows to those that are taken in when the members have settled.
@@ -246,7 +260,7 @@
 	ceased := slices.Clone(e.delegated.ceased)
 	e.delegated.mu.Unlock()
 	owns := func(m membership.MemberView) bool {
-		return m.Owner || (m.Here && slices.Contains(ceased, m.Entry.ID))
+		return m.Owner || (m.Here && slices.Contains(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation}))
 	}
 	for _, cp := range e.followed(owns) {
 		p := cp.Position()
--- a/core/tick.go
+++ b/core/tick.go
@@ -89,10 +89,10 @@
 	e.seen.Clear()
 	e.awake = false
 	e.behind = true
-	if !e.ready {
+	if !e.ready.Load() {
 		return nil
 	}
-	e.ready = false
+	e.ready.Store(false)
 	return []Action{ReadyChanged{Reason: ReasonPaused}}
 }
 
@@ -105,8 +105,8 @@
 		return
 	}
 	appeared, ceased := compareOwners(w.view, v)
-	next := w.withView(flow.Mark(e.mark.Load()), v)
-	if !e.ready || slices.Contains(appeared, e.cfg.Self) {
+	next := w.withView(now, flow.Mark(e.mark.Load()), v)
+	if !e.ready.Load() || slices.Contains(appeared, e.cfg.Self) {
 		// What this daemon saw before it owned flows says nothing of former owners.
 		next.past = nil
 		appeared = []model.MachineID{e.cfg.Self}
@@ -197,10 +197,10 @@
 
 // judgeReady makes the daemon an owner once its view is settled and it holds every live owner's log.
 func (e *Engine) judgeReady(now time.Time) []Action {
-	if e.ready || !e.awake || e.leaving || !e.caughtUp() {
+	if e.ready.Load() || !e.awake || e.leaving || !e.caughtUp() {
 		return nil
 	}
-	e.ready = true
+	e.ready.Store(true)
 	out := []Action{ReadyChanged{Ready: true, Reason: ReasonCaughtUp}}
 	return append(out, e.handleMembers(now, e.members.SetReady(now, true))...)
 }
@@ -259,10 +259,10 @@
 
 // compareOwners returns which daemons are owners in b and were none in a, or became them anew, and which
 // ceased to be owners.
-func compareOwners(a, b *membership.View) (appeared, ceased []model.MachineID) {
+func compareOwners(a, b *membership.View) (appeared []model.MachineID, ceased []flow.Peer) {
 	for _, m := range a.Members() {
 		if now, ok := b.Member(m.Entry.ID); m.Owner && (!ok || !now.Owner) {
-			ceased = append(ceased, m.Entry.ID)
+			ceased = append(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation})
 		}
 	}
 	for _, m := range b.Members() {
--- a/core/world.go
+++ b/core/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
@@ -20,6 +21,8 @@
 	keptGenerations = 256
 	// keptViews is how many views of the members back a flow's former owner is looked for.
 	keptViews = 16
+	// momentOfOwnership is how long a daemon owns flows before most of those that are active have met it.
+	momentOfOwnership = 10 * time.Second
 )
 
 // world is everything that packets are decided on and that changes rarely. It is immutable.
@@ -33,8 +36,10 @@
 	// servedAt names the services that had an address in any kept generation.
 	servedAt map[netip.AddrPort][]string
 	view     *membership.View
+	// viewSince is when the view came into force.
+	viewSince time.Time
 	// past holds the views before, newest first.
-	past []*membership.View
+	past []pastView
 	// hidden is nil while every zone is reachable.
 	hidden *hidden
 	zones  zoneOrder
@@ -169,11 +174,18 @@
 	}
 }
 
+// pastView is a view of the members and the time in which it was in force.
+type pastView struct {
+	view        *membership.View
+	from, until time.Time
+}
+
 // withView returns a world with another view of the members.
-func (w *world) withView(mark flow.Mark, v *membership.View) *world {
+func (w *world) withView(now time.Time, mark flow.Mark, v *membership.View) *world {
 	next := *w
 	next.view = v
-	next.past = append([]*membership.View{w.view}, w.past[:min(len(w.past), keptViews-1)]...)
+	next.viewSince = now
+	next.past = append([]pastView{{view: w.view, from: w.viewSince, until: now}}, w.past[:min(len(w.past), keptViews-1)]...)
 	next.hidden = newHidden(mark, v, w.hidden)
 	return &next
 }
@@ -184,16 +196,37 @@
 	return w.view.Owner(h, w.zones.of(h, buf[:0]))
 }
 
-// formerly returns the last other daemon that owned a flow in a past view, or 0.
-func (w *world) formerly(h model.FlowHash, self model.MachineID) model.MachineID {
+// formerly returns the last other daemon that owned a flow in the past views, or 0. One that owned it only
+// for a moment has hardly met the flow and counts where there is no other. Daemons with the last rank are
+// passed over.
+func (w *world) formerly(h model.FlowHash, self model.MachineID, rank flow.Rank) model.MachineID {
 	var buf [maxZones]model.Zone
 	zones := w.zones.of(h, buf[:0])
-	for _, v := range w.past {
-		if o := v.Owner(h, zones); o != nil && o.ID != self {
-			return o.ID
+	var last, current model.MachineID
+	var until time.Time
+	for _, p := range w.past {
+		o := p.view.Owner(h, zones)
+		if o == nil || o.ID == self || rank(o.ID) == lastRank {
+			current = 0
+			continue
+		}
+		if o.ID != current {
+			current, until = o.ID, p.until
+		}
+		if last == 0 {
+			last = current
+		}
+		if until.Sub(p.from) >= momentOfOwnership {
+			return current
 		}
 	}
-	return 0
+	return last
+}
+
+// runs reports whether one run of a daemon is here.
+func (w *world) runs(p flow.Peer) bool {
+	m, ok := w.view.Member(p.ID)
+	return ok && m.Here && m.Incarnation == p.Incarnation
 }
 
 // owners appends the daemons that would own a flow one after the other.
--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -50,7 +50,8 @@
 	owner Run
 	// since is the mark at which the flow was first sent by this owner, cut to 32 bits.
 	since uint32
-	// former is the owner whose log last covered the flow; 0 for none.
+	// former is the owner whose log last covered the flow, before that the one that it was first sent by;
+	// 0 for none.
 	former Incarnated
 	// born is the mark at which the flow was first seen under any owner, cut to 32 bits.
 	born uint32
@@ -99,9 +100,16 @@
 	defer sh.mu.Unlock()
 	e, ok := sh.lookup(h, s.perShard)
 	if !ok {
-		e.born = uint32(current)
+		e.born, e.former = uint32(current), owner.Owner
+		e.owner, e.since, e.lastHop = owner.Run, uint32(current), ms
+		sh.store(h, e, s.perShard)
+		return false, 0
 	}
 	if e.owner != owner.Run {
+		if e.former == owner.Owner {
+			// The owner disputed flows that were sent to it, perhaps this one.
+			e.former = 0
+		}
 		e.owner, e.since, e.lastHop = owner.Run, uint32(current), ms
 		sh.store(h, e, s.perShard)
 		return false, e.former
