--- a/core/lists.go
+++ b/core/lists.go
@@ -20,7 +20,9 @@
 	e.members.SetRevisions(s.Revisions)
 	e.adoptLists(now, s, a)
 	out := e.handleMembers(now, actions)
-	e.switchGeneration(s.Generation())
+	if !e.unsettled.Load() {
+		e.switchGeneration(s.Generation())
+	}
 	return out, true
 }
 
@@ -63,7 +65,7 @@
 		e.table.SetException(h, true)
 	}
 	for _, h := range settled {
-		e.log.Remove(h)
+		e.log.Settle(h)
 		e.table.SetException(h, false)
 	}
 }
--- a/core/owner.go
+++ b/core/owner.go
@@ -79,20 +79,37 @@
 
 // place chooses the target of a new flow.
 func (e *Engine) place(w *world, a *arrival) (*model.Target, errkind.Kind) {
-	route := w.newest()
-	_, st := route.service(a.meta.Dst)
-	if st == nil {
-		return nil, errkind.NoTargetReachable
-	}
 	if e.unsettled.Load() {
-		// A predecessor may have placed the flow on its default target just now.
-		if t := st.Default(a.hash); t != nil && !t.Leaving {
+		// A predecessor may have placed the flow on its default target just now, and a daemon that does not
+		// know of the change yet derives that target from this daemon's log.
+		if t := w.settlingTarget(e.log.Generation(), a); t != nil {
 			return t, errkind.None
 		}
 	}
+	_, st := w.newest().service(a.meta.Dst)
+	if st == nil {
+		return nil, errkind.NoTargetReachable
+	}
 	return e.policy.Choose(a.now, a.hash, st, e.loads)
 }
 
+// settlingTarget returns a new flow's default target by the log's generation, or nil where it takes no
+// new flows any more.
+func (w *world) settlingTarget(g model.Generation, a *arrival) *model.Target {
+	route := w.routeOf(g)
+	if route == nil {
+		route = w.newest()
+	}
+	t := route.defaultTarget(a.meta.Dst, a.hash)
+	if t == nil {
+		return nil
+	}
+	if now := w.snapshot.Target(t.ID); now == nil || now.Leaving {
+		return nil
+	}
+	return t
+}
+
 // enter writes a flow into the table and, where its target is not the one that others would derive,
 // into the log.
 func (e *Engine) enter(w *world, a *arrival, t *model.Target, s flow.State) Verdict {
@@ -185,7 +202,8 @@
 }
 
 // resolveFrom returns the target that the predecessor's log names, or else another log, or else the
-// default of the predecessor's generation.
+// default of the predecessor's generation. There is no target while the lists of that generation have yet
+// to arrive: the caller repeats the packet, while a wrong target would reset the flow.
 func (e *Engine) resolveFrom(w *world, a *arrival, predecessor *flow.Copy, rank flow.Rank) (t *model.Target, sure bool) {
 	if predecessor != nil {
 		if id, ok := predecessor.Lookup(a.hash); ok {
@@ -198,12 +216,23 @@
 	if predecessor == nil {
 		return w.newest().defaultTarget(a.meta.Dst, a.hash), true
 	}
-	if r := w.routeOf(predecessor.Position().Generation); r != nil {
+	g := predecessor.Position().Generation
+	if r := w.routeOf(g); r != nil {
 		return r.defaultTarget(a.meta.Dst, a.hash), true
 	}
+	if w.awaits(g) {
+		return nil, false
+	}
 	return w.newest().defaultTarget(a.meta.Dst, a.hash), false
 }
 
+// awaits reports whether the lists of a generation are newer than those in force here, so that they will
+// arrive.
+func (w *world) awaits(g model.Generation) bool {
+	own := w.snapshot.Generation()
+	return g.Plans > own.Plans || g.Machines > own.Machines
+}
+
 // rank orders owners by how likely each was the flow's owner before: lower comes first.
 func (e *Engine) rank(w *world, h model.FlowHash) flow.Rank {
 	return func(owner model.MachineID) uint64 { return w.rank(h, owner) }
