--- a/core/takeover.go
+++ b/core/takeover.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -22,6 +24,8 @@
 	flows  map[model.FlowHash]delegatedFlow
 	// appeared names the daemons, this one among them, that became owners in the change.
 	appeared []model.MachineID
+	// ceased names the daemons that were owners before the change.
+	ceased []model.MachineID
 }
 
 // delegatedFlow is a flow whose packets are left to its former owner.
@@ -29,6 +33,8 @@
 	key packet.FlowKey
 	// former is 0 where the flow's order alone tells.
 	former model.MachineID
+	// covered is the owner whose log last covered the flow at the daemon that met it; 0 for none.
+	covered flow.Incarnated
 }
 
 // delegate leaves a packet of a flow that is unknown here to the daemon that may know the flow. It
@@ -59,7 +65,7 @@
 }
 
 func delegateTo(former *model.EntryVM, a *arrival) Verdict {
-	return hopWith(former, wire.HopMeta{Hops: a.hops + 1, Known: a.known, Delegated: true})
+	return hopWith(former, wire.HopMeta{Hops: a.hops + 1, Known: a.known, Delegated: true, Former: uint32(a.former)})
 }
 
 // formerOwner notes a flow that is left to its former owner while a change of the members settles, and
@@ -71,19 +77,42 @@
 	if f, ok := e.delegated.flows[a.hash]; ok && w.view.Here(f.former) {
 		return w.snapshot.Entry(f.former)
 	}
-	if !e.delegated.active || len(e.delegated.appeared) == 0 {
+	if !e.delegated.active {
+		return nil
+	}
+	if leaver := e.leaver(w, a.hash); leaver != nil {
+		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: leaver.ID}
+		return leaver
+	}
+	if len(e.delegated.appeared) == 0 {
 		return nil
 	}
 	selfAppeared := slices.Contains(e.delegated.appeared, e.cfg.Self)
-	former := e.firstOther(w, a.hash, func(id model.MachineID) bool {
-		return slices.Contains(e.delegated.appeared, id) != selfAppeared
-	})
+	former := e.coveringOwner(w, a)
+	if former == nil {
+		former = e.firstOther(w, a.hash, func(id model.MachineID) bool {
+			return slices.Contains(e.delegated.appeared, id) != selfAppeared
+		})
+	}
 	if former != nil {
-		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: former.ID}
+		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: former.ID, covered: a.former}
 	}
 	return former
 }
 
+// leaver returns the daemon that ceased to own flows in the change, can still be reached and comes first
+// in the flow's order, before this daemon; or nil. Its log may not have arrived here in full.
+func (e *Engine) leaver(w *world, h model.FlowHash) *model.EntryVM {
+	var first *model.EntryVM
+	best := w.rank(h, e.cfg.Self)
+	for _, id := range e.delegated.ceased {
+		if r := w.rank(h, id); id != e.cfg.Self && w.view.Here(id) && r < best {
+			first, best = w.snapshot.Entry(id), r
+		}
+	}
+	return first
+}
+
 // decideFor decides on a packet of a flow that another daemon owns but does not know. The flow enters
 // this daemon's log, from which the owner learns of it.
 func (e *Engine) decideFor(w *world, a *arrival, owner model.MachineID) Verdict {
@@ -96,7 +125,7 @@
 		}
 		return w.rank(a.hash, id)
 	}
-	t, _ := e.resolveFrom(w, a, e.copies.First(rank), rank)
+	t, _ := e.resolveFrom(w, a, e.predecessor(w, a, rank), rank)
 	return e.takeOver(w, a, t)
 }
 
@@ -107,6 +136,19 @@
 	e.doubting.Store(true)
 }
 
+// coveringOwner returns the daemon whose log last covered the flow, where it is another that is here.
+func (e *Engine) coveringOwner(w *world, a *arrival) *model.EntryVM {
+	cp := e.copies.OfIncarnation(a.former)
+	if cp == nil {
+		return nil
+	}
+	m, ok := w.view.Member(cp.Owner)
+	if !ok || !m.Here || m.Incarnation != cp.Incarnation {
+		return nil
+	}
+	return m.Entry
+}
+
 // firstOther returns the first daemon in a flow's order of owners that counts, but for this one.
 func (e *Engine) firstOther(w *world, h model.FlowHash, counts func(model.MachineID) bool) *model.EntryVM {
 	var buf [maxOwners]*model.EntryVM
@@ -123,7 +165,7 @@
 
 // unsettle starts the time in which unknown flows are left to their former owners: until every other
 // owner's log is known here as it was after the change.
-func (e *Engine) unsettle(now time.Time, appeared []model.MachineID) {
+func (e *Engine) unsettle(now time.Time, appeared, ceased []model.MachineID) {
 	e.log.SetComplete(false)
 	e.unsettled.Store(true)
 	e.settleBy = now.Add(e.cfg.SettleTime)
@@ -132,10 +174,19 @@
 	defer e.delegated.mu.Unlock()
 	if e.delegated.flows == nil {
 		e.delegated.flows = make(map[model.FlowHash]delegatedFlow)
-		e.delegated.appeared = nil
+		e.delegated.appeared, e.delegated.ceased = nil, nil
 	}
 	e.delegated.active = true
+	if slices.Contains(appeared, e.cfg.Self) || slices.Contains(e.delegated.appeared, e.cfg.Self) && len(appeared) > 0 {
+		// The latest kind of change counts: this daemon's own, or that of others.
+		e.delegated.appeared = nil
+	}
 	e.delegated.appeared = append(e.delegated.appeared, appeared...)
+	if slices.Contains(appeared, e.cfg.Self) {
+		// The others that appeared earlier in this change were owners before this daemon.
+		e.delegated.appeared = appeared
+	}
+	e.delegated.ceased = append(lo.Without(e.delegated.ceased, appeared...), ceased...)
 }
 
 // leaveToFormer adds flows to those that are taken in when the members have settled.
@@ -191,7 +242,12 @@
 func (e *Engine) current() bool {
 	w := e.world.Load()
 	all := true
-	owns := func(m membership.MemberView) bool { return m.Owner }
+	e.delegated.mu.Lock()
+	ceased := slices.Clone(e.delegated.ceased)
+	e.delegated.mu.Unlock()
+	owns := func(m membership.MemberView) bool {
+		return m.Owner || (m.Here && slices.Contains(ceased, m.Entry.ID))
+	}
 	for _, cp := range e.followed(owns) {
 		p := cp.Position()
 		if p.Heard > e.settleMark && w.routeOf(p.Generation) != nil {
@@ -212,11 +268,11 @@
 		return
 	}
 	meta := packet.Meta{Src: f.key.Caller, Dst: f.key.Service, Flags: packet.ACK}
-	a := arrival{now: now, meta: &meta, hash: h}
+	a := arrival{now: now, meta: &meta, hash: h, former: f.covered}
 	rank := e.rank(w, h)
 	former := e.copies.Of(f.former)
 	if former == nil {
-		former = e.copies.First(rank)
+		former = e.predecessor(w, &a, rank)
 	}
 	t, sure := e.resolveFrom(w, &a, former, rank)
 	if t == nil || !sure {
