--- a/internal/yamldoc/map.go
+++ b/internal/yamldoc/map.go
@@ -27,16 +27,6 @@
 	return above + "." + p.key
 }
 
-// Path names a value of a document; it is cheap to keep and built as text on demand.
-type Path struct {
-	p place
-}
-
-// String returns the path in the form "plans[2].services[0]".
-func (p Path) String() string {
-	return p.p.path()
-}
-
 type field struct {
 	key   string
 	line  int // in the text that was parsed at once
@@ -48,7 +38,7 @@
 // is missing or has the wrong shape; they then return the zero value.
 type Map struct {
 	r      *report
-	place  *place // apart from the Map, so that a kept Path does not hold the parsed document
+	place  *place
 	line   int
 	fields []field
 }
@@ -99,11 +89,6 @@
 	return m.line
 }
 
-// Path returns the path of a key.
-func (m *Map) Path(key string) Path {
-	return Path{p: place{parent: m.place, key: key}}
-}
-
 // Has reports whether a key is present.
 func (m *Map) Has(key string) bool {
 	for i := range m.fields {
