--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -33,6 +33,10 @@
 	Flows int `json:"flows"`
 	// BrokenPer100k is the number of broken flows per 100,000 of them.
 	BrokenPer100k float64 `json:"broken_per_100k"`
+	// WarmupBroken counts the flows that broke, WarmupMisrouted the misrouted packets, before counting
+	// started.
+	WarmupBroken    int `json:"warmup_broken"`
+	WarmupMisrouted int `json:"warmup_misrouted"`
 	// BrokenConnected counts broken flows whose caller and target no partition cut off from each other.
 	BrokenConnected int              `json:"broken_one_side"`
 	Summary         scenario.Summary `json:"summary"`
@@ -81,7 +85,8 @@
 	open := r.site.OpenFlows()
 	force := r.force.results(counted)
 	r.site.StopCallers(sessionsEnd)
-	h := scenario.Since(r.site.History(), r.started)
+	whole := r.site.History()
+	h := scenario.Since(whole, r.started)
 	res := &Result{
 		Scenario:              r.cfg.Scenario.Name,
 		Variant:               r.cfg.Variant,
@@ -99,6 +104,8 @@
 		InForce:               force,
 		Samples:               r.samples,
 	}
+	res.WarmupBroken = scenario.Tally(whole).Broken - res.Summary.Broken
+	res.WarmupMisrouted = len(history.Misrouted(whole)) - res.Summary.Misrouted
 	res.BrokenPer100k = per100k * float64(res.Summary.Broken) / float64(max(res.Flows, open, 1))
 	return res
 }
@@ -213,6 +220,9 @@
 	fmt.Fprintf(w, "\n%s, %s, seed %d, %.1f s counted\n", r.Scenario, r.Variant, r.Seed, r.Seconds)
 	r.Summary.Print(w)
 	fmt.Fprintf(w, "broken    %.1f per 100,000 flows, %d with caller and target never cut off\n", r.BrokenPer100k, r.BrokenConnected)
+	if r.WarmupBroken > 0 || r.WarmupMisrouted > 0 {
+		fmt.Fprintf(w, "warm-up   broken %d, misrouted %d packets\n", r.WarmupBroken, r.WarmupMisrouted)
+	}
 	for _, i := range r.Imbalance {
 		fmt.Fprintf(w, "imbalance %-12s flows %.3f (worst %.3f), reported %.3f, busy slots %.3f\n",
 			i.Service, i.FlowsMean, i.FlowsWorst, i.ReportedMean, i.BusyMaxOverMean)
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -71,3 +71,15 @@
 		}
 	})
 }
+
+func TestMisrouted(t *testing.T) {
+	Convey("A stray counts as misrouted where another target holds its flow", t, func() {
+		h := goodHistory()
+		h.Strays = []Stray{
+			{Flow: flowOf(2), Target: "a"},
+			{Flow: flowOf(2), Target: "b"},
+			{Flow: flowOf(3), Target: "b"},
+		}
+		So(Misrouted(h), ShouldResemble, h.Strays[1:2])
+	})
+}
--- a/internal/history/record.go
+++ b/internal/history/record.go
@@ -91,6 +91,13 @@
 	Bytes  int
 }
 
+// Stray says that a target got a packet of a flow that it does not hold.
+type Stray struct {
+	Flow   packet.FlowKey
+	Target string
+	At     time.Time
+}
+
 // FlowResult is how a flow ended for its caller.
 type FlowResult uint8
 
@@ -121,6 +128,7 @@
 	Outcomes []Outcome
 	Runs     []Run
 	Receipts []Receipt
+	Strays   []Stray
 	Flows    []FlowEnd
 }
 
@@ -129,5 +137,24 @@
 	h.Outcomes = append(h.Outcomes, o.Outcomes...)
 	h.Runs = append(h.Runs, o.Runs...)
 	h.Receipts = append(h.Receipts, o.Receipts...)
+	h.Strays = append(h.Strays, o.Strays...)
 	h.Flows = append(h.Flows, o.Flows...)
 }
+
+// Misrouted returns the strays that reached another target than the one that holds, or held, their
+// flow. The rest are late packets of flows that ended.
+func Misrouted(h History) []Stray {
+	holders := make(map[packet.FlowKey]string)
+	for _, r := range h.Receipts {
+		if r.Bytes > 0 {
+			holders[r.Flow] = r.Target
+		}
+	}
+	var out []Stray
+	for _, s := range h.Strays {
+		if holder, held := holders[s.Flow]; held && holder != s.Target {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/internal/scenario/summary.go
+++ b/internal/scenario/summary.go
@@ -35,6 +35,8 @@
 	Refused    int `json:"refused"`
 	Unanswered int `json:"unanswered"`
 	Broken     int `json:"broken"`
+	// Misrouted counts packets that reached another target than the one that holds their flow.
+	Misrouted int `json:"misrouted"`
 	// BrokenBy counts broken flows by cause and workload, RefusedBy refused ones by reason.
 	BrokenBy  []Count `json:"broken_by"`
 	RefusedBy []Count `json:"refused_by"`
@@ -47,6 +49,7 @@
 // Summarize counts a history and checks it.
 func Summarize(h history.History) Summary {
 	s := Tally(h)
+	s.Misrouted = len(history.Misrouted(h))
 	for _, v := range history.Check(h) {
 		s.Violations = append(s.Violations, v.String())
 	}
@@ -69,7 +72,7 @@
 	return s
 }
 
-// Since keeps the flows and attempts that ended after a time, for counting without the warm-up. Runs
+// Since keeps the flows and attempts that ended and the packets that strayed after a time, for counting without the warm-up. Runs
 // and receipts are kept whole.
 func Since(h history.History, start time.Time) history.History {
 	out := history.History{Runs: h.Runs, Receipts: h.Receipts}
@@ -78,6 +81,11 @@
 			out.Outcomes = append(out.Outcomes, o)
 		}
 	}
+	for _, s := range h.Strays {
+		if !s.At.Before(start) {
+			out.Strays = append(out.Strays, s)
+		}
+	}
 	for _, f := range h.Flows {
 		if !f.Ended.Before(start) {
 			out.Flows = append(out.Flows, f)
@@ -150,6 +158,7 @@
 	for _, c := range s.BrokenBy {
 		fmt.Fprintf(w, "broken    %s: %d\n", c.Name, c.Count)
 	}
+	fmt.Fprintf(w, "misrouted %d packets\n", s.Misrouted)
 	fmt.Fprintf(w, "promises broken: %d\n", len(s.Violations))
 	for i, v := range s.Violations {
 		if i == 10 {
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -243,6 +243,7 @@
 		return nil
 	}
 	if p.meta.Flags&(packet.SYN|packet.ACK) != packet.SYN {
+		t.records.Strays = append(t.records.Strays, history.Stray{Flow: key, Target: t.cfg.Name, At: now})
 		t.reset(p)
 		return nil
 	}
