--- a/core/tick.go
+++ b/core/tick.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -22,7 +23,7 @@
 	}
 	e.lastTick = now
 	if e.doubting.Swap(false) {
-		e.unsettle(now, nil)
+		e.unsettle(now, nil, nil)
 	}
 	e.judgeLate(now, e.world.Load())
 	e.settle(now)
@@ -87,10 +88,11 @@
 func (e *Engine) paused() []Action {
 	e.seen.Clear()
 	e.awake = false
-	if !e.ready {
+	e.behind = true
+	if !e.ready.Load() {
 		return nil
 	}
-	e.ready = false
+	e.ready.Store(false)
 	return []Action{ReadyChanged{Reason: ReasonPaused}}
 }
 
@@ -102,12 +104,17 @@
 	if w == nil || w.view.Version == v.Version {
 		return
 	}
-	changed, appeared := compareOwners(w.view, v)
-	next := w.withView(flow.Mark(e.mark.Load()), v)
+	appeared, ceased := compareOwners(w.view, v)
+	next := w.withView(now, flow.Mark(e.mark.Load()), v)
+	if !e.ready.Load() || slices.Contains(appeared, e.cfg.Self) {
+		// What this daemon saw before it owned flows says nothing of former owners.
+		next.past = nil
+		appeared = []model.MachineID{e.cfg.Self}
+	}
 	e.world.Store(next)
 	e.arrangeCopies(now, next)
-	if changed {
-		e.unsettle(now, appeared)
+	if len(appeared)+len(ceased) > 0 {
+		e.unsettle(now, appeared, ceased)
 		e.inherit(now, next)
 	}
 	e.loads.SetOwners(countOwners(v))
@@ -164,30 +171,36 @@
 	return body
 }
 
-// fetchMissing asks for the snapshots of owners whose log cannot be followed otherwise. The first
-// request after a start asks one peer for all that it holds.
+// fetchMissing asks for the snapshots of owners whose log cannot be followed otherwise, and, after a start
+// or a pause, asks one owner for all that it holds: logs of daemons that cannot be reached are among it.
 func (e *Engine) fetchMissing(now time.Time) []Action {
 	var out []Action
 	for _, m := range e.world.Load().view.Members() {
 		cp := e.copies.Of(m.Entry.ID)
-		if !m.Here || cp == nil || !cp.NeedsSnapshot(now, e.cfg.Log.ResendAfter) {
+		missing := cp != nil && cp.NeedsSnapshot(now, e.cfg.Log.ResendAfter)
+		if !m.Here || m.Entry.ID == e.cfg.Self || !(missing || e.wantsAll(m)) {
 			continue
 		}
 		if now.Sub(e.fetches[m.Entry.ID]) < e.cfg.SnapshotInterval {
 			continue
 		}
 		e.fetches[m.Entry.ID] = now
-		out = append(out, FetchSnapshots{From: m.Entry, All: !e.ready})
+		out = append(out, FetchSnapshots{From: m.Entry, All: e.wantsAll(m)})
 	}
 	return out
 }
 
+// wantsAll reports whether a member is asked for all that it holds.
+func (e *Engine) wantsAll(m membership.MemberView) bool {
+	return e.behind && m.Owner
+}
+
 // judgeReady makes the daemon an owner once its view is settled and it holds every live owner's log.
 func (e *Engine) judgeReady(now time.Time) []Action {
-	if e.ready || !e.awake || e.leaving || !e.caughtUp() {
+	if e.ready.Load() || !e.awake || e.leaving || !e.caughtUp() {
 		return nil
 	}
-	e.ready = true
+	e.ready.Store(true)
 	out := []Action{ReadyChanged{Ready: true, Reason: ReasonCaughtUp}}
 	return append(out, e.handleMembers(now, e.members.SetReady(now, true))...)
 }
@@ -199,6 +212,9 @@
 	if e.lastTick.Sub(e.listsAt) < e.cfg.JoinTime && lo.ContainsBy(e.View().Members(), unknown) {
 		return false
 	}
+	if e.behind && lo.ContainsBy(e.View().Members(), e.wantsAll) {
+		return false
+	}
 	here := func(m membership.MemberView) bool { return m.Here }
 	return lo.EveryBy(e.followed(here), func(cp *flow.Copy) bool { return cp.Position().Synced })
 }
@@ -241,22 +257,21 @@
 	return e.handleMembers(now, e.members.SetLeft(now))
 }
 
-// compareOwners reports whether flows may have other owners in b than in a, and which daemons became
-// owners, or became them anew.
-func compareOwners(a, b *membership.View) (changed bool, appeared []model.MachineID) {
+// compareOwners returns which daemons are owners in b and were none in a, or became them anew, and which
+// ceased to be owners.
+func compareOwners(a, b *membership.View) (appeared []model.MachineID, ceased []flow.Peer) {
 	for _, m := range a.Members() {
 		if now, ok := b.Member(m.Entry.ID); m.Owner && (!ok || !now.Owner) {
-			changed = true
+			ceased = append(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation})
 		}
 	}
 	for _, m := range b.Members() {
 		before, ok := a.Member(m.Entry.ID)
 		if m.Owner && (!ok || !before.Owner || before.Incarnation != m.Incarnation) {
-			changed = true
 			appeared = append(appeared, m.Entry.ID)
 		}
 	}
-	return changed, appeared
+	return appeared, ceased
 }
 
 func countOwners(v *membership.View) int {
