--- a/core/packets.go
+++ b/core/packets.go
@@ -22,8 +22,6 @@
 	hash model.FlowHash
 	// hops is the number of daemons that have passed the packet on.
 	hops uint8
-	// from is the daemon that hopped the packet here; 0 where the fabric did.
-	from model.MachineID
 	// known is true for a flow that this daemon or the sender of the hop has known since before the
 	// present partition.
 	known bool
@@ -73,7 +71,7 @@
 	if w == nil {
 		return drop(errkind.NotReady)
 	}
-	a := arrival{now: now, meta: m, hash: m.Key().Hash(), hops: hop.Hops, known: hop.Known, from: from, former: flow.Incarnated(hop.Former)}
+	a := arrival{now: now, meta: m, hash: m.Key().Hash(), hops: hop.Hops, known: hop.Known, former: flow.Incarnated(hop.Former)}
 	if hop.Delegated {
 		return e.decideFor(w, &a, from)
 	}
@@ -93,7 +91,6 @@
 		return e.own(w, a)
 	}
 	if a.hops > 0 {
-		e.log.Dispute(a.from)
 		return e.disputed(w, a, owner)
 	}
 	if t := e.covered(w, a, owner); t != nil {
--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -11,23 +11,14 @@
 // that echoes a mark was cut after the owner had received it.
 type Mark uint64
 
-// Run identifies a time in which an owner's log speaks for the flows that this daemon sends to it. A new
-// run begins when the owner's process restarts, since it does not know what it owned before, and when it
-// says that this daemon sent it flows of others.
-type Run uint32
-
-// Incarnated identifies one incarnation of an owner, the same on every daemon; never 0.
+// Incarnated identifies one incarnation of an owner, the same on every daemon; never 0. An owner that
+// restarts is another one: it does not know what it owned before.
 type Incarnated uint32
 
 // IncarnatedOf returns the identity of an owner's incarnation.
 func IncarnatedOf(id model.MachineID, incarnation uint64) Incarnated {
-	return Incarnated(runOf(id, incarnation, 0)) | 1
-}
-
-// runOf mixes a machine, its incarnation and its count of disputes to 32 bits.
-func runOf(id model.MachineID, incarnation, disputes uint64) Run {
 	const odd = 0x9e3779b97f4a7c15
-	return Run(uint64(id) ^ incarnation*odd>>32 ^ disputes*(odd>>7)>>24)
+	return Incarnated(uint64(id)^incarnation*odd>>32) | 1
 }
 
 // Seen caches, for flows that other daemons own, since when this daemon has known them. It only
@@ -47,7 +38,7 @@
 }
 
 type seenEntry struct {
-	owner Run
+	owner Incarnated
 	// since is the mark at which the flow was first sent by this owner, cut to 32 bits.
 	since uint32
 	// former is the owner whose log last covered the flow; 0 for none.
@@ -101,8 +92,8 @@
 	if !ok {
 		e.born = uint32(current)
 	}
-	if e.owner != owner.Run {
-		e.owner, e.since, e.lastHop = owner.Run, uint32(current), ms
+	if e.owner != owner.Owner {
+		e.owner, e.since, e.lastHop = owner.Owner, uint32(current), ms
 		sh.store(h, e, s.perShard)
 		return false, e.former
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -249,10 +249,8 @@
 	Complete bool
 	// Owners is a digest of the owners in the sender's view. The echo holds for a receiver with the same
 	// view alone: by another view the sender may not know yet that it owns a flow.
-	Owners uint32
-	// Disputes counts the hops of the receiver for flows that the owner does not hold to be its own.
-	Disputes uint64
-	Records  []Record
+	Owners  uint32
+	Records []Record
 }
 
 // A record ends in a reference to its target: recordRemove, recordSettled, recordNewTarget with the id
@@ -278,7 +276,6 @@
 	dst = binary.AppendUvarint(dst, b.Echo)
 	dst = append(dst, boolBit(b.Complete, 0))
 	dst = binary.BigEndian.AppendUint32(dst, b.Owners)
-	dst = binary.AppendUvarint(dst, b.Disputes)
 	dst = binary.AppendUvarint(dst, uint64(len(b.Records)))
 	var known targetIndex
 	for _, r := range b.Records {
@@ -303,7 +300,6 @@
 	}
 	b.Complete = flags == 1
 	b.Owners = d.uint32()
-	b.Disputes = d.uvarint()
 	b.Records = b.Records[:0]
 	n := d.count(minRecordBytes)
 	if b.NextSeq < b.FirstSeq || b.NextSeq-b.FirstSeq < uint64(n) {
