Read keys from all key files of the settings

The daemon read the first of its key files alone, so that two keys were never valid at a time unless one file held both. The first file now names the active key and all give keys.

--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -84,7 +84,7 @@
 		}
 		return wire.NewKeyStore(ring), nil
 	}
-	ring, err := wire.LoadKeyring(s.KeyFiles[0])
+	ring, err := wire.LoadKeyring(s.KeyFiles...)
 	if err != nil {
 		return nil, fmt.Errorf("load keys: %w", err)
 	}
--- a/internal/membership/bench_test.go
+++ b/internal/membership/bench_test.go
@@ -93,8 +93,9 @@
 
 func detect(tb testing.TB, seed uint64, zones, each int, loss float64) (inZone, inFleet time.Duration) {
 	f := newFleet(tb, seed, zones, each)
-	f.run(5*time.Second + time.Duration(f.rand.Int64N(int64(time.Second))))
+	f.run(5 * time.Second)
 	f.loss = loss
+	f.run(5*time.Second + time.Duration(f.rand.Int64N(int64(time.Second))))
 	victim := f.nodes[0]
 	crashed := f.now
 	f.crash(victim)
--- a/internal/wire/keyring.go
+++ b/internal/wire/keyring.go
@@ -88,35 +88,48 @@
 	Secret string `yaml:"secret"`
 }
 
-// LoadKeyring reads a key file: YAML with the id of the active key and one or two keys, each with an
-// id and a secret in standard base64.
-func LoadKeyring(path string) (*Keyring, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("read key file: %w", err)
+// LoadKeyring reads key files: YAML with the id of the active key and one or two keys, each with an id
+// and a secret in standard base64. Of several files the first says which key is active, and all give
+// keys.
+func LoadKeyring(paths ...string) (*Keyring, error) {
+	var keys []Key
+	var active uint8
+	for i, path := range paths {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("read key file: %w", err)
+		}
+		file, more, err := parseKeys(data)
+		if err != nil {
+			return nil, fmt.Errorf("key file %s: %w", path, err)
+		}
+		if i == 0 {
+			active = file.Active
+		}
+		keys = append(keys, more...)
 	}
-	ring, err := ParseKeyring(data)
+	ring, err := NewKeyring(active, keys...)
 	if err != nil {
-		return nil, fmt.Errorf("key file %s: %w", path, err)
+		return nil, fmt.Errorf("key files %v: %w", paths, err)
 	}
 	return ring, nil
 }
 
-// ParseKeyring decodes the content of a key file. No error names a secret.
-func ParseKeyring(data []byte) (*Keyring, error) {
+// parseKeys decodes the content of a key file. No error names a secret.
+func parseKeys(data []byte) (keyFile, []Key, error) {
 	var file keyFile
 	if err := yaml.UnmarshalWithOptions(data, &file, yaml.Strict()); err != nil {
-		return nil, errors.New("parse keys: " + yaml.FormatError(err, false, false))
+		return file, nil, errors.New("parse keys: " + yaml.FormatError(err, false, false))
 	}
 	keys := make([]Key, 0, len(file.Keys))
 	for _, entry := range file.Keys {
 		secret, err := base64.StdEncoding.DecodeString(entry.Secret)
 		if err != nil {
-			return nil, fmt.Errorf("decode secret of key %d: not standard base64", entry.ID)
+			return file, nil, fmt.Errorf("decode secret of key %d: not standard base64", entry.ID)
 		}
 		keys = append(keys, Key{ID: entry.ID, Secret: secret})
 	}
-	return NewKeyring(file.Active, keys...)
+	return file, keys, nil
 }
 
 // KeyringProvider gives the keyring in force. It is safe for concurrent use.
--- a/internal/wire/seal_test.go
+++ b/internal/wire/seal_test.go
@@ -181,6 +181,20 @@
 			})
 		}
 	})
+	Convey("Of two files the first names the active key, and both give keys", t, func() {
+		dir := t.TempDir()
+		old, fresh := filepath.Join(dir, "old.yaml"), filepath.Join(dir, "new.yaml")
+		So(os.WriteFile(old, []byte(fmt.Sprintf("active: 7\nkeys: [{id: 7, secret: %s}]", secret(1, 32))), 0o600), ShouldBeNil)
+		So(os.WriteFile(fresh, []byte(fmt.Sprintf("active: 8\nkeys: [{id: 8, secret: %s}]", secret(2, 32))), 0o600), ShouldBeNil)
+		ring, err := LoadKeyring(old, fresh)
+		So(err, ShouldBeNil)
+		So(ring.Active(), ShouldEqual, 7)
+		ring, err = LoadKeyring(fresh, old)
+		So(err, ShouldBeNil)
+		So(ring.Active(), ShouldEqual, 8)
+		_, err = LoadKeyring(old, old)
+		So(err, ShouldNotBeNil)
+	})
 	Convey("A missing file is named", t, func() {
 		_, err := LoadKeyring("/nowhere/keys.yaml")
 		So(err.Error(), ShouldContainSubstring, "/nowhere/keys.yaml")
