Start the marks of a run above those of earlier runs

Marks began at 0 with each start, so a late or recorded log batch that echoed a mark of the machine's earlier run would have covered every flow of the new one. They now start at the incarnation in tenths of a second. A log that never echoed anything covers nothing, whatever the mark's low 32 bits. An acknowledgement grows by the bytes of a larger varint (5 in place of 1 to 2).

--- a/core/engine.go
+++ b/core/engine.go
@@ -64,7 +64,7 @@
 func New(cfg Config) *Engine {
 	cfg = cfg.withDefaults()
 	members := membership.New(cfg.Members)
-	return &Engine{
+	e := &Engine{
 		cfg:     cfg,
 		policy:  cfg.Policy,
 		limits:  cfg.Limits,
@@ -79,6 +79,18 @@
 		late:    lateFlows{flows: make(map[model.FlowHash]lateFlow)},
 		fetches: make(map[model.MachineID]time.Time),
 	}
+	e.mark.Store(firstMark(cfg.Incarnation))
+	return e
+}
+
+// msPerFirstMark is less than the milliseconds between two marks.
+const msPerFirstMark = 100
+
+// firstMark returns the mark that a run starts with. It is above all marks of earlier runs on the machine,
+// since incarnations count milliseconds, so that a late or recorded batch that echoes one of theirs covers
+// nothing.
+func firstMark(incarnation uint64) uint64 {
+	return incarnation / msPerFirstMark
 }
 
 // fresh reports whether the engine's beliefs may be acted on: it was ticked in time.
--- /dev/null
+++ b/core/marks_test.go
@@ -0,0 +1,33 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func TestMarksOfALaterRunAreAboveThoseOfAnEarlierOne(t *testing.T) {
+	Convey("A batch that echoes a mark of an earlier run covers no flow of the present one", t, func() {
+		f := newFleet(t, 25, testLists(1, 2, 4))
+		f.startAll()
+		f.run(time.Minute)
+		earlier := f.nodes[0].engine.mark.Load()
+		f.crash(0)
+		f.start(0)
+		So(f.nodes[0].engine.mark.Load(), ShouldBeGreaterThan, earlier)
+	})
+	Convey("A log that has echoed nothing covers no flow, whatever the mark", t, func() {
+		now := time.Unix(1_700_000_000, 0)
+		for _, mark := range []flow.Mark{0, 1, 1 << 31, 1<<32 - 1, 17_000_000_000} {
+			s := flow.NewSeen(flow.SeenConfig{}, now)
+			for range 2 {
+				direct, _ := s.Direct(now, model.FlowHash(1), flow.Position{Synced: true}, mark)
+				So(direct, ShouldBeFalse)
+			}
+		}
+	})
+}
--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -98,7 +98,7 @@
 		return false, e.former
 	}
 	// The difference survives the cut to 32 bits as long as a flow is younger than 2^31 marks.
-	if int32(uint32(owner.Echoed)-e.since) <= 0 {
+	if owner.Echoed == 0 || int32(uint32(owner.Echoed)-e.since) <= 0 {
 		return false, e.former
 	}
 	silent := silence(ms, e.lastHop)
