--- a/internal/demo/demo_test.go
+++ b/internal/demo/demo_test.go
@@ -78,3 +78,19 @@
 		}
 	})
 }
+
+func TestUsageIsReadFromMetrics(t *testing.T) {
+	Convey("Usage is taken from the text format", t, func() {
+		u := parseUsage(strings.NewReader(strings.Join([]string{
+			"# TYPE process_cpu_seconds_total counter",
+			"process_cpu_seconds_total 1.5",
+			"process_resident_memory_bytes 2.097152e+07",
+			"fireflypin_control_sent_bytes_total 900",
+			"fireflypin_forwarded_packets_total 10",
+			"fireflypin_returned_packets_total 20",
+			"fireflypin_hops_sent_packets_total 5",
+			"fireflypin_errors_total{kind=\"none\"} 7",
+		}, "\n")))
+		So(u, ShouldResemble, usage{cpuSeconds: 1.5, memoryBytes: 20 << 20, controlBytes: 900, packets: 35, hopsPackets: 5})
+	})
+}
--- a/internal/demo/separate.go
+++ b/internal/demo/separate.go
@@ -59,9 +59,13 @@
 		return err
 	}
 	fmt.Fprintf(cfg.Out, "all daemons are ready; running %s for %v\n", s.Name, s.Warmup+s.Duration)
+	first := readUsages(ctx, site.Entries)
 	if err := runWorkloads(ctx, site, cfg.Out); err != nil {
 		return err
 	}
+	last := readUsages(ctx, site.Entries)
+	stopWorkloads(site, cfg.Out)
+	printUsages(cfg.Out, site.Entries, first, last)
 	return report(site, cfg.Out)
 }
 
@@ -137,9 +141,6 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-end:
-			if left := site.StopCallers(sessionsEnd); left > 0 {
-				fmt.Fprintf(out, "%d flows did not come to their end\n", left)
-			}
 			return nil
 		case <-second.C:
 			sum := scenario.Tally(site.CallerHistory())
@@ -148,6 +149,13 @@
 	}
 }
 
+// stopWorkloads lets open sessions come to their end.
+func stopWorkloads(site *scenario.Site, out io.Writer) {
+	if left := site.StopCallers(sessionsEnd); left > 0 {
+		fmt.Fprintf(out, "%d flows did not come to their end\n", left)
+	}
+}
+
 func report(site *scenario.Site, out io.Writer) error {
 	sum := scenario.Summarize(site.History())
 	sum.Print(out)
