Put target health into the daemon and its reasons into status

Daemons probe targets, tell results on heartbeats, and judge them twice a second. An owner takes a SYN repeated after 500 ms or more as an unanswered attempt, and the first packet after the SYN as an answer where answers go past the daemons. flow.Table gets Advance, which also returns the flow as it was. Daemons on a network in memory do not probe: load reports come over HTTP.

--- a/cmd/fireflypin/status.go
+++ b/cmd/fireflypin/status.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 
 	"github.com/urfave/cli/v3"
@@ -97,9 +99,11 @@
 		writeDaemon(t, a)
 	}
 	fmt.Fprintln(t)
-	fmt.Fprintln(t, "SERVICE\tTARGET\tZONE\tSTATE\tOPEN")
+	fmt.Fprintln(t, "SERVICE\tTARGET\tZONE\tSTATE\tOPEN\tREPORTED\tASIDE AT\tWHY")
 	for _, target := range s.Targets {
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\n", target.Service, target.Name, target.Zone, targetState(target), target.OpenFlows)
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%d\t%s\t%d\t%s\n",
+			target.Service, target.Name, target.Zone, targetState(target), target.OpenFlows,
+			reportedText(target.Reported), target.Aside, strings.Join(target.Reasons, "; "))
 	}
 	if len(s.Differing) > 0 {
 		fmt.Fprintln(t)
@@ -133,6 +137,13 @@
 	}
 }
 
+func reportedText(connections int) string {
+	if connections < 0 {
+		return "-"
+	}
+	return strconv.Itoa(connections)
+}
+
 func targetState(t fleetstatus.Target) string {
 	if t.Leaving {
 		return "leaving"
--- /dev/null
+++ b/core/evidence.go
@@ -0,0 +1,30 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// unansweredAfter is the age of a SYN from which its repetition says that the target did not answer.
+const unansweredAfter = 500 * time.Millisecond
+
+// noteRepeatedSYN takes the repetition of a SYN as evidence against the target.
+func (e *Engine) noteRepeatedSYN(a *arrival, entry flow.Entry) {
+	if entry.State == flow.StateOpening && e.table.Age(a.now, entry) >= unansweredAfter {
+		e.loads.Unanswered(a.now, entry.Target)
+	}
+}
+
+// noteEstablished takes the first packet after the SYN as evidence for the target. Where answers return
+// through the daemons the SYN-ACK itself has told it already.
+func (e *Engine) noteEstablished(a *arrival, after, before flow.Entry) {
+	if before.State != flow.StateOpening || after.State != flow.StateOpen {
+		return
+	}
+	svc := e.world.Load().snapshot.ServiceAt(a.meta.Dst)
+	if svc != nil && svc.Return == model.ReturnDirect {
+		e.loads.Answered(a.now, after.Target, e.table.Age(a.now, before))
+	}
+}
--- a/core/owner.go
+++ b/core/owner.go
@@ -21,7 +21,10 @@
 
 // touch notes a packet of a flow of the table.
 func (e *Engine) touch(a *arrival) (flow.Entry, bool) {
-	entry, ok := e.table.Touch(a.now, a.hash, a.state())
+	entry, before, ok := e.table.Advance(a.now, a.hash, a.state())
+	if ok {
+		e.noteEstablished(a, entry, before)
+	}
 	if ok && !entry.Identified() {
 		e.table.Identify(a.hash, flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst))
 	}
@@ -51,6 +54,7 @@
 	}
 	if entry, ok := e.table.Get(a.hash); ok {
 		if e.repeats(a, entry) {
+			e.noteRepeatedSYN(a, entry)
 			return e.toTarget(w, entry.Target)
 		}
 		e.forget(a.hash)
--- a/internal/capacity/flows.go
+++ b/internal/capacity/flows.go
@@ -40,7 +40,7 @@
 func seenCache(n int) *flow.Seen {
 	s := flow.NewSeen(flow.SeenConfig{MaxFlows: 4 * n}, epoch)
 	for i := range n {
-		s.Direct(epoch, flowHash(i), flow.Run(1), 1, 0)
+		s.Direct(epoch, flowHash(i), flow.Position{Run: 1}, 1)
 	}
 	return s
 }
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -38,14 +38,22 @@
 
 // sections returns what the daemon's modules add to a heartbeat.
 func (d *Daemon) sections() []wire.Section {
-	return []wire.Section{{ID: wire.SectionLists, Data: d.lists.Digest().AppendTo(nil)}}
+	return []wire.Section{{ID: wire.SectionLists, Data: d.lists.Digest().AppendTo(nil)}, d.health.section()}
 }
 
 // handleSection hands a section of a peer's heartbeat to its module.
 func (d *Daemon) handleSection(a core.PeerSection) {
-	if a.Section.ID != wire.SectionLists {
-		return
+	switch a.Section.ID {
+	case wire.SectionHealth:
+		if kind := d.health.handle(a.From.ID, a.Section.Data); kind != errkind.None {
+			d.metrics.kinds.Add(kind, 1)
+		}
+	case wire.SectionLists:
+		d.handleDigest(a)
 	}
+}
+
+func (d *Daemon) handleDigest(a core.PeerSection) {
 	digest, ok := platform.DecodeDigest(a.Section.Data)
 	if !ok {
 		d.metrics.kinds.Add(errkind.PeerMalformed, 1)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,6 +67,8 @@
 	Log      *log.Logger
 	// Now is the start of the process; it gives the incarnation.
 	Now time.Time
+	// Probe says whether this daemon reads load reports of targets over HTTP.
+	Probe bool
 }
 
 // Daemon is one entry VM's process.
@@ -82,6 +84,8 @@
 	observer *flowObserver
 
 	engine      *core.Engine
+	health      *targetHealth
+	probe       bool
 	incarnation uint64
 	counter     *wire.Counter
 	replay      *wire.Replay
@@ -127,6 +131,8 @@
 		Members:     membership.Config{HeartbeatInterval: s.HeartbeatInterval},
 		Sections:    d.sections,
 	})
+	d.health = newTargetHealth(self, d.engine)
+	d.probe = deps.Probe
 	return d
 }
 
@@ -154,6 +160,9 @@
 	d.startWorkers(conns)
 	d.tasks.Go(d.tick)
 	d.tasks.Go(func() error { return d.followLists(d.tasksCtx) })
+	if d.probe {
+		d.tasks.Go(d.probeTargets)
+	}
 	d.log.Info("daemon serves", "op", "start", "event", "started", "data", d.settings.Data, "zone", d.settings.Zone.String())
 
 	var cause error
@@ -236,7 +245,9 @@
 		case <-d.tasksCtx.Done():
 			return nil
 		case <-ticker.C:
-			d.perform(d.engine.Tick(time.Now()))
+			now := time.Now()
+			d.perform(d.engine.Tick(now))
+			d.logHealth(d.health.tick(now))
 		}
 	}
 }
@@ -256,6 +267,7 @@
 		return
 	}
 	d.observer.retain(s)
+	d.health.adopt(s)
 	d.log.Info("lists in force", "op", "lists", "event", "adopted",
 		"customers", s.Revisions.Customers, "plans", s.Revisions.Plans, "machines", s.Revisions.Machines)
 	d.perform(actions)
--- /dev/null
+++ b/internal/daemon/health.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/health"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+const (
+	// healthTicks is the number of ticks of the engine between two judgements of the targets.
+	healthTicks = 5
+	// healthSectionBytes bounds the health results on one heartbeat.
+	healthSectionBytes = 200
+)
+
+// targetHealth joins the health monitor to the engine: who probes, what is heard and what is told.
+type targetHealth struct {
+	monitor *health.Monitor
+	engine  *core.Engine
+	turn    int
+	// viewVersion is the version of the members' view that the probers were chosen from.
+	viewVersion uint64
+}
+
+func newTargetHealth(self model.MachineID, engine *core.Engine) *targetHealth {
+	return &targetHealth{monitor: health.New(health.Config{}, self, engine.Loads()), engine: engine}
+}
+
+// adopt follows a new set of lists.
+func (h *targetHealth) adopt(s *model.Snapshot) {
+	h.monitor.SetTargets(s.Services)
+	h.chooseProbers()
+}
+
+// tick judges the targets every few ticks of the engine. Only the ticking goroutine calls it.
+func (h *targetHealth) tick(now time.Time) []health.Change {
+	h.turn++
+	if h.turn%healthTicks != 0 {
+		return nil
+	}
+	if v := h.engine.View(); v.Version != h.viewVersion {
+		h.viewVersion = v.Version
+		h.chooseProbers()
+	}
+	return h.monitor.Tick(now)
+}
+
+// chooseProbers says which daemons are here. A zone without any is probed by those of all others.
+func (h *targetHealth) chooseProbers() {
+	members := h.engine.View().Members()
+	live := make(map[model.Zone][]model.MachineID)
+	var all []model.MachineID
+	owners := 0
+	for _, m := range members {
+		if !m.Here {
+			continue
+		}
+		live[m.Entry.Zone] = append(live[m.Entry.Zone], m.Entry.ID)
+		all = append(all, m.Entry.ID)
+		owners += countOwner(m)
+	}
+	h.monitor.SetLive(func(z model.Zone) []model.MachineID {
+		if len(live[z]) == 0 {
+			return all
+		}
+		return live[z]
+	}, owners)
+}
+
+func countOwner(m membership.MemberView) int {
+	if m.Owner {
+		return 1
+	}
+	return 0
+}
+
+// section returns what a heartbeat tells of the targets.
+func (h *targetHealth) section() wire.Section {
+	return wire.Section{ID: wire.SectionHealth, Data: h.monitor.AppendTo(time.Now(), nil, healthSectionBytes)}
+}
+
+// handle takes what a peer's heartbeat tells of the targets.
+func (h *targetHealth) handle(from model.MachineID, data []byte) errkind.Kind {
+	summaries, kind := health.DecodeSummaries(nil, data)
+	h.monitor.HandleSummaries(time.Now(), from, summaries)
+	return kind
+}
+
+// probeTargets reads load reports until the tasks end.
+func (d *Daemon) probeTargets() error {
+	health.NewProber(health.ProberConfig{}, d.health.monitor).Run(d.tasksCtx)
+	return nil
+}
+
+// logHealth tells of targets that were put aside or taken back.
+func (d *Daemon) logHealth(changes []health.Change) {
+	for _, c := range changes {
+		d.log.Warn("target health changed", "op", "health", "event", "changed",
+			"target", c.Target.Name, "down", c.Down, "reason", c.Reason.String())
+	}
+}
+
+// TargetHealth is what a daemon tells operators of a target's health.
+type TargetHealth struct {
+	Name string `json:"name"`
+	// Down is true while new flows avoid the target; Reason says why, or what is doubtful of it.
+	Down   bool   `json:"down"`
+	Reason string `json:"reason"`
+	// Reported is the number of connections that the target's last report names; -1 without a report.
+	Reported int `json:"reported_connections"`
+	// Unanswered is the share of recent connection attempts without an answer.
+	Unanswered float64 `json:"unanswered"`
+	// HandshakeMillis is the mean handshake time; 0 while unknown.
+	HandshakeMillis float64 `json:"handshake_ms"`
+}
+
+// report returns what is known of every target.
+func (h *targetHealth) report(now time.Time) []TargetHealth {
+	var all []TargetHealth
+	for _, s := range h.monitor.Statuses(now) {
+		t := TargetHealth{
+			Name: s.Target.Name, Down: s.Down, Reason: s.Reason.String(), Reported: -1,
+			Unanswered: s.Seen.Unanswered, HandshakeMillis: float64(s.Seen.Handshake) / float64(time.Millisecond),
+		}
+		if s.Seen.FleetKnown {
+			t.Reported = s.Seen.Reported
+		}
+		all = append(all, t)
+	}
+	return all
+}
--- a/internal/daemon/report.go
+++ b/internal/daemon/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/fireflypin/fireflypin/core"
 )
@@ -19,6 +20,8 @@
 	HopsSentTotal   int64  `json:"hops_sent_total"`
 	ControlSentByte int64  `json:"control_sent_bytes_total"`
 	core.Status
+	// TargetHealth is in the order of the targets.
+	TargetHealth []TargetHealth `json:"target_health"`
 }
 
 // Ready implements ops.Readiness.
@@ -45,5 +48,6 @@
 		HopsSentTotal:   d.metrics.hopsOut.Count(),
 		ControlSentByte: d.metrics.controlSent.Count(),
 		Status:          d.engine.Status(),
+		TargetHealth:    d.health.report(time.Now()),
 	}
 }
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -114,6 +114,8 @@
 		Metrics:  do.MustInvoke[*metrics.Set](i),
 		Log:      do.MustInvoke[*log.Logger](i),
 		Now:      o.Now,
+		// A network in memory carries datagrams alone.
+		Probe: o.Network == nil,
 	})
 	registerEngine(do.MustInvoke[*metrics.Set](i), d.engine)
 	return d, nil
--- a/internal/fleetstatus/fleetstatus_test.go
+++ b/internal/fleetstatus/fleetstatus_test.go
@@ -17,7 +17,8 @@
 )
 
 func report(name string, machines uint64, owned, onTarget int, peerState string) *daemon.Report {
-	return &daemon.Report{Name: name, Status: core.Status{
+	health := []daemon.TargetHealth{{Name: "t1", Down: true, Reason: "probes fail", Reported: 12}, {Name: "t2", Reason: "ok", Reported: -1}}
+	return &daemon.Report{Name: name, TargetHealth: health, Status: core.Status{
 		Ready: true, OwnedFlows: owned,
 		Revisions: model.Revisions{Machines: machines},
 		Members:   []core.MemberStatus{{Name: "entry-a", State: "alive"}, {Name: "entry-b", State: peerState}},
@@ -45,7 +46,8 @@
 		So(s.Daemons, ShouldHaveLength, 3)
 		So(s.Newest.Machines, ShouldEqual, 8)
 		So(s.Targets, ShouldResemble, []Target{
-			{Name: "t1", Service: "booking", OpenFlows: 9}, {Name: "t2", Service: "booking", OpenFlows: 2},
+			{Name: "t1", Service: "booking", OpenFlows: 9, Aside: 2, Reasons: []string{"probes fail"}, Reported: 12},
+			{Name: "t2", Service: "booking", OpenFlows: 2, Reported: -1},
 		})
 		So(s.Differing, ShouldResemble, []Belief{
 			{Machine: "entry-b", State: "alive", Daemons: 1}, {Machine: "entry-b", State: "suspect", Daemons: 1},
--- a/internal/fleetstatus/summary.go
+++ b/internal/fleetstatus/summary.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"slices"
 
+	"github.com/fireflypin/fireflypin/internal/health"
 	"github.com/fireflypin/fireflypin/model"
 )
 
@@ -25,6 +26,12 @@
 	Zone      string `json:"zone"`
 	Leaving   bool   `json:"leaving"`
 	OpenFlows int    `json:"open_flows"`
+	// Aside is the number of daemons whose new flows avoid the target.
+	Aside int `json:"aside"`
+	// Reasons are the different things that daemons have against it, sorted.
+	Reasons []string `json:"reasons,omitempty"`
+	// Reported is the highest number of connections that a daemon read in its load report; -1 for none.
+	Reported int `json:"reported_connections"`
 }
 
 // Belief is the number of daemons that hold a machine to be in a state.
@@ -45,6 +52,7 @@
 		}
 		s.Newest = later(s.Newest, a.Report.Revisions)
 		addTargets(targets, a)
+		addHealth(targets, a)
 		for _, m := range a.Report.Members {
 			beliefs[Belief{Machine: m.Name, State: m.State}]++
 		}
@@ -71,7 +79,7 @@
 	for _, t := range a.Report.Targets {
 		sum := targets[t.Name]
 		if sum == nil {
-			sum = &Target{Name: t.Name, Service: t.Service, Zone: t.Zone}
+			sum = &Target{Name: t.Name, Service: t.Service, Zone: t.Zone, Reported: -1}
 			targets[t.Name] = sum
 		}
 		sum.Leaving = sum.Leaving || t.Leaving
@@ -79,6 +87,24 @@
 	}
 }
 
+// addHealth adds what one daemon knows of the targets' health.
+func addHealth(targets map[string]*Target, a Answer) {
+	for _, h := range a.Report.TargetHealth {
+		sum := targets[h.Name]
+		if sum == nil {
+			continue
+		}
+		if h.Down {
+			sum.Aside++
+		}
+		if h.Reason != health.ReasonNone.String() && !slices.Contains(sum.Reasons, h.Reason) {
+			sum.Reasons = append(sum.Reasons, h.Reason)
+			slices.Sort(sum.Reasons)
+		}
+		sum.Reported = max(sum.Reported, h.Reported)
+	}
+}
+
 // stateAlive is what a daemon says of a machine that it holds to be here.
 const stateAlive = "alive"
 
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -61,21 +61,28 @@
 // Touch notes a packet of a known flow and returns the flow. The state moves forward only; LastSeen
 // lags behind by less than touchInterval.
 func (t *Table) Touch(now time.Time, h model.FlowHash, state State) (Entry, bool) {
+	e, _, ok := t.Advance(now, h, state)
+	return e, ok
+}
+
+// Advance is Touch, and returns the flow as it was before the packet too.
+func (t *Table) Advance(now time.Time, h model.FlowHash, state State) (after, before Entry, ok bool) {
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.flows[h]
 	if !ok {
-		return Entry{}, false
+		return Entry{}, Entry{}, false
 	}
+	before = e
 	ms := t.millis(now)
 	if state <= e.State && silence(ms, e.LastSeen) < touchInterval {
-		return e, true
+		return e, before, true
 	}
 	e.LastSeen += silence(ms, e.LastSeen)
 	e.State = max(e.State, state)
 	s.flows[h] = e
-	return e, true
+	return e, before, true
 }
 
 // Age returns the time since the last packet of a flow.
