--- a/core/peers.go
+++ b/core/peers.go
@@ -80,6 +80,10 @@
 	if w == nil || !w.view.Here(env.Sender) || !e.takesLog(w, env.Sender, e.cfg.Self) {
 		return errkind.None
 	}
+	if b.Owners != w.view.Digest {
+		// The sender may not know yet which flows it owns, so that its log covers none of them.
+		b.Echo = 0
+	}
 	cp := e.copies.Ensure(now, env.Sender, env.Incarnation)
 	if cp != nil && cp.Apply(now, b) {
 		e.yieldTo(w, env.Sender, b.Records)
@@ -92,7 +96,7 @@
 // where that daemon's word counts for more: it owns the flow in this daemon's view.
 func (e *Engine) yieldTo(w *world, peer model.MachineID, records []wire.Record) {
 	for _, r := range records {
-		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer {
+		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer || r.Settled {
 			continue
 		}
 		if r.Remove {
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -25,7 +26,7 @@
 	// appeared names the daemons, this one among them, that became owners in the change.
 	appeared []model.MachineID
 	// ceased names the daemons that were owners before the change.
-	ceased []model.MachineID
+	ceased []flow.Peer
 }
 
 // delegatedFlow is a flow whose packets are left to its former owner.
@@ -80,19 +81,9 @@
 	if !e.delegated.active {
 		return nil
 	}
-	if leaver := e.leaver(w, a.hash); leaver != nil {
-		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: leaver.ID}
-		return leaver
-	}
-	if len(e.delegated.appeared) == 0 {
-		return nil
-	}
-	selfAppeared := slices.Contains(e.delegated.appeared, e.cfg.Self)
 	former := e.coveringOwner(w, a)
 	if former == nil {
-		former = e.firstOther(w, a.hash, func(id model.MachineID) bool {
-			return slices.Contains(e.delegated.appeared, id) != selfAppeared
-		})
+		former = e.ownerBefore(w, a.hash)
 	}
 	if former != nil {
 		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: former.ID, covered: a.former}
@@ -100,32 +91,67 @@
 	return former
 }
 
-// leaver returns the daemon that ceased to own flows in the change, can still be reached and comes first
-// in the flow's order, before this daemon; or nil. Its log may not have arrived here in full.
-func (e *Engine) leaver(w *world, h model.FlowHash) *model.EntryVM {
+// ownerBefore returns the daemon that owned a flow before the change, or nil. It is the first in the
+// flow's order that was an owner and can be reached: one that still is, or one that leaves and whose log
+// may not have arrived here in full. Where this daemon was an owner itself, it is one that comes before it.
+func (e *Engine) ownerBefore(w *world, h model.FlowHash) *model.EntryVM {
+	appeared := func(id model.MachineID) bool { return slices.Contains(e.delegated.appeared, id) }
+	remained := func(id model.MachineID) bool { return !appeared(id) }
+	if appeared(e.cfg.Self) {
+		return e.earlier(w, h, e.firstOther(w, h, remained), e.firstCeased(w, h, lastRank))
+	}
+	if leaver := e.firstCeased(w, h, w.rank(h, e.cfg.Self)); leaver != nil {
+		return leaver
+	}
+	return e.firstOther(w, h, appeared)
+}
+
+// firstCeased returns the daemon that ceased to be an owner in the change, can be reached and comes first
+// in the flow's order, before a rank; or nil.
+func (e *Engine) firstCeased(w *world, h model.FlowHash, before uint64) *model.EntryVM {
 	var first *model.EntryVM
-	best := w.rank(h, e.cfg.Self)
-	for _, id := range e.delegated.ceased {
-		if r := w.rank(h, id); id != e.cfg.Self && w.view.Here(id) && r < best {
-			first, best = w.snapshot.Entry(id), r
+	for _, p := range e.delegated.ceased {
+		if r := w.rank(h, p.ID); p.ID != e.cfg.Self && w.runs(p) && r < before {
+			first, before = w.snapshot.Entry(p.ID), r
 		}
 	}
 	return first
 }
 
+// earlier returns the one of two daemons that comes first in a flow's order; either may be nil.
+func (e *Engine) earlier(w *world, h model.FlowHash, a, b *model.EntryVM) *model.EntryVM {
+	if a == nil || (b != nil && w.rank(h, b.ID) < w.rank(h, a.ID)) {
+		return b
+	}
+	return a
+}
+
 // decideFor decides on a packet of a flow that another daemon owns but does not know. The flow enters
 // this daemon's log, from which the owner learns of it.
 func (e *Engine) decideFor(w *world, a *arrival, owner model.MachineID) Verdict {
 	if entry, ok := e.touch(a); ok {
 		return e.toTarget(w, entry.Target)
 	}
+	if a.former == 0 {
+		a.former = e.seen.Former(a.hash)
+	}
 	rank := func(id model.MachineID) uint64 {
 		if id == owner {
 			return lastRank
 		}
 		return w.rank(a.hash, id)
 	}
-	t, _ := e.resolveFrom(w, a, e.predecessor(w, a, rank), rank)
+	t, sure := e.resolveFrom(w, a, e.predecessor(w, a, rank), rank)
+	if !sure && a.hops < maxHops {
+		other := e.firstOther(w, a.hash, func(id model.MachineID) bool { return id != owner })
+		if other != nil {
+			return delegateTo(other, a)
+		}
+	}
+	if !sure && !e.ready.Load() {
+		// This daemon has just started; its guess is worse than a repetition of the packet.
+		return drop(errkind.NotReady)
+	}
 	return e.takeOver(w, a, t)
 }
 
@@ -165,7 +191,7 @@
 
 // unsettle starts the time in which unknown flows are left to their former owners: until every other
 // owner's log is known here as it was after the change.
-func (e *Engine) unsettle(now time.Time, appeared, ceased []model.MachineID) {
+func (e *Engine) unsettle(now time.Time, appeared []model.MachineID, ceased []flow.Peer) {
 	e.log.SetComplete(false)
 	e.unsettled.Store(true)
 	e.settleBy = now.Add(e.cfg.SettleTime)
@@ -182,11 +208,10 @@
 		e.delegated.appeared = nil
 	}
 	e.delegated.appeared = append(e.delegated.appeared, appeared...)
-	if slices.Contains(appeared, e.cfg.Self) {
-		// The others that appeared earlier in this change were owners before this daemon.
-		e.delegated.appeared = appeared
-	}
-	e.delegated.ceased = append(lo.Without(e.delegated.ceased, appeared...), ceased...)
+	e.delegated.ceased = lo.Reject(e.delegated.ceased, func(p flow.Peer, _ int) bool {
+		return slices.Contains(appeared, p.ID)
+	})
+	e.delegated.ceased = append(e.delegated.ceased, ceased...)
 }
 
 // leaveToFormer adds flows to those that are taken in when the members have settled.
@@ -225,6 +250,7 @@
 	e.delegated.mu.Unlock()
 	e.unsettled.Store(false)
 	e.log.SetComplete(true)
+	e.switchGeneration(w.snapshot.Generation())
 }
 
 // endDelegation returns the delegated flows, and whether further ones could be added until now.
@@ -246,7 +272,7 @@
 	ceased := slices.Clone(e.delegated.ceased)
 	e.delegated.mu.Unlock()
 	owns := func(m membership.MemberView) bool {
-		return m.Owner || (m.Here && slices.Contains(ceased, m.Entry.ID))
+		return m.Owner || (m.Here && slices.Contains(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation}))
 	}
 	for _, cp := range e.followed(owns) {
 		p := cp.Position()
--- a/core/tick.go
+++ b/core/tick.go
@@ -89,10 +89,10 @@
 	e.seen.Clear()
 	e.awake = false
 	e.behind = true
-	if !e.ready {
+	if !e.ready.Load() {
 		return nil
 	}
-	e.ready = false
+	e.ready.Store(false)
 	return []Action{ReadyChanged{Reason: ReasonPaused}}
 }
 
@@ -105,8 +105,8 @@
 		return
 	}
 	appeared, ceased := compareOwners(w.view, v)
-	next := w.withView(flow.Mark(e.mark.Load()), v)
-	if !e.ready || slices.Contains(appeared, e.cfg.Self) {
+	next := w.withView(now, flow.Mark(e.mark.Load()), v)
+	if !e.ready.Load() || slices.Contains(appeared, e.cfg.Self) {
 		// What this daemon saw before it owned flows says nothing of former owners.
 		next.past = nil
 		appeared = []model.MachineID{e.cfg.Self}
@@ -159,6 +159,7 @@
 	var body []byte
 	if b, ok := e.log.Batch(now, peer); ok {
 		b.OwnerIncarnation = e.cfg.Incarnation
+		b.Owners = e.world.Load().view.Digest
 		body = wire.AppendBundled(body, wire.KindLogBatch, b.AppendTo(nil))
 	}
 	cp := e.copies.Of(peer)
@@ -197,19 +198,20 @@
 
 // judgeReady makes the daemon an owner once its view is settled and it holds every live owner's log.
 func (e *Engine) judgeReady(now time.Time) []Action {
-	if e.ready || !e.awake || e.leaving || !e.caughtUp() {
+	if e.ready.Load() || !e.awake || e.leaving || !e.caughtUp() {
 		return nil
 	}
-	e.ready = true
+	e.ready.Store(true)
 	out := []Action{ReadyChanged{Ready: true, Reason: ReasonCaughtUp}}
 	return append(out, e.handleMembers(now, e.members.SetReady(now, true))...)
 }
 
-// caughtUp reports whether every published daemon was heard of or had the time to be, and every log that
-// this daemon follows has a snapshot here.
+// caughtUp reports whether every published daemon was heard of and follows this daemon's log, or had the
+// time to, and every log that this daemon follows has a snapshot here.
 func (e *Engine) caughtUp() bool {
 	unknown := func(m membership.MemberView) bool { return m.State == membership.Unknown && m.Entry.ID != e.cfg.Self }
-	if e.lastTick.Sub(e.listsAt) < e.cfg.JoinTime && lo.ContainsBy(e.View().Members(), unknown) {
+	patient := e.lastTick.Sub(e.listsAt) < e.cfg.JoinTime
+	if patient && (lo.ContainsBy(e.View().Members(), unknown) || !e.log.Applied()) {
 		return false
 	}
 	if e.behind && lo.ContainsBy(e.View().Members(), e.wantsAll) {
@@ -259,10 +261,10 @@
 
 // compareOwners returns which daemons are owners in b and were none in a, or became them anew, and which
 // ceased to be owners.
-func compareOwners(a, b *membership.View) (appeared, ceased []model.MachineID) {
+func compareOwners(a, b *membership.View) (appeared []model.MachineID, ceased []flow.Peer) {
 	for _, m := range a.Members() {
 		if now, ok := b.Member(m.Entry.ID); m.Owner && (!ok || !now.Owner) {
-			ceased = append(ceased, m.Entry.ID)
+			ceased = append(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation})
 		}
 	}
 	for _, m := range b.Members() {
--- a/internal/flow/clock_test.go
+++ b/internal/flow/clock_test.go
@@ -40,9 +40,9 @@
 	})
 	Convey("A cached flow stays covered when a packet carries an earlier time than its last hop", t, func() {
 		seen := NewSeen(SeenConfig{}, epoch)
-		direct, _ := seen.Direct(late, h, Position{Run: 1}, 1)
+		direct, _ := seen.Direct(late, h, Position{Owner: 1}, 1)
 		So(direct, ShouldBeFalse)
-		direct, _ = seen.Direct(early, h, Position{Run: 1, Echoed: 2}, 3)
+		direct, _ = seen.Direct(early, h, Position{Owner: 1, Echoed: 2}, 3)
 		So(direct, ShouldBeTrue)
 	})
 }
