--- a/core/answers.go
+++ b/core/answers.go
@@ -61,7 +61,7 @@
 	if entry.State == flow.StateOpening {
 		e.loads.Unanswered(now, entry.Target)
 	}
-	e.table.Touch(now, h, flow.StateClosing)
+	e.advance(now, h, flow.StateClosing)
 }
 
 // servesFrom reports whether the target at a data address belongs to the service at an address, in
--- a/core/evidence.go
+++ b/core/evidence.go
@@ -28,3 +28,20 @@
 		e.loads.Answered(a.now, after.Target, e.table.Age(a.now, before))
 	}
 }
+
+// advance notes a packet of a flow of the table. A flow that starts to close no longer counts as load,
+// though the table remembers it for a while.
+func (e *Engine) advance(now time.Time, h model.FlowHash, state flow.State) (after, before flow.Entry, ok bool) {
+	after, before, ok = e.table.Advance(now, h, state)
+	if ok && before.State != flow.StateClosing && after.State == flow.StateClosing {
+		e.loads.Closed(after.Target)
+	}
+	return after, before, ok
+}
+
+// unload takes a forgotten flow off the load, unless its closing did.
+func (e *Engine) unload(entry flow.Entry) {
+	if entry.State != flow.StateClosing {
+		e.loads.Closed(entry.Target)
+	}
+}
--- a/core/evidence_test.go
+++ b/core/evidence_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/packet"
 )
 
 func TestEvidenceOfConnectionAttempts(t *testing.T) {
@@ -31,3 +33,21 @@
 		})
 	})
 }
+
+func TestClosingFlowsAreNoLoad(t *testing.T) {
+	Convey("A flow stops counting as load when it starts to close, and counts once", t, func() {
+		f := newFleet(t, 1, testLists(1, 1, 1))
+		f.startAll()
+		engine := f.nodes[0].engine
+		id := f.lists.Services[0].Targets[0].ID
+		flows := f.openMany(3)
+		So(engine.Loads().Open(id), ShouldEqual, 3)
+		for range 2 {
+			fin := packet.Meta{Src: flows[0].caller, Dst: testService, Flags: packet.FIN | packet.ACK, HopLimit: 64}
+			So(f.arrive(0, fin).Op, ShouldEqual, OpForward)
+			So(engine.Loads().Open(id), ShouldEqual, 2)
+		}
+		f.run(2 * time.Minute)
+		So(engine.Loads().Open(id), ShouldEqual, 2)
+	})
+}
--- a/core/owner.go
+++ b/core/owner.go
@@ -21,7 +21,7 @@
 
 // touch notes a packet of a flow of the table.
 func (e *Engine) touch(a *arrival) (flow.Entry, bool) {
-	entry, before, ok := e.table.Advance(a.now, a.hash, a.state())
+	entry, before, ok := e.advance(a.now, a.hash, a.state())
 	if ok {
 		e.noteEstablished(a, entry, before)
 	}
@@ -253,7 +253,7 @@
 
 // ended undoes what enter counted. Where this daemon owns the flow, the flow is over for all daemons.
 func (e *Engine) ended(h model.FlowHash, entry flow.Entry) {
-	e.loads.Closed(entry.Target)
+	e.unload(entry)
 	e.log.Remove(h)
 	w := e.world.Load()
 	if owner := w.owner(h); owner != nil && owner.ID == e.cfg.Self {
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -114,8 +114,7 @@
 		Metrics:  do.MustInvoke[*metrics.Set](i),
 		Log:      do.MustInvoke[*log.Logger](i),
 		Now:      o.Now,
-		// A network in memory carries datagrams alone.
-		Probe: o.Network == nil,
+		Probe:    true,
 	})
 	registerEngine(do.MustInvoke[*metrics.Set](i), d.engine)
 	return d, nil
