--- a/internal/membership/list_test.go
+++ b/internal/membership/list_test.go
@@ -1,9 +1,7 @@
 package membership
 
 import (
-	"flag"
 	"math/rand/v2"
-	"os"
 	"testing"
 	"time"
 
@@ -13,15 +11,6 @@
 	"github.com/fireflypin/fireflypin/model"
 )
 
-// TestMain fixes the seed of the property tests unless the command line names one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if seed := flag.Lookup("rapid.seed"); seed != nil && seed.Value.String() == "0" {
-		_ = seed.Value.Set("1")
-	}
-	os.Exit(m.Run())
-}
-
 const seconds = time.Second
 
 func TestStart(t *testing.T) {
