--- a/core/packets.go
+++ b/core/packets.go
@@ -13,7 +13,7 @@
 
 // maxHops bounds how many daemons may pass a packet on, so that daemons with different views cannot
 // send it in circles.
-const maxHops = 2
+const maxHops = 3
 
 // arrival is one caller's packet on its way through the engine.
 type arrival struct {
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -83,7 +83,7 @@
 	}
 	former := e.coveringOwner(w, a)
 	if former == nil {
-		former = e.ownerBefore(w, a.hash)
+		former = e.ownerBefore(w, a.hash, 0)
 	}
 	if former != nil {
 		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: former.ID, covered: a.former}
@@ -93,10 +93,12 @@
 
 // ownerBefore returns the daemon that owned a flow before the change, or nil. It is the first in the
 // flow's order that was an owner and can be reached: one that still is, or one that leaves and whose log
-// may not have arrived here in full. Where this daemon was an owner itself, it is one that comes before it.
-func (e *Engine) ownerBefore(w *world, h model.FlowHash) *model.EntryVM {
-	appeared := func(id model.MachineID) bool { return slices.Contains(e.delegated.appeared, id) }
-	remained := func(id model.MachineID) bool { return !appeared(id) }
+// may not have arrived here in full. The daemon that asks, 0 for none, does not count. Where this daemon was an owner itself, it is one that comes before it.
+func (e *Engine) ownerBefore(w *world, h model.FlowHash, asker model.MachineID) *model.EntryVM {
+	appeared := func(id model.MachineID) bool {
+		return id != asker && slices.Contains(e.delegated.appeared, id)
+	}
+	remained := func(id model.MachineID) bool { return id != asker && !appeared(id) }
 	if appeared(e.cfg.Self) {
 		return e.earlier(w, h, e.firstOther(w, h, remained), e.firstCeased(w, h, lastRank))
 	}
@@ -141,6 +143,11 @@
 		}
 		return w.rank(a.hash, id)
 	}
+	if _, named := e.copies.Find(a.hash, rank); !named {
+		if former := e.formerlyHere(w, a, owner); former != nil {
+			return delegateTo(former, a)
+		}
+	}
 	t, sure := e.resolveFrom(w, a, e.predecessor(w, a, rank), rank)
 	if !sure && a.hops < maxHops {
 		other := e.firstOther(w, a.hash, func(id model.MachineID) bool { return id != owner })
@@ -162,6 +169,20 @@
 	e.doubting.Store(true)
 }
 
+// formerlyHere returns the daemon to which this one would leave an unknown flow if it owned it, while
+// members settle and hops remain. An owner that has appeared in the change asks the right daemon already.
+func (e *Engine) formerlyHere(w *world, a *arrival, owner model.MachineID) *model.EntryVM {
+	if a.hops >= maxHops {
+		return nil
+	}
+	e.delegated.mu.Lock()
+	defer e.delegated.mu.Unlock()
+	if !e.delegated.active || slices.Contains(e.delegated.appeared, owner) {
+		return nil
+	}
+	return e.ownerBefore(w, a.hash, owner)
+}
+
 // coveringOwner returns the daemon whose log last covered the flow, where it is another that is here.
 func (e *Engine) coveringOwner(w *world, a *arrival) *model.EntryVM {
 	cp := e.copies.OfIncarnation(a.former)
--- a/core/tick.go
+++ b/core/tick.go
@@ -107,8 +107,8 @@
 	appeared, ceased := compareOwners(w.view, v)
 	next := w.withView(now, flow.Mark(e.mark.Load()), v)
 	if !e.ready.Load() || slices.Contains(appeared, e.cfg.Self) {
-		// What this daemon saw before it owned flows says nothing of former owners.
-		next.past = nil
+		// Of what this daemon saw before it owned flows, only the last view says who owned them.
+		next.past = next.past[:1]
 		appeared = []model.MachineID{e.cfg.Self}
 	}
 	e.world.Store(next)
