--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -114,6 +114,7 @@
 		Metrics:  do.MustInvoke[*metrics.Set](i),
 		Log:      do.MustInvoke[*log.Logger](i),
 		Now:      o.Now,
+		Probe:    true,
 	})
 	registerEngine(do.MustInvoke[*metrics.Set](i), d.engine)
 	return d, nil
