Keep the ends of flows apart from what every packet needs

The table's entry of 48 bytes spread a shard's map over many cache lines, of which a packet needs 12 bytes. The ends move to a second map that only changes of lists, identification and expiry read; it costs about 11 bytes a flow. Counters that all workers share are raised once a batch instead of once a packet.

--- a/core/owner.go
+++ b/core/owner.go
@@ -20,9 +20,9 @@
 }
 
 // touch notes a packet of a flow of the table.
-func (e *Engine) touch(a *arrival) (flow.Entry, bool) {
+func (e *Engine) touch(a *arrival) (flow.Progress, bool) {
 	entry, ok := e.table.Touch(a.now, a.hash, a.state())
-	if ok && !entry.Identified() {
+	if ok && !entry.Identified {
 		e.table.Identify(a.hash, flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst))
 	}
 	return entry, ok
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -81,6 +81,14 @@
 	o.handshake.Retain(func(labels []metrics.Label) bool { return named[labels[0].Value] })
 }
 
+// addBatch counts the packets of a batch.
+func (m *meters) addBatch(c batchCounts) {
+	m.forwarded.Inc(c.forwarded)
+	m.returned.Inc(c.returned)
+	m.hopsOut.Inc(c.hopsOut)
+	m.hopsIn.Inc(c.hopsIn)
+}
+
 // packetAt notes that packets came.
 func (m *meters) packetAt(now time.Time) {
 	m.lastPacket.Store(now.UnixNano())
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -33,6 +33,12 @@
 	toData  []udpio.Message
 	toPeers []udpio.Message
 	scratch scratch
+	counts  batchCounts
+}
+
+// batchCounts are the packets of one batch; counters that all workers share are raised once a batch.
+type batchCounts struct {
+	forwarded, returned, hopsOut, hopsIn int64
 }
 
 // scratch hands out buffers that live until the batch is written.
@@ -101,6 +107,8 @@
 	w.toData = w.toData[:0]
 	w.toPeers = w.toPeers[:0]
 	w.scratch.used = 0
+	w.d.metrics.addBatch(w.counts)
+	w.counts = batchCounts{}
 }
 
 func (w *worker) write(conn udpio.Conn, out []udpio.Message) {
@@ -151,7 +159,7 @@
 		w.d.metrics.kinds.Add(kind, 1)
 		return
 	}
-	w.d.metrics.hopsIn.Inc(1)
+	w.counts.hopsIn++
 	if hop.FromTarget {
 		w.apply(w.d.engine.FromPeerAnswer(now, hop, &w.meta), raw)
 		return
@@ -163,10 +171,10 @@
 func (w *worker) apply(v core.Verdict, raw []byte) {
 	switch v.Op {
 	case core.OpForward:
-		w.d.metrics.forwarded.Inc(1)
+		w.counts.forwarded++
 		w.toData = append(w.toData, udpio.Message{Buf: raw, N: len(raw), Addr: v.To})
 	case core.OpReturn:
-		w.d.metrics.returned.Inc(1)
+		w.counts.returned++
 		w.toData = append(w.toData, udpio.Message{Buf: raw, N: len(raw), Addr: w.d.settings.Egress})
 	case core.OpHop:
 		w.hop(v, raw)
@@ -180,7 +188,7 @@
 }
 
 func (w *worker) hop(v core.Verdict, raw []byte) {
-	w.d.metrics.hopsOut.Inc(1)
+	w.counts.hopsOut++
 	body := v.Hop.AppendTo(w.scratch.take()[:0])
 	body = append(body, raw...)
 	datagram := w.sealer.AppendSealed(w.scratch.take()[:0], v.Peer, wire.KindHop, body)
--- a/internal/flow/clock_test.go
+++ b/internal/flow/clock_test.go
@@ -35,7 +35,7 @@
 		Convey("an earlier packet does not take its time back", func() {
 			e, ok := table.Touch(early, h, StateOpen)
 			So(ok, ShouldBeTrue)
-			So(table.Age(late, e), ShouldEqual, 0)
+			So(table.Age(late, Entry{LastSeen: e.LastSeen}), ShouldEqual, 0)
 		})
 	})
 	Convey("A cached flow stays covered when a packet carries an earlier time than its last hop", t, func() {
@@ -65,3 +65,47 @@
 		So(gone, ShouldEqual, 1)
 	})
 }
+
+func TestEndsOfFlows(t *testing.T) {
+	Convey("Given a flow that is known from a log alone", t, func() {
+		epoch := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		caller := Endpoint{IP: [16]byte{15: 1}, Port: 40000}
+		service := Endpoint{IP: [16]byte{15: 2}, Port: 443}
+		table := NewTable(Config{}, epoch)
+		table.Insert(epoch, 7, Entry{Target: 1, State: StateOpen, Exception: true})
+		Convey("it has no ends until it is identified, and all else stays", func() {
+			p, _ := table.Touch(epoch, 7, StateOpen)
+			So(p, ShouldResemble, Progress{Target: 1, State: StateOpen, Exception: true})
+			table.Identify(7, caller, service)
+			want := Entry{Caller: caller, Service: service, Target: 1, State: StateOpen, Exception: true}
+			e, ok := table.Get(7)
+			So(ok, ShouldBeTrue)
+			So(e, ShouldResemble, want)
+			p, _ = table.Touch(epoch, 7, StateOpen)
+			So(p.Identified, ShouldBeTrue)
+			old, added := table.Insert(epoch, 7, Entry{Target: 2})
+			So(added, ShouldBeFalse)
+			So(old, ShouldResemble, want)
+			table.Each(func(_ model.FlowHash, e Entry) { So(e, ShouldResemble, want) })
+		})
+		Convey("its ends go with it", func() {
+			table.Identify(7, caller, service)
+			gone, ok := table.Remove(7)
+			So(ok, ShouldBeTrue)
+			So(gone.Caller, ShouldResemble, caller)
+			table.Insert(epoch, 7, Entry{Target: 3})
+			e, _ := table.Get(7)
+			So(e.Identified(), ShouldBeFalse)
+		})
+		Convey("an expired flow is returned with its ends", func() {
+			table.Identify(7, caller, service)
+			var gone []Expired
+			for turn := range uint64(shardCount) {
+				gone = append(gone, table.Expire(epoch.Add(24*time.Hour), turn, false)...)
+			}
+			So(len(gone), ShouldEqual, 1)
+			So(gone[0].Entry.Service, ShouldResemble, service)
+			So(table.Len(), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -55,6 +55,17 @@
 	return e.Service != Endpoint{}
 }
 
+// Progress is the part of an owned flow that its packets need.
+type Progress struct {
+	Target   model.TargetID
+	LastSeen uint32
+	State    State
+	// Exception is true while the owner's log names the flow.
+	Exception bool
+	// Identified is true where the flow's ends are known.
+	Identified bool
+}
+
 // Config sets how long flows are remembered.
 type Config struct {
 	// OpeningTimeout forgets a flow that never got past its SYN. Default 30 s.
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -22,16 +22,60 @@
 	shards [shardCount]tableShard
 }
 
+// tableShard keeps what every packet needs apart from the flows' ends, which few calls need: the
+// smaller map stays in the processor's cache.
 type tableShard struct {
 	mu    sync.Mutex
-	flows map[model.FlowHash]Entry
+	flows map[model.FlowHash]Progress
+	// ends holds only flows that are identified.
+	ends map[model.FlowHash]ends
+}
+
+// ends are the two ends of a flow.
+type ends struct {
+	caller, service Endpoint
+}
+
+// entry joins what is known of a flow.
+func (s *tableShard) entry(h model.FlowHash, p Progress) Entry {
+	e := Entry{Target: p.Target, LastSeen: p.LastSeen, State: p.State, Exception: p.Exception}
+	if p.Identified {
+		known := s.ends[h]
+		e.Caller, e.Service = known.caller, known.service
+	}
+	return e
+}
+
+// get returns a flow.
+func (s *tableShard) get(h model.FlowHash) (Entry, bool) {
+	p, ok := s.flows[h]
+	if !ok {
+		return Entry{}, false
+	}
+	return s.entry(h, p), true
+}
+
+// put writes a flow.
+func (s *tableShard) put(h model.FlowHash, e Entry) {
+	p := Progress{Target: e.Target, LastSeen: e.LastSeen, State: e.State, Exception: e.Exception, Identified: e.Identified()}
+	s.flows[h] = p
+	if p.Identified {
+		s.ends[h] = ends{e.Caller, e.Service}
+	}
+}
+
+// remove forgets a flow.
+func (s *tableShard) remove(h model.FlowHash) {
+	delete(s.flows, h)
+	delete(s.ends, h)
 }
 
 // NewTable returns an empty table. Times handed to it may not lie before epoch.
 func NewTable(cfg Config, epoch time.Time) *Table {
 	t := &Table{cfg: cfg.Defaults(), epoch: epoch}
 	for i := range t.shards {
-		t.shards[i].flows = make(map[model.FlowHash]Entry)
+		t.shards[i].flows = make(map[model.FlowHash]Progress)
+		t.shards[i].ends = make(map[model.FlowHash]ends)
 	}
 	return t
 }
@@ -58,24 +102,24 @@
 	return uint32(max(int32(now-last), 0))
 }
 
-// Touch notes a packet of a known flow and returns the flow. The state moves forward only; LastSeen
-// lags behind by less than touchInterval.
-func (t *Table) Touch(now time.Time, h model.FlowHash, state State) (Entry, bool) {
+// Touch notes a packet of a known flow and returns the flow's progress. The state moves forward only;
+// LastSeen lags behind by less than touchInterval.
+func (t *Table) Touch(now time.Time, h model.FlowHash, state State) (Progress, bool) {
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.flows[h]
+	p, ok := s.flows[h]
 	if !ok {
-		return Entry{}, false
+		return Progress{}, false
 	}
 	ms := t.millis(now)
-	if state <= e.State && silence(ms, e.LastSeen) < touchInterval {
-		return e, true
+	if state <= p.State && silence(ms, p.LastSeen) < touchInterval {
+		return p, true
 	}
-	e.LastSeen += silence(ms, e.LastSeen)
-	e.State = max(e.State, state)
-	s.flows[h] = e
-	return e, true
+	p.LastSeen += silence(ms, p.LastSeen)
+	p.State = max(p.State, state)
+	s.flows[h] = p
+	return p, true
 }
 
 // Age returns the time since the last packet of a flow.
@@ -88,8 +132,7 @@
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.flows[h]
-	return e, ok
+	return s.get(h)
 }
 
 // Insert adds a flow unless it is already there; it returns the flow in force and whether it is
@@ -98,11 +141,11 @@
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if old, ok := s.flows[h]; ok {
+	if old, ok := s.get(h); ok {
 		return old, false
 	}
 	e.LastSeen = t.millis(now)
-	s.flows[h] = e
+	s.put(h, e)
 	return e, true
 }
 
@@ -111,8 +154,8 @@
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e, ok := s.flows[h]
-	delete(s.flows, h)
+	e, ok := s.get(h)
+	s.remove(h)
 	return e, ok
 }
 
@@ -121,9 +164,9 @@
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e, ok := s.flows[h]; ok {
+	if e, ok := s.get(h); ok {
 		e.Caller, e.Service = caller, service
-		s.flows[h] = e
+		s.put(h, e)
 	}
 }
 
@@ -132,9 +175,9 @@
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e, ok := s.flows[h]; ok {
-		e.Exception = exception
-		s.flows[h] = e
+	if p, ok := s.flows[h]; ok {
+		p.Exception = exception
+		s.flows[h] = p
 	}
 }
 
@@ -152,13 +195,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var gone []Expired
-	for h, e := range s.flows {
-		if keepOpen && e.State == StateOpen {
+	for h, p := range s.flows {
+		if keepOpen && p.State == StateOpen {
 			continue
 		}
-		if silence(ms, e.LastSeen) > t.cfg.timeout(e.State) {
-			gone = append(gone, Expired{Hash: h, Entry: e})
-			delete(s.flows, h)
+		if silence(ms, p.LastSeen) > t.cfg.timeout(p.State) {
+			gone = append(gone, Expired{Hash: h, Entry: s.entry(h, p)})
+			s.remove(h)
 		}
 	}
 	return gone
@@ -174,8 +217,8 @@
 func (s *tableShard) each(f func(h model.FlowHash, e Entry)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for h, e := range s.flows {
-		f(h, e)
+	for h, p := range s.flows {
+		f(h, s.entry(h, p))
 	}
 }
 
