--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,76 @@
+package measure
+
+import (
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/relay"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+)
+
+// freeAddr returns a loopback address that nothing listens on.
+func freeAddr(n udpio.Network) netip.AddrPort {
+	c, err := n.Listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	So(err, ShouldBeNil)
+	defer c.Close()
+	return c.LocalAddr()
+}
+
+func testConfig(n udpio.Network, sink, via netip.AddrPort) Config {
+	return Config{
+		Network: n,
+		Paths:   []Path{{Name: "relay", Via: via, PID: os.Getpid()}},
+		Sink:    sink,
+		Service: netip.MustParseAddrPort("192.0.2.10:443"),
+		Flows:   100,
+		Payload: 64,
+		Window:  batchSize,
+		Rate:    1000,
+		Round:   10 * time.Millisecond,
+		Rounds:  2,
+	}
+}
+
+func TestRun(t *testing.T) {
+	Convey("Given a sink", t, func() {
+		network := udpio.System(udpio.Config{})
+		sink := freeAddr(network)
+		Convey("a relay to it is measured", func() {
+			r, err := relay.New(relay.Config{Network: network, Listen: netip.MustParseAddrPort("127.0.0.1:0"), To: sink})
+			So(err, ShouldBeNil)
+			go r.Run()
+			defer r.Close()
+			results, err := Run(testConfig(network, sink, r.Addr()))
+			So(err, ShouldBeNil)
+			So(len(results), ShouldEqual, 1)
+			So(results[0].Packets, ShouldBeGreaterThan, 0)
+			So(results[0].Delay.TotalCount(), ShouldBeGreaterThan, 0)
+			So(results[0].Delay.Max(), ShouldBeLessThanOrEqualTo, int64(maxDelay))
+		})
+		Convey("a path that loses the first packets is an error that names it", func() {
+			_, err := Run(testConfig(network, sink, freeAddr(network)))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "relay")
+		})
+		Convey("a payload without room for the mark is an error", func() {
+			cfg := testConfig(network, sink, sink)
+			cfg.Payload = 1
+			_, err := Run(cfg)
+			So(err, ShouldNotBeNil)
+		})
+	})
+}
+
+func TestWatch(t *testing.T) {
+	Convey("A process's memory is read, and a missing process is an error", t, func() {
+		idle, err := Watch([]int{os.Getpid()}, time.Millisecond)
+		So(err, ShouldBeNil)
+		So(idle[0].ResidentBytes, ShouldBeGreaterThan, 0)
+		_, err = Watch([]int{-1}, time.Millisecond)
+		So(err, ShouldNotBeNil)
+	})
+}
