--- a/core/packets.go
+++ b/core/packets.go
@@ -22,8 +22,6 @@
 	hash model.FlowHash
 	// hops is the number of daemons that have passed the packet on.
 	hops uint8
-	// from is the daemon that hopped the packet here; 0 where the fabric did.
-	from model.MachineID
 	// known is true for a flow that this daemon or the sender of the hop has known since before the
 	// present partition.
 	known bool
@@ -73,7 +71,7 @@
 	if w == nil {
 		return drop(errkind.NotReady)
 	}
-	a := arrival{now: now, meta: m, hash: m.Key().Hash(), hops: hop.Hops, known: hop.Known, from: from, former: flow.Incarnated(hop.Former)}
+	a := arrival{now: now, meta: m, hash: m.Key().Hash(), hops: hop.Hops, known: hop.Known, former: flow.Incarnated(hop.Former)}
 	if hop.Delegated {
 		return e.decideFor(w, &a, from)
 	}
@@ -93,7 +91,6 @@
 		return e.own(w, a)
 	}
 	if a.hops > 0 {
-		e.log.Dispute(a.from)
 		return e.disputed(w, a, owner)
 	}
 	if t := e.covered(w, a, owner); t != nil {
@@ -136,7 +133,36 @@
 	if route == nil {
 		return nil
 	}
-	return route.defaultTarget(a.meta.Dst, a.hash)
+	t := route.defaultTarget(a.meta.Dst, a.hash)
+	if t == nil || e.contested(w, a, route, t) {
+		return nil
+	}
+	return t
+}
+
+// contested reports whether the log of a daemon that is gone gives an unnamed flow another target. The
+// present owner may not know such a flow, while the hop that would tell it was lost.
+func (e *Engine) contested(w *world, a *arrival, route *route, t *model.Target) bool {
+	for _, cp := range e.copies.Retired() {
+		r := cp.Route(a.hash)
+		if !r.Synced {
+			continue
+		}
+		if r.Exception {
+			if r.Target != t.ID {
+				return true
+			}
+			continue
+		}
+		former := w.routeOf(r.Generation)
+		if former == nil || former == route {
+			continue
+		}
+		if other := former.defaultTarget(a.meta.Dst, a.hash); other != nil && other.ID != t.ID {
+			return true
+		}
+	}
+	return false
 }
 
 // disputed handles a packet that a peer hopped here although this daemon holds another to be the
--- a/internal/flow/copy.go
+++ b/internal/flow/copy.go
@@ -24,8 +24,6 @@
 	ackDue bool
 	// wanted is the highest mark at which a flow was noted that the copy does not cover yet.
 	wanted atomic.Uint64
-	// disputes is the highest LogBatch.Disputes.
-	disputes uint64
 	// gapSince is when the first batch arrived that did not join the position; zero without a gap.
 	gapSince time.Time
 	// retiredAt is when the owner was found dead or replaced; zero while it lives.
@@ -75,8 +73,6 @@
 	// Heard is the highest mark of this daemon that the owner had received when it wrote what the copy
 	// holds.
 	Heard Mark
-	// Run identifies the time in which the owner agreed to own what this daemon sent it, in a Seen.
-	Run Run
 	// Owner identifies the log's owner and its incarnation.
 	Owner Incarnated
 }
@@ -95,7 +91,6 @@
 		Generation: c.generation,
 		Echoed:     c.echoed,
 		Heard:      c.heard,
-		Run:        runOf(c.Owner, c.Incarnation, c.disputes),
 		Owner:      IncarnatedOf(c.Owner, c.Incarnation),
 	}
 }
@@ -142,7 +137,6 @@
 	c.next = end
 	c.generation = b.Generation
 	c.heard = max(c.heard, Mark(b.Echo))
-	c.disputes = max(c.disputes, b.Disputes)
 	if b.Complete {
 		c.echoed = max(c.echoed, Mark(b.Echo))
 	}
--- a/internal/flow/log.go
+++ b/internal/flow/log.go
@@ -61,7 +61,6 @@
 	sentAt      time.Time
 	mark        uint64 // highest mark received from the peer
 	echoed      uint64 // highest mark sent back
-	disputes    uint64 // hops of the peer for flows of other owners
 }
 
 // NewLog returns an empty log whose defaults are those of a generation.
@@ -91,15 +90,24 @@
 	l.append(wire.Record{Hash: h, Target: target})
 }
 
-// Remove logs that a flow has ended or has become a default one.
+// Remove logs that a flow has ended.
 func (l *Log) Remove(h model.FlowHash) {
+	l.withdraw(wire.Record{Hash: h, Remove: true})
+}
+
+// Settle logs that a flow's target has become its default one.
+func (l *Log) Settle(h model.FlowHash) {
+	l.withdraw(wire.Record{Hash: h, Remove: true, Settled: true})
+}
+
+func (l *Log) withdraw(r wire.Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, ok := l.live[h]; !ok {
+	if _, ok := l.live[r.Hash]; !ok {
 		return
 	}
-	delete(l.live, h)
-	l.append(wire.Record{Hash: h, Remove: true})
+	delete(l.live, r.Hash)
+	l.append(r)
 }
 
 // SetGeneration logs that from here on unnamed flows have the default target of a generation. All
@@ -240,18 +248,6 @@
 		Generation: l.generationAt(to),
 		Echo:       p.echoed,
 		Complete:   !l.incomplete,
-		Disputes:   p.disputes,
-	}
-}
-
-// Dispute notes that a peer takes this daemon for the owner of a flow that is another's. The peer is told
-// with the next batch, so that it does not rely on this log for such flows.
-func (l *Log) Dispute(peer model.MachineID) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if p, ok := l.peers[peer]; ok {
-		p.disputes++
-		p.echoed = 0
 	}
 }
 
@@ -300,6 +296,18 @@
 	return int(l.head() - lowest)
 }
 
+// Applied reports whether every peer knows this daemon and has applied its whole log.
+func (l *Log) Applied() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, p := range l.peers {
+		if p.acked < l.head() {
+			return false
+		}
+	}
+	return true
+}
+
 // Snapshot is the whole state of a log at one position.
 type Snapshot struct {
 	Owner       model.MachineID
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -225,6 +225,9 @@
 	Target model.TargetID
 	// Remove is true when the flow is no exception any more.
 	Remove bool
+	// Settled is true with Remove when the flow goes on and its target has become its default one; else
+	// the flow is over.
+	Settled bool
 }
 
 // LogBatch carries consecutive records of an owner's exception log to one receiver.
@@ -244,17 +247,19 @@
 	// Complete is true when the log names every exception among the flows that the owner had when it
 	// received the echoed mark. It is false while the owner is still taking over flows of others.
 	Complete bool
-	// Disputes counts the hops of the receiver for flows that the owner does not hold to be its own.
-	Disputes uint64
-	Records  []Record
+	// Owners is a digest of the owners in the sender's view. The echo holds for a receiver with the same
+	// view alone: by another view the sender may not know yet that it owns a flow.
+	Owners  uint32
+	Records []Record
 }
 
-// A record ends in a reference to its target: recordRemove, recordNewTarget with the id after it, or
-// recordFirstTarget plus the index of an id that appeared earlier in the batch.
+// A record ends in a reference to its target: recordRemove, recordSettled, recordNewTarget with the id
+// after it, or recordFirstTarget plus the index of an id that appeared earlier in the batch.
 const (
 	recordRemove      = 0
 	recordNewTarget   = 1
 	recordFirstTarget = 2
+	recordSettled     = 255
 
 	minRecordBytes = 9
 	// maxBatchTargets bounds the ids that a batch refers back to.
@@ -270,7 +275,7 @@
 	dst = binary.AppendUvarint(dst, b.Generation.Machines)
 	dst = binary.AppendUvarint(dst, b.Echo)
 	dst = append(dst, boolBit(b.Complete, 0))
-	dst = binary.AppendUvarint(dst, b.Disputes)
+	dst = binary.BigEndian.AppendUint32(dst, b.Owners)
 	dst = binary.AppendUvarint(dst, uint64(len(b.Records)))
 	var known targetIndex
 	for _, r := range b.Records {
@@ -294,7 +299,7 @@
 		d.failed = true
 	}
 	b.Complete = flags == 1
-	b.Disputes = d.uvarint()
+	b.Owners = d.uint32()
 	b.Records = b.Records[:0]
 	n := d.count(minRecordBytes)
 	if b.NextSeq < b.FirstSeq || b.NextSeq-b.FirstSeq < uint64(n) {
@@ -316,6 +321,9 @@
 }
 
 func (t *targetIndex) appendReference(dst []byte, r Record) []byte {
+	if r.Settled {
+		return append(dst, recordSettled)
+	}
 	if r.Remove {
 		return append(dst, recordRemove)
 	}
@@ -333,6 +341,8 @@
 	switch ref := d.byte(); {
 	case ref == recordRemove:
 		r.Remove = true
+	case ref == recordSettled:
+		r.Remove, r.Settled = true, true
 	case ref == recordNewTarget:
 		r.Target = model.TargetID(d.uint32())
 		t.add(r.Target)
--- a/internal/wire/messages_test.go
+++ b/internal/wire/messages_test.go
@@ -49,9 +49,11 @@
 		FirstSeq:         rapid.Uint64Range(0, 1<<60).Draw(t, "seq"),
 		Generation:       model.Generation{Plans: rapid.Uint64().Draw(t, "plans"), Machines: rapid.Uint64().Draw(t, "machines")},
 		Echo:             rapid.Uint64().Draw(t, "echo"),
+		Owners:           rapid.Uint32().Draw(t, "owners"),
 	}
 	for range rapid.IntRange(0, 300).Draw(t, "records") {
 		r := Record{Hash: model.FlowHash(rapid.Uint64().Draw(t, "hash")), Remove: rapid.Bool().Draw(t, "remove")}
+		r.Settled = r.Remove && rapid.Bool().Draw(t, "settled")
 		if !r.Remove {
 			r.Target = model.TargetID(rapid.Uint32Range(1, 200).Draw(t, "target"))
 		}
