Lower the hop limit of forwarded packets

A target's data address that leads back to an entry VM made packets circle at line rate for ever, since no router that sees the inner header lies on that loop. With the hop limit lowered once a pass it ends as packet_looping. A hop between daemons does not lower it: hops are bounded by their own count.

--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -172,9 +172,11 @@
 	switch v.Op {
 	case core.OpForward:
 		w.counts.forwarded++
+		packet.DecrementHopLimit(raw)
 		w.toData = append(w.toData, udpio.Message{Buf: raw, N: len(raw), Addr: v.To})
 	case core.OpReturn:
 		w.counts.returned++
+		packet.DecrementHopLimit(raw)
 		w.toData = append(w.toData, udpio.Message{Buf: raw, N: len(raw), Addr: w.d.settings.Egress})
 	case core.OpHop:
 		w.hop(v, raw)
