Let idle logs fall quiet

Cause: an acknowledgement carries the peer's newest mark, the owner echoes it in an empty batch, and every batch was acknowledged, with the next mark. Owner and peer answered each other at each log interval for ever. A batch without records that only answers an acknowledgement needs none: a lost one is asked for again by the flow that waits for its mark, and lost records are sent again by the owner.

Ruled out: a longer interval alone, which only slows the exchange.

--- a/internal/flow/copy.go
+++ b/internal/flow/copy.go
@@ -121,8 +121,10 @@
 func (c *Copy) Apply(now time.Time, b wire.LogBatch) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ackDue = true
 	end := b.FirstSeq + uint64(len(b.Records))
+	if !c.onlyAnswers(b) {
+		c.ackDue = true
+	}
 	if c.next == 0 || b.FirstSeq > c.next {
 		c.noteGap(now)
 		return false
@@ -143,6 +145,12 @@
 	return true
 }
 
+// onlyAnswers reports whether a batch without records answers an acknowledgement of this position and
+// tells nothing else. It needs no acknowledgement of its own: the two would answer each other for ever.
+func (c *Copy) onlyAnswers(b wire.LogBatch) bool {
+	return len(b.Records) == 0 && b.FirstSeq == c.next && Mark(b.Echo) > c.heard
+}
+
 // Want notes that a flow of the owner was first seen here at a mark, so that the mark must be sent to
 // the owner and come back.
 func (c *Copy) Want(m Mark) {
--- /dev/null
+++ b/internal/flow/idle_test.go
@@ -0,0 +1,65 @@
+package flow
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// exchange runs an owner's log and a peer's copy for a number of log intervals and returns how many
+// batches and acknowledgements were sent.
+func exchange(log *Log, cp *Copy, now time.Time, mark *Mark, intervals int) (batches, acks int) {
+	const interval = 100 * time.Millisecond
+	for range intervals {
+		now = now.Add(interval)
+		*mark++
+		if b, ok := log.Batch(now, 2); ok {
+			batches++
+			cp.Apply(now, b)
+		}
+		if a, ok := cp.TakeAck(*mark); ok {
+			acks++
+			log.HandleAck(2, 20, a)
+		}
+	}
+	return batches, acks
+}
+
+func TestIdleLogsAreQuiet(t *testing.T) {
+	Convey("Given a log and a copy that has caught up", t, func() {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		log := NewLog(LogConfig{}, model.Generation{Plans: 1})
+		log.Add(7, 1)
+		log.SetPeers([]Peer{{ID: 2, Incarnation: 20}})
+		copies := NewCopies(time.Hour)
+		copies.Restore(now, log.Snapshot(1, 10), true)
+		cp := copies.Of(1)
+		mark := Mark(1)
+		exchange(log, cp, now, &mark, 20)
+
+		Convey("nothing is sent while nothing happens", func() {
+			batches, acks := exchange(log, cp, now.Add(time.Minute), &mark, 100)
+			So(batches, ShouldEqual, 0)
+			So(acks, ShouldEqual, 0)
+		})
+		Convey("a flow that waits for its mark is covered within a few intervals, then all is quiet", func() {
+			first := mark
+			cp.Want(first)
+			exchange(log, cp, now.Add(time.Minute), &mark, 4)
+			So(cp.Position().Echoed, ShouldBeGreaterThan, first)
+			batches, acks := exchange(log, cp, now.Add(2*time.Minute), &mark, 100)
+			So(batches+acks, ShouldEqual, 0)
+		})
+		Convey("a record is sent and acknowledged, then all is quiet", func() {
+			log.Add(8, 2)
+			exchange(log, cp, now.Add(time.Minute), &mark, 4)
+			So(cp.Route(8).Exception, ShouldBeTrue)
+			So(log.Unacknowledged(), ShouldEqual, 0)
+			batches, acks := exchange(log, cp, now.Add(2*time.Minute), &mark, 100)
+			So(batches+acks, ShouldEqual, 0)
+		})
+	})
+}
