--- a/core/answers.go
+++ b/core/answers.go
@@ -48,7 +48,7 @@
 	case m.Flags.Has(packet.RST):
 		e.noteReset(now, h, entry)
 	case m.Flags.Has(packet.SYN):
-		handshake := e.table.Age(now, entry)
+		handshake := e.table.Age(now, entry.LastSeen)
 		e.loads.Answered(now, entry.Target, handshake)
 		e.observeAnswer(m, handshake)
 	}
@@ -61,7 +61,7 @@
 	if entry.State == flow.StateOpening {
 		e.loads.Unanswered(now, entry.Target)
 	}
-	e.table.Touch(now, h, flow.StateClosing)
+	e.advance(now, h, flow.StateClosing)
 }
 
 // servesFrom reports whether the target at a data address belongs to the service at an address, in
--- a/internal/flow/clock_test.go
+++ b/internal/flow/clock_test.go
@@ -29,13 +29,13 @@
 		})
 		Convey("its age is zero", func() {
 			e, _ := table.Get(h)
-			So(table.Age(early, e), ShouldEqual, 0)
-			So(table.Age(late.Add(time.Second), e), ShouldEqual, time.Second)
+			So(table.Age(early, e.LastSeen), ShouldEqual, 0)
+			So(table.Age(late.Add(time.Second), e.LastSeen), ShouldEqual, time.Second)
 		})
 		Convey("an earlier packet does not take its time back", func() {
 			e, ok := table.Touch(early, h, StateOpen)
 			So(ok, ShouldBeTrue)
-			So(table.Age(late, Entry{LastSeen: e.LastSeen}), ShouldEqual, 0)
+			So(table.Age(late, e.LastSeen), ShouldEqual, 0)
 		})
 	})
 	Convey("A cached flow stays covered when a packet carries an earlier time than its last hop", t, func() {
@@ -54,7 +54,7 @@
 		table := NewTable(Config{}, epoch)
 		table.Insert(wrap.Add(-time.Second), 7, Entry{Target: 1, State: StateOpen})
 		e, _ := table.Get(7)
-		So(table.Age(wrap.Add(time.Second), e), ShouldEqual, 2*time.Second)
+		So(table.Age(wrap.Add(time.Second), e.LastSeen), ShouldEqual, 2*time.Second)
 		for turn := range uint64(shardCount) {
 			So(table.Expire(wrap.Add(time.Minute), turn, false), ShouldBeEmpty)
 		}
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -105,26 +105,33 @@
 // Touch notes a packet of a known flow and returns the flow's progress. The state moves forward only;
 // LastSeen lags behind by less than touchInterval.
 func (t *Table) Touch(now time.Time, h model.FlowHash, state State) (Progress, bool) {
+	p, _, ok := t.Advance(now, h, state)
+	return p, ok
+}
+
+// Advance is Touch, and returns the flow's progress before the packet too.
+func (t *Table) Advance(now time.Time, h model.FlowHash, state State) (after, before Progress, ok bool) {
 	s := &t.shards[shardIndex(h)]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p, ok := s.flows[h]
 	if !ok {
-		return Progress{}, false
+		return Progress{}, Progress{}, false
 	}
+	before = p
 	ms := t.millis(now)
 	if state <= p.State && silence(ms, p.LastSeen) < touchInterval {
-		return p, true
+		return p, before, true
 	}
 	p.LastSeen += silence(ms, p.LastSeen)
 	p.State = max(p.State, state)
 	s.flows[h] = p
-	return p, true
+	return p, before, true
 }
 
-// Age returns the time since the last packet of a flow.
-func (t *Table) Age(now time.Time, e Entry) time.Duration {
-	return time.Duration(silence(t.millis(now), e.LastSeen)) * time.Millisecond
+// Age returns the time since a flow's LastSeen.
+func (t *Table) Age(now time.Time, lastSeen uint32) time.Duration {
+	return time.Duration(silence(t.millis(now), lastSeen)) * time.Millisecond
 }
 
 // Get returns a flow without noting a packet.
