--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -129,7 +129,7 @@
 	return p, before, true
 }
 
-// Age returns the time since a flow's LastSeen.
+// Age returns the time since an Entry.LastSeen.
 func (t *Table) Age(now time.Time, lastSeen uint32) time.Duration {
 	return time.Duration(silence(t.millis(now), lastSeen)) * time.Millisecond
 }
