--- a/internal/standin/workload.go
+++ b/internal/standin/workload.go
@@ -149,11 +149,19 @@
 }
 
 func (c *Caller) startSession(now time.Time, w *workloadState) {
-	s := &session{workload: w, nextAt: now}
+	s := &session{workload: w, nextAt: now.Add(c.phase(w))}
 	c.prepare(s)
 	c.connect(now, s)
 }
 
+// phase draws the wait before a session's first request, so that streams are not in step.
+func (c *Caller) phase(w *workloadState) time.Duration {
+	if w.Kind != WorkloadStream {
+		return 0
+	}
+	return time.Duration(c.cfg.Rand.Float64() * float64(w.Interval))
+}
+
 // prepare makes the session's next request.
 func (c *Caller) prepare(s *session) {
 	w := s.workload
