--- a/internal/bench/result.go
+++ b/internal/bench/result.go
@@ -38,7 +38,7 @@
 	WarmupBroken    int `json:"warmup_broken"`
 	WarmupMisrouted int `json:"warmup_misrouted"`
 	// BrokenConnected counts broken flows whose caller and target no partition cut off from each other.
-	BrokenConnected int              `json:"broken_one_side"`
+	BrokenConnected int              `json:"broken_connected"`
 	Summary         scenario.Summary `json:"summary"`
 	Imbalance       []Imbalance      `json:"imbalance"`
 	Latencies       []Latency        `json:"latencies"`
