--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -274,6 +274,25 @@
 	})
 }
 
+func TestTooLow(t *testing.T) {
+	Convey("Reports are doubted by what the owner's share lets expect", t, func() {
+		for _, c := range []struct {
+			reported, open, owners int
+			want                   bool
+		}{
+			{reported: 0, open: 21, owners: 8, want: true},
+			{reported: 0, open: 3, owners: 8, want: false},
+			{reported: 200, open: 26, owners: 8, want: false},
+			{reported: 120, open: 26, owners: 8, want: false},
+			{reported: 95, open: 100, owners: 1, want: false},
+			{reported: 40, open: 100, owners: 1, want: true},
+			{reported: 500, open: 6, owners: 300, want: false},
+		} {
+			So(tooLow(c.reported, c.open, c.owners), ShouldEqual, c.want)
+		}
+	})
+}
+
 func TestAppendToStaysWithinItsLimit(t *testing.T) {
 	Convey("A section holds its limit and every target gets its turn", t, func() {
 		f := newFixture(30)
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -220,8 +221,20 @@
 	m.loads.DropReport(s.target.ID)
 }
 
-// reportSlack is the number of open flows by which a report may lag without being doubted.
-const reportSlack = 32
+// chance is the number of standard deviations of an own count that chance may explain.
+const chance = 3
+
+// tooLow reports whether a target cannot have as few connections as it says: less than half of what this
+// daemon's own flows there let expect of the fleet, leaving room for chance, or clearly fewer than this
+// daemon's own.
+func tooLow(reported, open, owners int) bool {
+	own := float64(open)
+	room := chance * math.Sqrt(own)
+	if float64(reported)+room < own {
+		return true
+	}
+	return 2*float64(reported) < (own-room)*float64(owners)
+}
 
 // doubt returns why the last report cannot be right, or ReasonNone.
 func (m *Monitor) doubt(s *state) Reason {
@@ -229,7 +242,7 @@
 		return ReasonNone
 	}
 	open := m.loads.Open(s.target.ID)
-	if 2*s.report.Connections+reportSlack < open {
+	if tooLow(s.report.Connections, open, m.owners) {
 		return ReasonReportTooLow
 	}
 	limit := float64(s.target.MaxConnections)
