--- a/core/owner.go
+++ b/core/owner.go
@@ -20,12 +20,12 @@
 }
 
 // touch notes a packet of a flow of the table.
-func (e *Engine) touch(a *arrival) (flow.Entry, bool) {
+func (e *Engine) touch(a *arrival) (flow.Progress, bool) {
 	entry, before, ok := e.advance(a.now, a.hash, a.state())
 	if ok {
 		e.noteEstablished(a, entry, before)
 	}
-	if ok && !entry.Identified() {
+	if ok && !entry.Identified {
 		e.table.Identify(a.hash, flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst))
 	}
 	return entry, ok
@@ -41,7 +41,7 @@
 	case flow.StateOpening:
 		return true
 	case flow.StateOpen:
-		return e.table.Age(a.now, entry) < repeatedSYN
+		return e.table.Age(a.now, entry.LastSeen) < repeatedSYN
 	default:
 		return false
 	}
