--- a/internal/daemon/health.go
+++ b/internal/daemon/health.go
@@ -13,9 +13,9 @@
 
 const (
 	// healthTicks is the number of ticks of the engine between two judgements of the targets.
-	healthTicks = 5
+	healthTicks = 10
 	// healthSectionBytes bounds the health results on one heartbeat.
-	healthSectionBytes = 200
+	healthSectionBytes = 64
 )
 
 // targetHealth joins the health monitor to the engine: who probes, what is heard and what is told.
