Count customers' flows from admission to their end

The limits of plans were built and never asked: core.Limits had no implementation outside tests, and a flow's end was never counted.

A record for each counted flow names its customer, so that the end counts for the same customer after the lists have changed; taking the record away is what closes the flow, so that a FIN, an expiry and a yield that race close it once. A flow of a predecessor counts once its ends are known. After a change of the owners has settled each daemon counts just the flows that it owns.

--- a/core/config.go
+++ b/core/config.go
@@ -127,11 +127,15 @@
 type Limits interface {
 	// Open counts a new flow, or returns the kind of the limit that it would exceed.
 	Open(now time.Time, a Admission) errkind.Kind
-	// Close counts the end of a flow that Open has counted.
-	Close(now time.Time, a Admission)
+	// TakeOver counts a customer's open flow that another owner admitted. It never refuses.
+	TakeOver(now time.Time, c *model.Customer)
+	// Close counts the end of a flow that Open or TakeOver has counted, once for each. Only the name of
+	// the customer is set.
+	Close(now time.Time, c *model.Customer)
 }
 
 type noLimits struct{}
 
 func (noLimits) Open(time.Time, Admission) errkind.Kind { return errkind.None }
-func (noLimits) Close(time.Time, Admission)             {}
+func (noLimits) TakeOver(time.Time, *model.Customer)    {}
+func (noLimits) Close(time.Time, *model.Customer)       {}
--- /dev/null
+++ b/core/counted.go
@@ -0,0 +1,125 @@
+package core
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// countedShards is the number of shards of countedFlows.
+const countedShards = 64
+
+// countedFlows remembers for which customer each flow counts in Limits, so that its end counts for the same
+// one after the lists have changed. A flow has one record at most, and removing it is what closes it.
+type countedFlows struct {
+	shards [countedShards]countedShard
+	// customers holds one customer, with nothing but its name, for each name: a record does not keep old
+	// lists in memory.
+	customers sync.Map
+}
+
+type countedShard struct {
+	mu    sync.Mutex
+	flows map[model.FlowHash]*model.Customer
+}
+
+func newCountedFlows() *countedFlows {
+	c := &countedFlows{}
+	for i := range c.shards {
+		c.shards[i].flows = make(map[model.FlowHash]*model.Customer)
+	}
+	return c
+}
+
+func (c *countedFlows) shard(h model.FlowHash) *countedShard {
+	return &c.shards[h>>58]
+}
+
+// add writes the record of a flow; it returns false where there is one.
+func (c *countedFlows) add(h model.FlowHash, customer *model.Customer) bool {
+	named, _ := c.customers.LoadOrStore(customer.Name, &model.Customer{Name: customer.Name})
+	s := c.shard(h)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.flows[h] != nil {
+		return false
+	}
+	s.flows[h] = named.(*model.Customer)
+	return true
+}
+
+// remove takes the record of a flow away and returns its customer, or nil where there was none.
+func (c *countedFlows) remove(h model.FlowHash) *model.Customer {
+	s := c.shard(h)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	customer := s.flows[h]
+	delete(s.flows, h)
+	return customer
+}
+
+// has reports whether a flow has a record.
+func (c *countedFlows) has(h model.FlowHash) bool {
+	s := c.shard(h)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.flows[h] != nil
+}
+
+// countOpened records a flow that Limits.Open has counted and that is in the table.
+func (e *Engine) countOpened(now time.Time, h model.FlowHash, customer *model.Customer) {
+	if !e.counted.add(h, customer) {
+		e.limits.Close(now, customer)
+	}
+	e.uncountEnded(now, h)
+}
+
+// countTakenOver counts a flow of the table that another owner admitted. Its customer is the one in the
+// lists in force; a flow without any counts for nobody.
+func (e *Engine) countTakenOver(w *world, now time.Time, h model.FlowHash, caller, service flow.Endpoint) {
+	customer, _, _ := w.admitter.Admit(caller.AddrPort().Addr(), service.AddrPort())
+	if customer == nil || e.counted.has(h) {
+		return
+	}
+	e.limits.TakeOver(now, customer)
+	e.countOpened(now, h, customer)
+}
+
+// uncountEnded closes a flow that ended while it was being counted.
+func (e *Engine) uncountEnded(now time.Time, h model.FlowHash) {
+	if entry, ok := e.table.Get(h); !ok || entry.State == flow.StateClosing {
+		e.uncount(now, h)
+	}
+}
+
+// uncount closes a flow in Limits, once.
+func (e *Engine) uncount(now time.Time, h model.FlowHash) {
+	if customer := e.counted.remove(h); customer != nil {
+		e.limits.Close(now, customer)
+	}
+}
+
+// recount makes the flows that this daemon owns the ones that it counts: after a change of the owners the
+// table still holds flows that another owner counts now.
+func (e *Engine) recount(now time.Time, w *world) {
+	var lost []model.FlowHash
+	gained := make(map[model.FlowHash]flow.Entry)
+	e.table.Each(func(h model.FlowHash, entry flow.Entry) {
+		owner := w.owner(h)
+		owned := owner != nil && owner.ID == e.cfg.Self
+		switch {
+		case !owned:
+			lost = append(lost, h)
+		case entry.Identified() && entry.State != flow.StateClosing && !e.counted.has(h):
+			gained[h] = entry
+		}
+	})
+	for _, h := range lost {
+		e.uncount(now, h)
+	}
+	for h, entry := range gained {
+		e.countTakenOver(w, now, h, entry.Caller, entry.Service)
+	}
+}
--- a/core/engine.go
+++ b/core/engine.go
@@ -16,6 +16,8 @@
 	cfg    Config
 	policy placement.Policy
 	limits Limits
+	// counted names the flows that limits count.
+	counted *countedFlows
 
 	world  atomic.Pointer[world]
 	lease  *membership.Lease
@@ -68,6 +70,7 @@
 		cfg:     cfg,
 		policy:  cfg.Policy,
 		limits:  cfg.Limits,
+		counted: newCountedFlows(),
 		behind:  true,
 		members: members,
 		lease:   members.Lease(),
--- a/core/evidence.go
+++ b/core/evidence.go
@@ -35,6 +35,7 @@
 	after, before, ok = e.table.Advance(now, h, state)
 	if ok && before.State != flow.StateClosing && after.State == flow.StateClosing {
 		e.loads.Closed(after.Target)
+		e.uncount(now, h)
 	}
 	return after, before, ok
 }
--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -30,6 +30,11 @@
 	loss    float64
 	cut     func(a, b *model.EntryVM) bool
 	policy  placement.Policy
+	// limits returns the limits of a daemon; nil for none.
+	limits func(n *node) Limits
+	// sections returns what a daemon adds to its heartbeats, and section takes one of them.
+	sections func(n *node) []wire.Section
+	section  func(n *node, s PeerSection)
 	// way names the daemons that the last packet passed.
 	way string
 	// explained counts the packets gone astray that were explained.
@@ -125,10 +130,15 @@
 	n := f.nodes[i]
 	n.inc = uint64(f.now.UnixMilli())
 	n.up, n.paused, n.counter = true, false, 0
-	n.engine = New(Config{
+	cfg := Config{
 		Self: n.entry.ID, Zone: n.entry.Zone, Incarnation: n.inc, Epoch: f.now,
 		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), uint64(i))), Policy: f.policy,
-	})
+	}
+	if f.limits != nil {
+		cfg.Limits = f.limits(n)
+		cfg.Sections = func() []wire.Section { return f.sections(n) }
+	}
+	n.engine = New(cfg)
 }
 
 func (f *fleet) startAll() {
@@ -222,6 +232,10 @@
 		switch a := action.(type) {
 		case SendPeer:
 			f.send(n, f.nodeOf(a.To.ID), a)
+		case PeerSection:
+			if f.section != nil {
+				f.section(n, a)
+			}
 		case FetchSnapshots:
 			f.enqueue(delivery{to: n, from: f.nodeOf(a.From.ID), snap: &snapshotCall{a.All}}, 2*f.latency)
 		}
--- /dev/null
+++ b/core/limits_test.go
@@ -0,0 +1,173 @@
+package core
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/limits"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// countLimits counts the open flows of each customer and refuses none.
+type countLimits struct {
+	open map[string]int
+	// least is the lowest count that any customer had.
+	least int
+}
+
+func (l *countLimits) Open(now time.Time, a Admission) errkind.Kind {
+	l.TakeOver(now, a.Customer)
+	return errkind.None
+}
+
+func (l *countLimits) TakeOver(_ time.Time, c *model.Customer) { l.open[c.Name]++ }
+
+func (l *countLimits) Close(_ time.Time, c *model.Customer) {
+	l.open[c.Name]--
+	l.least = min(l.least, l.open[c.Name])
+}
+
+func (l *countLimits) sum() int {
+	n := 0
+	for _, open := range l.open {
+		n += open
+	}
+	return n
+}
+
+// renamed returns lists in which the only customer has another name.
+func renamed(revision uint64, name string) *model.Snapshot {
+	s := testLists(1, 1, 2)
+	c := *s.Customers[0]
+	c.Name = name
+	return model.NewSnapshot(model.Revisions{Customers: revision, Plans: 1, Machines: 1},
+		[]*model.Customer{&c}, s.Plans, s.Services, s.Entries, s.Endpoints)
+}
+
+func TestEveryCountedFlowIsClosedOnce(t *testing.T) {
+	Convey("Over random SYNs, packets, ends, silences and lists, the counts are those of the open flows and end at zero", t, func() {
+		for seed := range uint64(20) {
+			counts := &countLimits{open: make(map[string]int)}
+			now := time.Unix(1_700_000_000, 0)
+			lists := testLists(1, 1, 2)
+			f := newFleet(t, seed, lists)
+			f.now = now
+			f.limits = func(*node) Limits { return counts }
+			f.sections = func(*node) []wire.Section { return nil }
+			f.startAll()
+			engine := f.nodes[0].engine
+			rng := rand.New(rand.NewPCG(seed, 2))
+			flags := []packet.Flags{packet.SYN, packet.SYN, packet.ACK, packet.FIN | packet.ACK, packet.RST}
+			for step := range 400 {
+				m := packet.Meta{Src: callerOf(rng.IntN(30)), Dst: testService, Flags: flags[rng.IntN(len(flags))], HopLimit: 64}
+				f.arrive(0, m)
+				if rng.IntN(10) == 0 {
+					f.run(time.Duration(rng.IntN(20)) * time.Second)
+				}
+				if rng.IntN(50) == 0 {
+					f.lists = renamed(uint64(step)+2, string(rune('a'+rng.IntN(3))))
+					f.publishTo(0)
+				}
+				So(counts.sum(), ShouldEqual, notClosing(engine))
+			}
+			f.run(2 * time.Hour)
+			So(engine.table.Len(), ShouldEqual, 0)
+			So(counts.least, ShouldEqual, 0)
+			for _, open := range counts.open {
+				So(open, ShouldEqual, 0)
+			}
+		}
+	})
+}
+
+// notClosing returns the number of flows of the table that have not begun to close.
+func notClosing(e *Engine) int {
+	n := 0
+	e.table.Each(func(_ model.FlowHash, entry flow.Entry) {
+		if entry.State != flow.StateClosing {
+			n++
+		}
+	})
+	return n
+}
+
+// fleetLimits drives a limiter as a daemon does.
+type fleetLimits struct{ *limits.Limiter }
+
+func (l fleetLimits) Open(now time.Time, a Admission) errkind.Kind {
+	return l.Limiter.Open(now, a.Customer)
+}
+
+// withLimits gives every daemon of a fleet limits that hear of each other.
+func withLimits(f *fleet) map[*node]fleetLimits {
+	all := make(map[*node]fleetLimits)
+	f.limits = func(n *node) Limits {
+		l := limits.New(limits.Config{Zone: n.entry.Zone, Rand: rand.New(rand.NewPCG(uint64(n.entry.ID), 3))})
+		zones := make(map[model.Zone]limits.Owners)
+		for _, e := range f.lists.Entries {
+			o := zones[e.Zone]
+			zones[e.Zone] = limits.Owners{Live: o.Live + 1, Published: o.Published + 1}
+		}
+		var owners []limits.ZoneOwners
+		for z, o := range zones {
+			owners = append(owners, limits.ZoneOwners{Zone: z, Owners: o})
+		}
+		l.SetOwners(owners)
+		all[n] = fleetLimits{l}
+		return all[n]
+	}
+	f.sections = func(n *node) []wire.Section {
+		return []wire.Section{{ID: wire.SectionLimits, Data: all[n].Summary(f.now, nil)}}
+	}
+	f.section = func(n *node, s PeerSection) {
+		if !all[n].Handle(f.now, s.From.ID, s.From.Zone, s.Section.Data) {
+			f.t.Fatalf("a summary of %s was not taken", s.From.Name)
+		}
+	}
+	return all
+}
+
+func TestACustomerGetsItsOpenFlowsOverAFleet(t *testing.T) {
+	Convey("Given a customer with 80 open flows at most over eight daemons", t, func() {
+		const most = 80
+		// The target for a healthy fleet is an overshoot of less than a twentieth.
+		const overshoot = most / 20
+		lists := testLists(1, 8, 6)
+		lists.Plans[0].OpenFlows = most
+		f := newFleet(t, 1, lists)
+		withLimits(f)
+		f.startAll()
+		open := func(first int) (flows []testFlow, refused []errkind.Kind) {
+			for i := range 3 * most {
+				fl, v := f.open(first + i)
+				if v.Op == OpForward {
+					flows = append(flows, fl)
+					f.probe(flows[len(flows)-1:])
+				} else {
+					So(v.Op, ShouldEqual, OpReset)
+					refused = append(refused, v.Kind)
+				}
+				f.run(100 * time.Millisecond)
+			}
+			return flows, refused
+		}
+		flows, refused := open(0)
+		So(len(flows), ShouldBeBetweenOrEqual, most-overshoot, most+overshoot)
+		So(refused, ShouldContain, errkind.CustomerOpenLimit)
+		Convey("flows that end make room for as many others", func() {
+			for _, fl := range flows {
+				f.arrive(f.upNode(), packet.Meta{Src: fl.caller, Dst: testService, Flags: packet.FIN | packet.ACK, HopLimit: 64})
+			}
+			f.run(10 * time.Second)
+			again, _ := open(1000)
+			So(len(again), ShouldBeBetweenOrEqual, most-overshoot, most+overshoot)
+		})
+	})
+}
--- a/core/owner.go
+++ b/core/owner.go
@@ -26,11 +26,20 @@
 		e.noteEstablished(a, entry, before)
 	}
 	if ok && !entry.Identified {
-		e.table.Identify(a.hash, flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst))
+		e.identify(a, entry)
 	}
 	return entry, ok
 }
 
+// identify writes the ends of a flow that was known from a log alone, and counts it for its customer.
+func (e *Engine) identify(a *arrival, p flow.Progress) {
+	caller, service := flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst)
+	e.table.Identify(a.hash, caller, service)
+	if p.State != flow.StateClosing {
+		e.countTakenOver(e.world.Load(), a.now, a.hash, caller, service)
+	}
+}
+
 // repeatedSYN is how long after a flow's last packet a SYN still counts as a late repetition of the
 // flow's own; a later one opens a new flow.
 const repeatedSYN = 5 * time.Second
@@ -57,7 +66,7 @@
 			e.noteRepeatedSYN(a, entry)
 			return e.toTarget(w, entry.Target)
 		}
-		e.forget(a.hash)
+		e.forget(a.now, a.hash)
 	}
 	customer, service, kind := w.admitter.Admit(a.meta.Src.Addr(), a.meta.Dst)
 	if kind != errkind.None {
@@ -71,10 +80,16 @@
 	defer e.placing.RUnlock()
 	target, kind := e.place(w, a)
 	if kind != errkind.None {
-		e.limits.Close(a.now, ad)
+		e.limits.Close(a.now, customer)
 		return e.refuse(kind, a)
 	}
-	return e.enter(w, a, target, flow.StateOpening)
+	v, added := e.enter(w, a, target, flow.StateOpening)
+	if !added {
+		e.limits.Close(a.now, customer)
+		return v
+	}
+	e.countOpened(a.now, a.hash, customer)
+	return v
 }
 
 func (e *Engine) refuse(k errkind.Kind, a *arrival) Verdict {
@@ -115,8 +130,8 @@
 }
 
 // enter writes a flow into the table and, where its target is not the one that others would derive,
-// into the log.
-func (e *Engine) enter(w *world, a *arrival, t *model.Target, s flow.State) Verdict {
+// into the log. It returns false for a flow that was there.
+func (e *Engine) enter(w *world, a *arrival, t *model.Target, s flow.State) (v Verdict, added bool) {
 	entry, added := e.table.Insert(a.now, a.hash, flow.Entry{
 		Caller:  flow.EndpointOf(a.meta.Src),
 		Service: flow.EndpointOf(a.meta.Dst),
@@ -124,14 +139,14 @@
 		State:   s,
 	})
 	if !added {
-		return e.toTarget(w, entry.Target)
+		return e.toTarget(w, entry.Target), false
 	}
 	e.loads.Opened(t.ID)
 	if e.needsRecord(w, a, t.ID) {
 		e.table.SetException(a.hash, true)
 		e.log.Add(a.hash, t.ID)
 	}
-	return forward(t)
+	return forward(t), true
 }
 
 // needsRecord reports whether the log must name the flow: its target differs from the default of the
@@ -178,7 +193,16 @@
 	}
 	e.placing.RLock()
 	defer e.placing.RUnlock()
-	return e.enter(w, a, t, flow.StateOpening)
+	return e.enterTakenOver(w, a, t)
+}
+
+// enterTakenOver enters a flow that another owner admitted and counts it for its customer.
+func (e *Engine) enterTakenOver(w *world, a *arrival, t *model.Target) Verdict {
+	v, added := e.enter(w, a, t, flow.StateOpening)
+	if added {
+		e.countTakenOver(w, a.now, a.hash, flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst))
+	}
+	return v
 }
 
 // resolve returns the target of a flow that a predecessor placed. The target is not sure where this
@@ -243,17 +267,18 @@
 }
 
 // forget drops an owned flow.
-func (e *Engine) forget(h model.FlowHash) {
+func (e *Engine) forget(now time.Time, h model.FlowHash) {
 	entry, ok := e.table.Remove(h)
 	if !ok {
 		return
 	}
-	e.ended(h, entry)
+	e.ended(now, h, entry)
 }
 
 // ended undoes what enter counted. Where this daemon owns the flow, the flow is over for all daemons.
-func (e *Engine) ended(h model.FlowHash, entry flow.Entry) {
+func (e *Engine) ended(now time.Time, h model.FlowHash, entry flow.Entry) {
 	e.unload(entry)
+	e.uncount(now, h)
 	e.log.Remove(h)
 	w := e.world.Load()
 	if owner := w.owner(h); owner != nil && owner.ID == e.cfg.Self {
--- a/core/peers.go
+++ b/core/peers.go
@@ -86,7 +86,7 @@
 	}
 	cp := e.copies.Ensure(now, env.Sender, env.Incarnation)
 	if cp != nil && cp.Apply(now, b) {
-		e.yieldTo(w, env.Sender, b.Records)
+		e.yieldTo(now, w, env.Sender, b.Records)
 		e.inheritRecords(now, w, b.Records)
 	}
 	return errkind.None
@@ -94,7 +94,7 @@
 
 // yieldTo drops flows of the table that another daemon has placed on another target or has seen end,
 // where that daemon's word counts for more: it owns the flow in this daemon's view.
-func (e *Engine) yieldTo(w *world, peer model.MachineID, records []wire.Record) {
+func (e *Engine) yieldTo(now time.Time, w *world, peer model.MachineID, records []wire.Record) {
 	for _, r := range records {
 		if owner := w.owner(r.Hash); owner == nil || owner.ID != peer || r.Settled {
 			continue
@@ -103,7 +103,7 @@
 			e.copies.Ended(r.Hash)
 		}
 		if entry, ok := e.table.Get(r.Hash); ok && entry.Target != r.Target {
-			e.forget(r.Hash)
+			e.forget(now, r.Hash)
 		}
 	}
 }
--- a/core/takeover.go
+++ b/core/takeover.go
@@ -272,6 +272,7 @@
 	e.unsettled.Store(false)
 	e.log.SetComplete(true)
 	e.switchGeneration(w.snapshot.Generation())
+	e.recount(now, w)
 }
 
 // endDelegation returns the delegated flows, and whether further ones could be added until now.
@@ -327,7 +328,7 @@
 	}
 	e.placing.RLock()
 	defer e.placing.RUnlock()
-	e.enter(w, &a, t, flow.StateOpening)
+	e.enterTakenOver(w, &a, t)
 }
 
 // inherit takes in every exception of other logs whose flow is this daemon's now, so that its own log
--- a/core/tick.go
+++ b/core/tick.go
@@ -44,7 +44,7 @@
 	e.turn++
 	keepOpen := e.world.Load().hidden != nil
 	for _, x := range e.table.Expire(now, e.turn, keepOpen) {
-		e.ended(x.Hash, x.Entry)
+		e.ended(now, x.Hash, x.Entry)
 	}
 	e.copies.Expire(now)
 }
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -20,9 +20,11 @@
 		case core.FetchSnapshots:
 			d.tasks.Go(func() error { d.fetch(a.From, a.All); return nil })
 		case core.MemberChanged:
+			d.limits.memberChanged(d.engine.View(), a)
 			d.log.Info("member changed", "op", "members", "event", a.To.String(),
 				"member", a.Member.Name, "from", a.From.String(), "incarnation", a.Incarnation)
 		case core.ZoneChanged:
+			d.limits.zoneChanged(a)
 			d.log.Warn("availability zone changed", "op", "members", "event", "zone",
 				"zone", a.Zone.String(), "reachable", a.Reachable)
 		case core.ReadyChanged:
@@ -38,7 +40,11 @@
 
 // sections returns what the daemon's modules add to a heartbeat.
 func (d *Daemon) sections() []wire.Section {
-	return []wire.Section{{ID: wire.SectionLists, Data: d.lists.Digest().AppendTo(nil)}, d.health.section()}
+	return []wire.Section{
+		{ID: wire.SectionLists, Data: d.lists.Digest().AppendTo(nil)},
+		d.health.section(),
+		d.limits.section(time.Now()),
+	}
 }
 
 // handleSection hands a section of a peer's heartbeat to its module.
@@ -50,6 +56,10 @@
 		}
 	case wire.SectionLists:
 		d.handleDigest(a)
+	case wire.SectionLimits:
+		if kind := d.limits.handle(time.Now(), a.From, a.Section.Data); kind != errkind.None {
+			d.metrics.kinds.Add(kind, 1)
+		}
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -85,6 +85,7 @@
 
 	engine      *core.Engine
 	health      *targetHealth
+	limits      *customerLimits
 	probe       bool
 	incarnation uint64
 	counter     *wire.Counter
@@ -113,6 +114,7 @@
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
 		observer:    newFlowObserver(deps.Metrics),
+		limits:      newCustomerLimits(self, s.Zone, incarnation),
 		incarnation: incarnation,
 		counter:     new(wire.Counter),
 		replay:      wire.NewReplay(wire.ReplayConfig{}),
@@ -130,6 +132,7 @@
 		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
 		Members:     membership.Config{HeartbeatInterval: s.HeartbeatInterval},
 		Sections:    d.sections,
+		Limits:      d.limits,
 	})
 	d.health = newTargetHealth(self, d.engine)
 	d.probe = deps.Probe
@@ -247,6 +250,7 @@
 		case <-ticker.C:
 			now := time.Now()
 			d.perform(d.engine.Tick(now))
+			d.limits.follow(d.engine.View())
 			d.logHealth(d.health.tick(now))
 		}
 	}
--- /dev/null
+++ b/internal/daemon/limits.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/limits"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// customerLimits holds customers to their plans' limits for the engine.
+type customerLimits struct {
+	*limits.Limiter
+	// followed is the view that the owners were last counted in; follow alone uses it.
+	followed *membership.View
+}
+
+// newCustomerLimits returns limits of a daemon that knows of no other owner yet.
+func newCustomerLimits(self model.MachineID, zone model.Zone, incarnation uint64) *customerLimits {
+	rng := rand.New(rand.NewPCG(incarnation, uint64(self)))
+	return &customerLimits{Limiter: limits.New(limits.Config{Zone: zone, Rand: rng})}
+}
+
+// Open counts a new flow, or returns the kind of the limit that it would exceed.
+func (l *customerLimits) Open(now time.Time, a core.Admission) errkind.Kind {
+	return l.Limiter.Open(now, a.Customer)
+}
+
+// section returns what the own flows use of limits, for one round of heartbeats.
+func (l *customerLimits) section(now time.Time) wire.Section {
+	return wire.Section{ID: wire.SectionLimits, Data: l.Summary(now, nil)}
+}
+
+// follow splits the limits among the owners of a view where it is a new one. Call it at each tick.
+func (l *customerLimits) follow(v *membership.View) {
+	if v == l.followed {
+		return
+	}
+	l.followed = v
+	l.SetOwners(ownersOf(v))
+}
+
+// ownersOf counts the owners and the published live entry VMs of each availability zone.
+func ownersOf(v *membership.View) []limits.ZoneOwners {
+	var zones []limits.ZoneOwners
+	index := make(map[model.Zone]int)
+	for _, m := range v.Members() {
+		at, known := index[m.Entry.Zone]
+		if !known {
+			at = len(zones)
+			index[m.Entry.Zone] = at
+			zones = append(zones, limits.ZoneOwners{Zone: m.Entry.Zone})
+		}
+		if m.Owner {
+			zones[at].Owners.Live++
+		}
+		if m.Entry.State == model.MachineLive {
+			zones[at].Owners.Published++
+		}
+	}
+	return zones
+}
+
+// memberChanged drops what an owner told that is gone or was another process.
+func (l *customerLimits) memberChanged(v *membership.View, change core.MemberChanged) {
+	m, known := v.Member(change.Member.ID)
+	if change.Restarted || !known || !m.Here {
+		l.Forget(change.Member.ID)
+	}
+}
+
+// zoneChanged drops what a zone told that cannot be reached.
+func (l *customerLimits) zoneChanged(change core.ZoneChanged) {
+	if !change.Reachable {
+		l.ForgetZone(change.Zone)
+	}
+}
+
+// handle takes the section of a peer's heartbeat.
+func (l *customerLimits) handle(now time.Time, from *model.EntryVM, data []byte) errkind.Kind {
+	if !l.Handle(now, from.ID, from.Zone, data) {
+		return errkind.PeerMalformed
+	}
+	return errkind.None
+}
