--- a/core/limits_test.go
+++ b/core/limits_test.go
@@ -171,3 +171,53 @@
 		})
 	})
 }
+
+func TestFlowsCountAtTheirOwnersAfterChanges(t *testing.T) {
+	Convey("Over a crash and a return, each flow ends up counted at one daemon", t, func() {
+		lists := testLists(1, 6, 6)
+		f := newFleet(t, 3, lists)
+		counts := make(map[*node]*countLimits)
+		f.limits = func(n *node) Limits {
+			counts[n] = &countLimits{open: make(map[string]int)}
+			return counts[n]
+		}
+		f.sections = func(*node) []wire.Section { return nil }
+		f.startAll()
+		flows := f.openMany(200)
+		total := func() int {
+			n := 0
+			for at, c := range counts {
+				So(c.least, ShouldEqual, 0)
+				if at.up {
+					n += c.sum()
+				}
+			}
+			return n
+		}
+		So(total(), ShouldEqual, len(flows))
+		f.crash(0)
+		f.run(40 * time.Second)
+		f.probe(flows)
+		f.run(10 * time.Second)
+		f.probeOwners(flows)
+		So(total(), ShouldEqual, len(flows))
+		f.start(0)
+		f.run(60 * time.Second)
+		f.probeOwners(flows)
+		So(total(), ShouldEqual, len(flows))
+	})
+}
+
+// probeOwners sends one packet of every flow to its owner.
+func (f *fleet) probeOwners(flows []testFlow) {
+	for _, fl := range flows {
+		m := packet.Meta{Src: fl.caller, Dst: testService, Flags: packet.ACK, HopLimit: 64}
+		at := f.upNode()
+		owner := f.nodes[at].engine.world.Load().owner(m.Key().Hash())
+		for i, n := range f.nodes {
+			if n.entry.ID == owner.ID {
+				f.arrive(i, m)
+			}
+		}
+	}
+}
