Bound the run time of the limits' tests and say what counts

It now sets an idle timeout of 2 minutes and waits twice that. A packet of a counted flow allocates nothing at its owner; a test holds that.

--- a/core/fleet_test.go
+++ b/core/fleet_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
@@ -30,6 +31,8 @@
 	loss    float64
 	cut     func(a, b *model.EntryVM) bool
 	policy  placement.Policy
+	// flows sets how flows are remembered.
+	flows flow.Config
 	// limits returns the limits of a daemon; nil for none.
 	limits func(n *node) Limits
 	// sections returns what a daemon adds to its heartbeats, and section takes one of them.
@@ -132,7 +135,7 @@
 	n.up, n.paused, n.counter = true, false, 0
 	cfg := Config{
 		Self: n.entry.ID, Zone: n.entry.Zone, Incarnation: n.inc, Epoch: f.now,
-		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), uint64(i))), Policy: f.policy,
+		Rand: rand.New(rand.NewPCG(f.rand.Uint64(), uint64(i))), Policy: f.policy, Flow: f.flows,
 	}
 	if f.limits != nil {
 		cfg.Limits = f.limits(n)
--- a/core/limits_test.go
+++ b/core/limits_test.go
@@ -53,6 +53,8 @@
 
 func TestEveryCountedFlowIsClosedOnce(t *testing.T) {
 	Convey("Over random SYNs, packets, ends, silences and lists, the counts are those of the open flows and end at zero", t, func() {
+		// It is longer than the timeouts of opening and closing flows.
+		const idle = 2 * time.Minute
 		for seed := range uint64(20) {
 			counts := &countLimits{open: make(map[string]int)}
 			now := time.Unix(1_700_000_000, 0)
@@ -61,6 +63,7 @@
 			f.now = now
 			f.limits = func(*node) Limits { return counts }
 			f.sections = func(*node) []wire.Section { return nil }
+			f.flows = flow.Config{IdleTimeout: idle}
 			f.startAll()
 			engine := f.nodes[0].engine
 			rng := rand.New(rand.NewPCG(seed, 2))
@@ -77,7 +80,7 @@
 				}
 				So(counts.sum(), ShouldEqual, notClosing(engine))
 			}
-			f.run(2 * time.Hour)
+			f.run(2 * idle)
 			So(engine.table.Len(), ShouldEqual, 0)
 			So(counts.least, ShouldEqual, 0)
 			for _, open := range counts.open {
@@ -221,3 +224,15 @@
 		}
 	}
 }
+
+func TestPacketsOfCountedFlowsAllocateNothing(t *testing.T) {
+	Convey("A packet of a counted flow allocates nothing at its owner", t, func() {
+		f := newFleet(t, 1, testLists(1, 1, 2))
+		withLimits(f)
+		f.startAll()
+		fl := f.openMany(1)[0]
+		engine := f.nodes[0].engine
+		m := packet.Meta{Src: fl.caller, Dst: testService, Flags: packet.ACK, HopLimit: 64}
+		So(testing.AllocsPerRun(1000, func() { engine.FromFabric(f.now, fl.caller, &m) }), ShouldEqual, 0)
+	})
+}
