--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -17,7 +17,7 @@
 const (
 	DefaultMTU               = 1472
 	DefaultHeartbeatInterval = time.Second
-	DefaultLogBatchInterval  = 50 * time.Millisecond
+	DefaultLogBatchInterval  = 500 * time.Millisecond
 	DefaultFlowIdleTimeout   = 15 * time.Minute
 	DefaultDrainTimeout      = 30 * time.Second
 	DefaultWatchWait         = 30 * time.Second
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -51,7 +51,7 @@
 	// HeartbeatInterval is the time between two heartbeats to a peer. Key heartbeat_interval; default 1 s.
 	HeartbeatInterval time.Duration
 	// LogBatchInterval is the longest wait of an exception before it is sent to peers. Key
-	// log_batch_interval; default 50 ms.
+	// log_batch_interval; default 500 ms.
 	LogBatchInterval time.Duration
 	// FlowIdleTimeout is the time without packets after which a flow is forgotten. Key
 	// flow_idle_timeout; default 15 min.
