Let failure detection follow the heartbeat interval

Cause: a shorter heartbeat_interval cost bytes and noticed no death earlier: the other times stayed at their defaults. At 100 ms ticks an interval below 300 ms would have counted each tick's gap as a pause. Conclusion: operators trade bytes for detection with one key, from 300 ms on.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -30,6 +30,8 @@
 const (
 	// tickInterval is the time between two ticks of the engine.
 	tickInterval = 100 * time.Millisecond
+	// joinHeartbeats is how many heartbeats a starting daemon waits at most to hear of every published one.
+	joinHeartbeats = 6
 	// fetchTimeout bounds one request for snapshots.
 	fetchTimeout = 5 * time.Second
 	// goodbyes is how many times a stopping daemon tells its peers that it has left.
@@ -128,7 +130,8 @@
 		LogInterval: s.LogBatchInterval,
 		Observer:    d.observer,
 		Flow:        flow.Config{IdleTimeout: s.FlowIdleTimeout},
-		Members:     membership.Config{HeartbeatInterval: s.HeartbeatInterval},
+		Members:     membership.Rhythm(s.HeartbeatInterval),
+		JoinTime:    joinHeartbeats * s.HeartbeatInterval,
 		Sections:    d.sections,
 	})
 	d.health = newTargetHealth(self, d.engine)
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -77,6 +77,24 @@
 	defaultMaxGuests         = 256
 )
 
+// Rhythm returns a config in which every time of failure detection keeps its default proportion to the
+// heartbeat interval.
+func Rhythm(heartbeat time.Duration) Config {
+	scaled := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) / float64(defaultHeartbeatInterval) * float64(heartbeat))
+	}
+	return Config{
+		HeartbeatInterval: heartbeat,
+		SuspectAfter:      scaled(defaultSuspectAfter),
+		DeadAfter:         scaled(defaultDeadAfter),
+		ZoneSuspectAfter:  scaled(defaultZoneSuspectAfter),
+		ZoneDeadAfter:     scaled(defaultZoneDeadAfter),
+		PauseLimit:        scaled(defaultPauseLimit),
+		PullInterval:      scaled(defaultPullInterval),
+		AloneAfter:        scaled(defaultAloneAfter),
+	}
+}
+
 // WithDefaults returns the config with every optional zero value replaced by its default.
 func (c Config) WithDefaults() Config {
 	setDefault(&c.HeartbeatInterval, defaultHeartbeatInterval)
--- /dev/null
+++ b/internal/membership/rhythm_test.go
@@ -0,0 +1,23 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func TestRhythm(t *testing.T) {
+	Convey("Detection follows the heartbeat interval, and every interval gives a sound config", t, func() {
+		So(Rhythm(time.Second).WithDefaults(), ShouldResemble, Config{}.WithDefaults())
+		So(Rhythm(500*time.Millisecond).DeadAfter, ShouldEqual, 1500*time.Millisecond)
+		for _, heartbeat := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 10 * time.Second} {
+			c := Rhythm(heartbeat)
+			c.Self, c.Zone, c.Incarnation, c.Rand = 1, model.Zone{Name: "a"}, 1, rand.New(rand.NewPCG(1, 1))
+			So(c.WithDefaults().Validate(), ShouldBeNil)
+		}
+	})
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -155,7 +155,7 @@
 func (r *reader) readTuning(s *Settings) {
 	s.Workers = int(r.m.Uint("workers", 0, 0, 1024))
 	s.MTU = int(r.m.Uint("mtu", DefaultMTU, 576, 65000))
-	s.HeartbeatInterval = r.m.Duration("heartbeat_interval", DefaultHeartbeatInterval, 50*time.Millisecond, 10*time.Second)
+	s.HeartbeatInterval = r.m.Duration("heartbeat_interval", DefaultHeartbeatInterval, 300*time.Millisecond, 10*time.Second)
 	s.LogBatchInterval = r.m.Duration("log_batch_interval", DefaultLogBatchInterval, time.Millisecond, 5*time.Second)
 	s.FlowIdleTimeout = r.m.Duration("flow_idle_timeout", DefaultFlowIdleTimeout, 10*time.Second, 24*time.Hour)
 	s.DrainTimeout = r.m.Duration("drain_timeout", DefaultDrainTimeout, time.Second, time.Hour)
