Count a flow that is taken over only at its owner

A daemon that decides for another owner during a change entered the flow and counted it too, until its own next change settled: the flow counted twice in the fleet.

--- a/core/counted.go
+++ b/core/counted.go
@@ -77,8 +77,11 @@
 }
 
 // countTakenOver counts a flow of the table that another owner admitted. Its customer is the one in the
-// lists in force; a flow without any counts for nobody.
+// lists in force; a flow without any counts for nobody. A flow of another owner counts there.
 func (e *Engine) countTakenOver(w *world, now time.Time, h model.FlowHash, caller, service flow.Endpoint) {
+	if !e.owns(w, h) {
+		return
+	}
 	customer, _, _ := w.admitter.Admit(caller.AddrPort().Addr(), service.AddrPort())
 	if customer == nil || e.counted.has(h) {
 		return
@@ -101,16 +104,20 @@
 	}
 }
 
+// owns reports whether this daemon owns a flow.
+func (e *Engine) owns(w *world, h model.FlowHash) bool {
+	owner := w.owner(h)
+	return owner != nil && owner.ID == e.cfg.Self
+}
+
 // recount makes the flows that this daemon owns the ones that it counts: after a change of the owners the
 // table still holds flows that another owner counts now.
 func (e *Engine) recount(now time.Time, w *world) {
 	var lost []model.FlowHash
 	gained := make(map[model.FlowHash]flow.Entry)
 	e.table.Each(func(h model.FlowHash, entry flow.Entry) {
-		owner := w.owner(h)
-		owned := owner != nil && owner.ID == e.cfg.Self
 		switch {
-		case !owned:
+		case !e.owns(w, h):
 			lost = append(lost, h)
 		case entry.Identified() && entry.State != flow.StateClosing && !e.counted.has(h):
 			gained[h] = entry
