Reload the settings on SIGHUP

The daemon read its settings once; a new key needed a rolling replacement. SIGHUP now reads the settings, key files and list files again. Settings with faults are refused whole. Taken over: log_level, key_files, drain_timeout. The platform's call settings, tls.* and flow_idle_timeout were marked reloadable but nothing could apply them; the table now says that they need a restart.

The setting seeds never reached the reader of lists; it does now. daemon.Lists gains Reload (relay's test double too).

--- a/cmd/fireflypind/main.go
+++ b/cmd/fireflypind/main.go
@@ -1,7 +1,7 @@
 // Command fireflypind runs the daemon of one entry VM.
 //
 // Exit codes: 0 after a graceful stop (SIGTERM or SIGINT), 1 when the daemon failed, 2 when its
-// settings or its command line are wrong.
+// settings or its command line are wrong. SIGHUP makes it read its settings again.
 package main
 
 import (
@@ -63,6 +63,9 @@
 
 // run serves until ctx ends and returns after the graceful stop.
 func run(ctx context.Context, path string) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	s, err := settings.Load(path)
 	if err != nil {
 		return errors.Join(errUsage, err)
@@ -71,5 +74,18 @@
 	if err != nil {
 		return errors.Join(errUsage, err)
 	}
+	go reloadOn(ctx, hangups, p, path)
 	return p.Run(ctx)
 }
+
+// reloadOn reloads the settings for each signal until ctx ends. The process logs the outcome.
+func reloadOn(ctx context.Context, signals <-chan os.Signal, p *daemon.Process, path string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signals:
+			_ = p.Reload(ctx, path)
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -52,6 +52,8 @@
 	bulk.ListHolder
 	// HandleDigest takes the versions that a peer holds. The peer is named by its bulk address.
 	HandleDigest(peer netip.AddrPort, d platform.Digest)
+	// Reload reads local files again; without effect where the platform is used.
+	Reload(ctx context.Context) error
 	// Status returns what operators see of the lists.
 	Status() platform.Status
 }
@@ -93,9 +95,11 @@
 	tasks       *errgroup.Group
 	tasksCtx    context.Context
 	ready       atomic.Bool
-	outdated    chan uint64
-	killed      chan struct{}
-	kill        sync.Once
+	// drainTimeout bounds the planned stop, in nanoseconds; a reload may change it.
+	drainTimeout atomic.Int64
+	outdated     chan uint64
+	killed       chan struct{}
+	kill         sync.Once
 }
 
 // New returns a daemon that has not opened its sockets yet.
@@ -119,6 +123,7 @@
 		outdated:    make(chan uint64, 1),
 		killed:      make(chan struct{}),
 	}
+	d.drainTimeout.Store(int64(s.DrainTimeout))
 	d.engine = core.New(core.Config{
 		Self:        self,
 		Zone:        s.Zone,
@@ -276,7 +281,7 @@
 // drain hands over to the peers before the daemon stops.
 func (d *Daemon) drain() {
 	d.perform(d.engine.Leave(time.Now()))
-	deadline := time.NewTimer(d.settings.DrainTimeout)
+	deadline := time.NewTimer(time.Duration(d.drainTimeout.Load()))
 	defer deadline.Stop()
 	quiet := time.NewTicker(tickInterval)
 	defer quiet.Stop()
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -5,10 +5,13 @@
 	"errors"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/samber/do/v2"
 
 	"github.com/fireflypin/fireflypin/internal/bulk"
 	"github.com/fireflypin/fireflypin/internal/ops"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/wire"
 )
 
 // opsShutdownTimeout bounds the wait for operators' requests under way.
@@ -19,6 +22,11 @@
 	Daemon *Daemon
 	Ops    *ops.Server
 	bulk   *bulk.Server
+
+	// settings are those in force; only Reload replaces them.
+	settings *settings.Settings
+	keys     *wire.KeyStore
+	log      *log.Logger
 }
 
 // NewProcess builds all modules of a process; nothing is opened yet.
@@ -32,6 +40,10 @@
 		Daemon: d,
 		Ops:    do.MustInvoke[*ops.Server](i),
 		bulk:   do.MustInvoke[*bulk.Server](i),
+
+		settings: o.Settings,
+		keys:     do.MustInvoke[*wire.KeyStore](i),
+		log:      do.MustInvoke[*log.Logger](i),
 	}, nil
 }
 
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"math/rand/v2"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/samber/do/v2"
@@ -22,15 +23,8 @@
 	}
 	o := do.MustInvoke[Options](i)
 	s := o.Settings
-	seed := uint64(model.MachineIDOf(s.Name))
 	cfg := platform.ClientConfig{
-		Reader: platform.Config{
-			Self:           s.Bulk,
-			Rand:           rand.New(rand.NewPCG(seed, uint64(o.Now.UnixNano()))),
-			WatchWait:      s.Platform.WatchWait,
-			CallsPerSecond: s.Platform.CallsPerSecond,
-			CallBurst:      s.Platform.CallBurst,
-		},
+		Reader:      readerConfig(s, o.Now),
 		Files:       filesOf(s),
 		Peers:       peers,
 		CallTimeout: s.Platform.CallTimeout,
@@ -43,6 +37,19 @@
 	return platform.NewClient(cfg), nil
 }
 
+// readerConfig returns what the settings say of reading lists.
+func readerConfig(s *settings.Settings, start time.Time) platform.Config {
+	seed := uint64(model.MachineIDOf(s.Name))
+	return platform.Config{
+		Self:           s.Bulk,
+		Seeds:          s.Seeds,
+		Rand:           rand.New(rand.NewPCG(seed, uint64(start.UnixNano()))),
+		WatchWait:      s.Platform.WatchWait,
+		CallsPerSecond: s.Platform.CallsPerSecond,
+		CallBurst:      s.Platform.CallBurst,
+	}
+}
+
 func filesOf(s *settings.Settings) [3]string {
 	return [3]string{s.Lists.Customers, s.Lists.Plans, s.Lists.Machines}
 }
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -75,20 +75,28 @@
 // loopbackSecret authenticates datagrams of daemons that talk over loopback alone and have no key file.
 const loopbackSecret = "fireflypin daemons on loopback only"
 
-func newKeys(i do.Injector) (wire.KeyringProvider, error) {
-	s := do.MustInvoke[*settings.Settings](i)
+func newKeys(i do.Injector) (*wire.KeyStore, error) {
+	ring, err := loadKeyring(do.MustInvoke[*settings.Settings](i))
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewKeyStore(ring), nil
+}
+
+// loadKeyring reads the key files that the settings name.
+func loadKeyring(s *settings.Settings) (*wire.Keyring, error) {
 	if len(s.KeyFiles) == 0 {
 		ring, err := wire.NewKeyring(0, wire.Key{ID: 0, Secret: []byte(loopbackSecret)})
 		if err != nil {
 			return nil, fmt.Errorf("make the loopback key: %w", err)
 		}
-		return wire.NewKeyStore(ring), nil
+		return ring, nil
 	}
 	ring, err := wire.LoadKeyring(s.KeyFiles...)
 	if err != nil {
 		return nil, fmt.Errorf("load keys: %w", err)
 	}
-	return wire.NewKeyStore(ring), nil
+	return ring, nil
 }
 
 func newDaemon(i do.Injector) (*Daemon, error) {
@@ -101,7 +109,7 @@
 	if err != nil {
 		return nil, err
 	}
-	keys, err := do.Invoke[wire.KeyringProvider](i)
+	keys, err := do.Invoke[*wire.KeyStore](i)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/relay/forward_bench_test.go
+++ b/internal/relay/forward_bench_test.go
@@ -39,6 +39,7 @@
 func (l fixedLists) Digest() platform.Digest                      { return platform.Digest{} }
 func (l fixedLists) Document(lists.Kind) *platform.Document       { return nil }
 func (l fixedLists) HandleDigest(netip.AddrPort, platform.Digest) {}
+func (l fixedLists) Reload(context.Context) error                 { return nil }
 func (l fixedLists) Status() platform.Status                      { return platform.Status{} }
 
 func (l fixedLists) Run(ctx context.Context, adopt func(*model.Snapshot)) error {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -24,23 +24,23 @@
 		{"egress", "address:port", "required", false, "receiver of IP-in-UDP packets that carry answers to callers"},
 		{"ops", "address:port", "127.0.0.1:9650", false, "TCP socket for metrics, health and status over HTTP"},
 		{"platform.url", "URL", "required without lists", false, "the platform's service that publishes the lists"},
-		{"platform.watch_wait", "duration, 1s to 10m", "30s", true, "how long one watch call waits for a change"},
-		{"platform.call_timeout", "duration, 100ms to 1m", "5s", true, "how long a call may take; a watch gets it on top of its wait"},
-		{"platform.calls_per_second", "calls per second, 0.01 to 1000", "1", true, "this daemon's own call budget over time"},
-		{"platform.call_burst", "calls, 4 to 1000", "6", true, "calls that may be made at once out of the budget"},
+		{"platform.watch_wait", "duration, 1s to 10m", "30s", false, "how long one watch call waits for a change"},
+		{"platform.call_timeout", "duration, 100ms to 1m", "5s", false, "how long a call may take; a watch gets it on top of its wait"},
+		{"platform.calls_per_second", "calls per second, 0.01 to 1000", "1", false, "this daemon's own call budget over time"},
+		{"platform.call_burst", "calls, 4 to 1000", "6", false, "calls that may be made at once out of the budget"},
 		{"lists.customers", "path", "required without platform", false, "local file in place of the platform's list of customers"},
 		{"lists.plans", "path", "required without platform", false, "local file in place of the platform's list of plans"},
 		{"lists.machines", "path", "required without platform", false, "local file in place of the platform's list of machines"},
 		{"seeds", "list of address:port", "none", false, "bulk addresses of a few daemons that a new one asks for lists when the platform does not answer"},
 		{"key_files", "list of 1 or 2 paths", "none; required beyond loopback", true, "shared keys of datagrams between daemons: the first signs, all verify"},
-		{"tls.cert_file", "path", "none; required beyond loopback", true, "certificate for calls between daemons"},
-		{"tls.key_file", "path", "required with tls", true, "private key of the certificate"},
-		{"tls.ca_file", "path", "required with tls", true, "authorities that sign the daemons' certificates"},
+		{"tls.cert_file", "path", "none; required beyond loopback", false, "certificate for calls between daemons"},
+		{"tls.key_file", "path", "required with tls", false, "private key of the certificate"},
+		{"tls.ca_file", "path", "required with tls", false, "authorities that sign the daemons' certificates"},
 		{"workers", "goroutines, 0 to 1024", "0", false, "goroutines that move packets; 0 takes one for each processor"},
 		{"mtu", "bytes, 576 to 65000", "1472", false, "largest inner packet that is passed on"},
 		{"heartbeat_interval", "duration, 50ms to 10s", "1s", false, "time between two heartbeats to a peer"},
 		{"log_batch_interval", "duration, 1ms to 5s", "50ms", false, "longest wait of an exception before it is sent to peers"},
-		{"flow_idle_timeout", "duration, 10s to 24h", "15m", true, "time without packets after which a flow is forgotten"},
+		{"flow_idle_timeout", "duration, 10s to 24h", "15m", false, "time without packets after which a flow is forgotten"},
 		{"drain_timeout", "duration, 1s to 1h", "30s", true, "longest wait for hand-over in a planned stop"},
 		{"log_level", "debug, info, warn or error", "info", true, "least severe level that is logged"},
 	}
@@ -66,13 +66,7 @@
 // new ones.
 func Reload(old, now *Settings) *Settings {
 	s := *old
-	s.Platform.WatchWait = now.Platform.WatchWait
-	s.Platform.CallTimeout = now.Platform.CallTimeout
-	s.Platform.CallsPerSecond = now.Platform.CallsPerSecond
-	s.Platform.CallBurst = now.Platform.CallBurst
 	s.KeyFiles = now.KeyFiles
-	s.TLS = now.TLS
-	s.FlowIdleTimeout = now.FlowIdleTimeout
 	s.DrainTimeout = now.DrainTimeout
 	s.LogLevel = now.LogLevel
 	return &s
