Send heartbeats every 500 ms by default

Cause: after a kill, packets of young flows and SYNs went to the dead owner for 3 s, and requests with a deadline of 5 s missed it. Ruled out: fewer hops of covered flows alone (one packet every 10 s), and shorter detection at the same heartbeat (a lost heartbeat would count as a death). TestMinimalSettings names the default and follows it.

--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -38,7 +38,7 @@
 		{"tls.ca_file", "path", "required with tls", false, "authorities that sign the daemons' certificates"},
 		{"workers", "goroutines, 0 to 1024", "0", false, "goroutines that move packets; 0 takes one for each processor"},
 		{"mtu", "bytes, 576 to 65000", "1472", false, "largest inner packet that is passed on"},
-		{"heartbeat_interval", "duration, 300ms to 10s", "1s", false, "time between two heartbeats to a peer; a death is noticed after three, a cut-off zone after five, and a gap of one in the process counts as a pause"},
+		{"heartbeat_interval", "duration, 300ms to 10s", "500ms", false, "time between two heartbeats to a peer; a death is noticed after three, a cut-off zone after five, and a gap of one in the process counts as a pause"},
 		{"log_batch_interval", "duration, 1ms to 5s", "500ms", false, "longest wait of an exception before it is sent to peers"},
 		{"flow_idle_timeout", "duration, 10s to 24h", "15m", false, "time without packets after which a flow is forgotten"},
 		{"drain_timeout", "duration, 1s to 1h", "30s", true, "longest wait for hand-over in a planned stop"},
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -16,7 +16,7 @@
 // Defaults of the settings that may be left out.
 const (
 	DefaultMTU               = 1472
-	DefaultHeartbeatInterval = time.Second
+	DefaultHeartbeatInterval = 500 * time.Millisecond
 	DefaultLogBatchInterval  = 500 * time.Millisecond
 	DefaultFlowIdleTimeout   = 15 * time.Minute
 	DefaultDrainTimeout      = 30 * time.Second
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,7 +48,7 @@
 	Workers int
 	// MTU is the size in bytes of the largest inner packet that is passed on. Key mtu; default 1472.
 	MTU int
-	// HeartbeatInterval is the time between two heartbeats to a peer. Key heartbeat_interval; default 1 s.
+	// HeartbeatInterval is the time between two heartbeats to a peer. Key heartbeat_interval; default 500 ms.
 	HeartbeatInterval time.Duration
 	// LogBatchInterval is the longest wait of an exception before it is sent to peers. Key
 	// log_batch_interval; default 500 ms.
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -49,7 +49,7 @@
 		So(err, ShouldBeNil)
 		So(s.Ops, ShouldResemble, DefaultOps)
 		So(s.MTU, ShouldEqual, DefaultMTU)
-		So(s.HeartbeatInterval, ShouldEqual, time.Second)
+		So(s.HeartbeatInterval, ShouldEqual, 500*time.Millisecond)
 		So(s.Platform.CallBurst, ShouldEqual, DefaultCallBurst)
 		So(s.LogLevel, ShouldEqual, log.InfoLevel)
 		So(s.Secure(), ShouldBeFalse)
