Reset open flows that a changed plan forbids, where the plan says so

Cause: on_revoke: reset was accepted and did nothing. Ruled out: a reset sent on its own, since the owner does not know the sequence numbers: the caller's next packet carries both. Before: no flow was reset.

--- a/core/config.go
+++ b/core/config.go
@@ -119,7 +119,7 @@
 // Admitter decides who may use what. It belongs to one set of lists and is immutable.
 type Admitter interface {
 	// Admit returns errkind.None with the customer and the service, or NoSuchService, UnknownCustomer or
-	// PlanForbids.
+	// PlanForbids with those of the two that could be found, else nil.
 	Admit(caller netip.Addr, service netip.AddrPort) (*model.Customer, *model.Service, errkind.Kind)
 }
 
--- a/core/engine.go
+++ b/core/engine.go
@@ -13,9 +13,10 @@
 
 // Engine takes every decision of one daemon.
 type Engine struct {
-	cfg    Config
-	policy placement.Policy
-	limits Limits
+	cfg     Config
+	policy  placement.Policy
+	limits  Limits
+	revoked revocations
 	// counted names the flows that limits count.
 	counted *countedFlows
 
@@ -70,6 +71,7 @@
 		cfg:     cfg,
 		policy:  cfg.Policy,
 		limits:  cfg.Limits,
+		revoked: revocations{resetAt: make(map[model.FlowHash]time.Time)},
 		counted: newCountedFlows(),
 		behind:  true,
 		members: members,
--- a/core/lists.go
+++ b/core/lists.go
@@ -35,6 +35,9 @@
 	next := base.withLists(s, a)
 	e.loads.SetTable(now, next.newest().table)
 	e.world.Store(next)
+	if base.admitter != nil {
+		e.revoke(now, base, next)
+	}
 }
 
 // switchGeneration makes the log's unnamed flows those of a generation. It first names every flow
--- a/core/owner.go
+++ b/core/owner.go
@@ -13,10 +13,15 @@
 	if a.opens() {
 		return e.open(w, a)
 	}
-	if entry, ok := e.touch(a); ok {
+	entry, ok := e.touch(a)
+	switch {
+	case !ok:
+		return e.carryOn(w, a)
+	case !a.closes() && e.revoked.due(a.now, a.hash):
+		return e.resetRevoked(w, a, entry.Target)
+	default:
 		return e.toTarget(w, entry.Target)
 	}
-	return e.carryOn(w, a)
 }
 
 // touch notes a packet of a flow of the table.
@@ -279,6 +284,7 @@
 func (e *Engine) ended(now time.Time, h model.FlowHash, entry flow.Entry) {
 	e.unload(entry)
 	e.uncount(now, h)
+	e.revoked.clear(h)
 	e.log.Remove(h)
 	w := e.world.Load()
 	if owner := w.owner(h); owner != nil && owner.ID == e.cfg.Self {
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -197,9 +197,13 @@
 	w.toPeers = append(w.toPeers, udpio.Message{Buf: datagram, N: len(datagram), Addr: v.To})
 }
 
-// reset refuses the packet in w.meta.
+// reset refuses the packet in w.meta, and ends its flow at the target where it had one.
 func (w *worker) reset(v core.Verdict) {
 	w.d.metrics.kinds.Add(v.Kind, 1)
+	if v.To.IsValid() {
+		end := packet.AppendTCP(w.scratch.take()[:0], w.meta.Src, w.meta.Dst, packet.RST, w.meta.Seq, 0, nil)
+		w.toData = append(w.toData, udpio.Message{Buf: end, N: len(end), Addr: v.To})
+	}
 	text := errkind.RefusalText(v.Kind, v.RetryAfter)
 	answer := packet.AppendReset(w.scratch.take()[:0], &w.meta, text)
 	if len(answer) == 0 {
--- a/internal/daemon/worker_test.go
+++ b/internal/daemon/worker_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/packet"
 )
@@ -28,3 +29,27 @@
 		}
 	})
 }
+
+func TestResetOfAnOpenFlow(t *testing.T) {
+	Convey("A reset of an open flow reaches the caller with the number that it acknowledges, and the target with the number that it awaits", t, func() {
+		egress := netip.MustParseAddrPort("192.0.2.1:5555")
+		target := netip.MustParseAddrPort("192.0.2.2:5555")
+		caller, service := netip.MustParseAddrPort("10.0.0.1:40000"), netip.MustParseAddrPort("192.0.2.10:443")
+		w := &worker{d: &Daemon{settings: &settings.Settings{Egress: egress}, metrics: newMeters(metrics.NewSet())}}
+		raw := packet.AppendTCP(nil, caller, service, packet.ACK, 100, 200, nil)
+		d := packet.NewDecoder(packet.DecoderConfig{})
+		So(d.Decode(raw, &w.meta), ShouldEqual, errkind.None)
+		w.apply(core.Verdict{Op: core.OpReset, Kind: errkind.PermissionRevoked, To: target}, raw)
+		resets := make(map[netip.AddrPort]packet.Meta)
+		for _, out := range w.toData {
+			var m packet.Meta
+			So(d.Decode(out.Buf[:out.N], &m), ShouldEqual, errkind.None)
+			So(m.Flags.Has(packet.RST), ShouldBeTrue)
+			resets[out.Addr] = m
+		}
+		So(resets[egress].Dst, ShouldEqual, caller)
+		So(resets[egress].Seq, ShouldEqual, 200)
+		So(resets[target].Dst, ShouldEqual, service)
+		So(resets[target].Seq, ShouldEqual, 100)
+	})
+}
