--- a/core/scope.go
+++ b/core/scope.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/model"
 )
@@ -61,3 +62,13 @@
 	const zoneBits = 4
 	return uint64(zone)<<(64-zoneBits) | ^membership.Score(h, owner)>>zoneBits
 }
+
+// rankWithout returns a flow's rank in which one daemon comes last.
+func (w *world) rankWithout(h model.FlowHash, except model.MachineID) flow.Rank {
+	return func(id model.MachineID) uint64 {
+		if id == except {
+			return lastRank
+		}
+		return w.rank(h, id)
+	}
+}
--- /dev/null
+++ b/core/settle.go
@@ -0,0 +1,114 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// unsettle starts the time in which unknown flows are left to their former owners: until every other
+// owner's log is known here as it was after the change.
+func (e *Engine) unsettle(now time.Time, appeared []model.MachineID, ceased []flow.Peer) {
+	e.log.SetComplete(false)
+	e.unsettled.Store(true)
+	e.settleBy = now.Add(e.cfg.SettleTime)
+	e.settleMark = flow.Mark(e.mark.Load())
+	e.delegated.mu.Lock()
+	defer e.delegated.mu.Unlock()
+	if e.delegated.flows == nil {
+		e.delegated.flows = make(map[model.FlowHash]delegatedFlow)
+		e.delegated.appeared, e.delegated.ceased = nil, nil
+	}
+	e.delegated.active = true
+	if slices.Contains(appeared, e.cfg.Self) || slices.Contains(e.delegated.appeared, e.cfg.Self) && len(appeared) > 0 {
+		// The latest kind of change counts: this daemon's own, or that of others.
+		e.delegated.appeared = nil
+	}
+	e.delegated.appeared = append(e.delegated.appeared, appeared...)
+	e.delegated.ceased = lo.Reject(e.delegated.ceased, func(p flow.Peer, _ int) bool {
+		return slices.Contains(appeared, p.ID)
+	})
+	e.delegated.ceased = append(e.delegated.ceased, ceased...)
+}
+
+// settle ends the time after a change of the owners in two steps. Once every other log is known as of
+// after the change, no more flows are delegated. Once every other log is known as of after that, it names
+// what the former owners decided on, and the delegated flows are taken in.
+func (e *Engine) settle(now time.Time) {
+	if !e.unsettled.Load() || e.waitsForLate() {
+		return
+	}
+	patient := now.Before(e.settleBy)
+	if patient && !e.current() {
+		return
+	}
+	flows, first := e.endDelegation()
+	if first && patient && len(flows) > 0 {
+		e.settleMark = flow.Mark(e.mark.Load())
+		return
+	}
+	w := e.world.Load()
+	for h, f := range flows {
+		e.takeIn(w, now, h, f)
+	}
+	e.delegated.mu.Lock()
+	e.delegated.flows = nil
+	e.delegated.mu.Unlock()
+	e.unsettled.Store(false)
+	e.log.SetComplete(true)
+	e.switchGeneration(w.snapshot.Generation())
+	e.recount(now, w)
+}
+
+// current reports whether the copy of every live owner's log was written after the last change of the
+// members was noticed here, and this daemon holds the lists of its generation. It asks the owners that
+// are missing.
+func (e *Engine) current() bool {
+	w := e.world.Load()
+	all := true
+	e.delegated.mu.Lock()
+	ceased := slices.Clone(e.delegated.ceased)
+	e.delegated.mu.Unlock()
+	owns := func(m membership.MemberView) bool {
+		return m.Owner || (m.Here && slices.Contains(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation}))
+	}
+	for _, cp := range e.followed(owns) {
+		p := cp.Position()
+		if p.Heard > e.settleMark && w.routeOf(p.Generation) != nil {
+			continue
+		}
+		cp.Want(e.settleMark)
+		all = false
+	}
+	return all
+}
+
+// takeIn adopts one delegated flow if it is still this daemon's.
+func (e *Engine) takeIn(w *world, now time.Time, h model.FlowHash, f delegatedFlow) {
+	if owner := w.owner(h); owner == nil || owner.ID != e.cfg.Self {
+		return
+	}
+	if _, known := e.table.Get(h); known {
+		return
+	}
+	meta := packet.Meta{Src: f.key.Caller, Dst: f.key.Service, Flags: packet.ACK}
+	a := arrival{now: now, meta: &meta, hash: h, former: f.covered}
+	rank := e.rank(w, h)
+	former := e.copies.Of(f.former)
+	if former == nil {
+		former = e.predecessor(w, &a, rank)
+	}
+	t, sure := e.resolveFrom(w, &a, former, rank)
+	if t == nil || !sure {
+		return
+	}
+	e.placing.RLock()
+	defer e.placing.RUnlock()
+	e.enterTakenOver(w, &a, t)
+}
