--- /dev/null
+++ b/core/members.go
@@ -0,0 +1,130 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// handleMembers carries out what the membership asks for and reports the rest.
+func (e *Engine) handleMembers(now time.Time, in []membership.Action) []Action {
+	var out []Action
+	for _, action := range in {
+		switch a := action.(type) {
+		case membership.SendHeartbeat:
+			out = append(out, e.heartbeats(a)...)
+		case membership.MemberChanged:
+			out = append(out, MemberChanged{a})
+		case membership.ZoneChanged:
+			out = append(out, ZoneChanged{a})
+		case membership.SelfPaused:
+			out = append(out, e.paused()...)
+		case membership.SelfAwake:
+			e.awake = true
+		case membership.IncarnationOutdated:
+			out = append(out, Outdated{Newest: a.Newest})
+		}
+	}
+	e.refreshView(now)
+	return out
+}
+
+func (e *Engine) heartbeats(a membership.SendHeartbeat) []Action {
+	if a.Regular {
+		a.Heartbeat.Sections = e.cfg.Sections()
+	}
+	body := a.Heartbeat.AppendTo(nil)
+	out := make([]Action, 0, len(a.To))
+	for _, to := range a.To {
+		out = append(out, SendPeer{To: to, Kind: wire.KindHeartbeat, Body: body})
+	}
+	return out
+}
+
+// paused gives up everything that may have changed unseen.
+func (e *Engine) paused() []Action {
+	e.seen.Clear()
+	e.awake = false
+	e.behind = true
+	if !e.ready.Load() {
+		return nil
+	}
+	e.ready.Store(false)
+	return []Action{ReadyChanged{Reason: ReasonPaused}}
+}
+
+// refreshView takes over a new view of the members: copies of daemons that are gone are retired, and
+// the log goes to those that are here.
+func (e *Engine) refreshView(now time.Time) {
+	w := e.world.Load()
+	v := e.members.View()
+	if w == nil || w.view.Version == v.Version {
+		return
+	}
+	appeared, ceased := compareOwners(w.view, v)
+	next := w.withView(now, flow.Mark(e.mark.Load()), v)
+	if !e.ready.Load() || slices.Contains(appeared, e.cfg.Self) {
+		// Of what this daemon saw before it owned flows, only the last view says who owned them.
+		next.past = next.past[:1]
+		appeared = []model.MachineID{e.cfg.Self}
+	}
+	e.world.Store(next)
+	e.arrangeCopies(now, next)
+	if len(appeared)+len(ceased) > 0 {
+		e.unsettle(now, appeared, ceased)
+		e.inherit(now, next)
+	}
+	e.loads.SetOwners(countOwners(v))
+}
+
+func (e *Engine) arrangeCopies(now time.Time, w *world) {
+	var peers []flow.Peer
+	for _, m := range w.view.Members() {
+		if m.Entry.ID == e.cfg.Self {
+			continue
+		}
+		if !m.Here {
+			e.copies.Retire(now, m.Entry.ID)
+			continue
+		}
+		if e.takesLog(w, e.cfg.Self, m.Entry.ID) {
+			peers = append(peers, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation})
+		}
+		if e.takesLog(w, m.Entry.ID, e.cfg.Self) {
+			e.copies.Revive(m.Entry.ID, m.Incarnation)
+			e.copies.Ensure(now, m.Entry.ID, m.Incarnation)
+		}
+	}
+	e.log.SetPeers(peers)
+}
+
+// compareOwners returns which daemons are owners in b and were none in a, or became them anew, and which
+// ceased to be owners.
+func compareOwners(a, b *membership.View) (appeared []model.MachineID, ceased []flow.Peer) {
+	for _, m := range a.Members() {
+		if now, ok := b.Member(m.Entry.ID); m.Owner && (!ok || !now.Owner) {
+			ceased = append(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation})
+		}
+	}
+	for _, m := range b.Members() {
+		before, ok := a.Member(m.Entry.ID)
+		if m.Owner && (!ok || !before.Owner || before.Incarnation != m.Incarnation) {
+			appeared = append(appeared, m.Entry.ID)
+		}
+	}
+	return appeared, ceased
+}
+
+func countOwners(v *membership.View) int {
+	n := 0
+	for _, m := range v.Members() {
+		if m.Owner {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/routes.go
@@ -0,0 +1,104 @@
+package core
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+// generation is one set of revisions and the route that it uses.
+type generation struct {
+	id    model.Generation
+	route *route
+}
+
+// route resolves the default targets of all generations that agree on services and targets.
+type route struct {
+	fingerprint uint64
+	snapshot    *model.Snapshot
+	table       *placement.Table
+}
+
+func newRoute(s *model.Snapshot) *route {
+	return &route{fingerprint: fingerprintOf(s), snapshot: s, table: placement.NewTable(s)}
+}
+
+// fingerprintOf hashes all that default targets and policies depend on.
+func fingerprintOf(s *model.Snapshot) uint64 {
+	d := xxhash.New()
+	for _, svc := range s.Services {
+		fmt.Fprintln(d, "service", svc.Name, svc.Addresses, svc.Return, svc.Margin, svc.Ramp)
+		for _, t := range svc.Targets {
+			fmt.Fprintln(d, *t)
+		}
+	}
+	for _, e := range s.Entries {
+		// Zones with entry VMs alone belong to the tables too.
+		fmt.Fprintln(d, e.Zone)
+	}
+	return d.Sum64()
+}
+
+// service returns the service and its table at a destination; both nil where there is none.
+func (r *route) service(dst netip.AddrPort) (*model.Service, *placement.ServiceTable) {
+	svc := r.snapshot.ServiceAt(dst)
+	if svc == nil {
+		return nil, nil
+	}
+	return svc, r.table.Service(svc)
+}
+
+// defaultTarget returns the default target of a flow, or nil.
+func (r *route) defaultTarget(dst netip.AddrPort, h model.FlowHash) *model.Target {
+	_, st := r.service(dst)
+	if st == nil {
+		return nil
+	}
+	return st.Default(h)
+}
+
+// newest returns the route of the lists in force.
+func (w *world) newest() *route {
+	return w.generations[0].route
+}
+
+// routeOf returns the route of a generation, or nil where the daemon does not hold its lists.
+func (w *world) routeOf(g model.Generation) *route {
+	for _, kept := range w.generations {
+		if kept.id == g {
+			return kept.route
+		}
+	}
+	return nil
+}
+
+// routes returns the different routes that are kept, newest first.
+func (w *world) routes() []*route {
+	all := lo.Map(w.generations, func(g generation, _ int) *route { return g.route })
+	return lo.Uniq(all)
+}
+
+// withGeneration returns the kept generations with a snapshot's in front. A route that agrees with the
+// snapshot is used again.
+func (w *world) withGeneration(s *model.Snapshot) []generation {
+	fingerprint := fingerprintOf(s)
+	r, found := lo.Find(w.routes(), func(r *route) bool { return r.fingerprint == fingerprint })
+	if !found {
+		r = newRoute(s)
+	}
+	kept := append([]generation{{id: s.Generation(), route: r}}, w.generations...)
+	kept = kept[:min(len(kept), keptGenerations)]
+	routes := make(map[*route]bool)
+	for i, g := range kept {
+		routes[g.route] = true
+		if len(routes) > keptRoutes {
+			return kept[:i]
+		}
+	}
+	return kept
+}
--- /dev/null
+++ b/core/sync.go
@@ -0,0 +1,65 @@
+package core
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/membership"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// syncPeers sends each peer what is due of the log and of the acknowledgements, in one datagram.
+func (e *Engine) syncPeers(now time.Time) []Action {
+	var out []Action
+	for _, m := range e.world.Load().view.Members() {
+		if !m.Here || m.Entry.ID == e.cfg.Self {
+			continue
+		}
+		if body := e.syncBody(now, m.Entry.ID); len(body) > 0 {
+			out = append(out, SendPeer{To: m.Entry, Kind: wire.KindBundle, Body: body})
+		}
+	}
+	return out
+}
+
+func (e *Engine) syncBody(now time.Time, peer model.MachineID) []byte {
+	var body []byte
+	if b, ok := e.log.Batch(now, peer); ok {
+		b.OwnerIncarnation = e.cfg.Incarnation
+		b.Owners = e.world.Load().view.Digest
+		body = wire.AppendBundled(body, wire.KindLogBatch, b.AppendTo(nil))
+	}
+	cp := e.copies.Of(peer)
+	if cp == nil {
+		return body
+	}
+	if a, ok := cp.TakeAck(flow.Mark(e.mark.Load())); ok {
+		body = wire.AppendBundled(body, wire.KindLogAck, a.AppendTo(nil))
+	}
+	return body
+}
+
+// fetchMissing asks for the snapshots of owners whose log cannot be followed otherwise, and, after a start
+// or a pause, asks one owner for all that it holds: logs of daemons that cannot be reached are among it.
+func (e *Engine) fetchMissing(now time.Time) []Action {
+	var out []Action
+	for _, m := range e.world.Load().view.Members() {
+		cp := e.copies.Of(m.Entry.ID)
+		missing := cp != nil && cp.NeedsSnapshot(now, e.cfg.Log.ResendAfter)
+		if !m.Here || m.Entry.ID == e.cfg.Self || !(missing || e.wantsAll(m)) {
+			continue
+		}
+		if now.Sub(e.fetches[m.Entry.ID]) < e.cfg.SnapshotInterval {
+			continue
+		}
+		e.fetches[m.Entry.ID] = now
+		out = append(out, FetchSnapshots{From: m.Entry, All: e.wantsAll(m)})
+	}
+	return out
+}
+
+// wantsAll reports whether a member is asked for all that it holds.
+func (e *Engine) wantsAll(m membership.MemberView) bool {
+	return e.behind && m.Owner
+}
