--- a/core/config.go
+++ b/core/config.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -75,13 +76,13 @@
 
 // withDefaults fills unset fields.
 func (c Config) withDefaults() Config {
-	setDefault(&c.LogInterval, defaultLogInterval)
-	setDefault(&c.SettleTime, defaultSettleTime)
-	setDefault(&c.JoinTime, defaultJoinTime)
-	setDefault(&c.LatePatience, defaultLatePatience)
-	setDefault(&c.SnapshotInterval, defaultSnapshotInterval)
-	setDefault(&c.FleetScope, defaultFleetScope)
-	setDefault(&c.Backups, defaultBackups)
+	c.LogInterval = cmp.Or(c.LogInterval, defaultLogInterval)
+	c.SettleTime = cmp.Or(c.SettleTime, defaultSettleTime)
+	c.JoinTime = cmp.Or(c.JoinTime, defaultJoinTime)
+	c.LatePatience = cmp.Or(c.LatePatience, defaultLatePatience)
+	c.SnapshotInterval = cmp.Or(c.SnapshotInterval, defaultSnapshotInterval)
+	c.FleetScope = cmp.Or(c.FleetScope, defaultFleetScope)
+	c.Backups = cmp.Or(c.Backups, defaultBackups)
 	c.Flow = c.Flow.Defaults()
 	c.Seen = c.Seen.Defaults()
 	c.Log = c.Log.Defaults()
@@ -104,12 +105,6 @@
 	return c
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Admission says who opened a flow and for what.
 type Admission struct {
 	Customer *model.Customer
--- a/internal/limits/config.go
+++ b/internal/limits/config.go
@@ -1,6 +1,7 @@
 package limits
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -35,25 +36,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.Window, 3*time.Second)
-	setDefault(&c.Expiry, 10*time.Second)
-	setDefault(&c.FleetFloor, 0.5)
-	setDefault(&c.Leveling, 0.1)
-	setDefault(&c.Burst, time.Second)
-	setDefault(&c.ReportAbove, 0.05)
-	setDefault(&c.OwnEntries, 8)
-	setDefault(&c.ZoneEntries, 4)
+	c.Window = cmp.Or(c.Window, 3*time.Second)
+	c.Expiry = cmp.Or(c.Expiry, 10*time.Second)
+	c.FleetFloor = cmp.Or(c.FleetFloor, 0.5)
+	c.Leveling = cmp.Or(c.Leveling, 0.1)
+	c.Burst = cmp.Or(c.Burst, time.Second)
+	c.ReportAbove = cmp.Or(c.ReportAbove, 0.05)
+	c.OwnEntries = cmp.Or(c.OwnEntries, 8)
+	c.ZoneEntries = cmp.Or(c.ZoneEntries, 4)
 	return c
 }
 
-// setDefault fills in a field that was left at zero.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // Owners counts the daemons that a limit is split among.
 type Owners struct {
 	// Live are the daemons that can be reached and own flows, the own one included.
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -97,29 +98,23 @@
 
 // WithDefaults returns the config with every optional zero value replaced by its default.
 func (c Config) WithDefaults() Config {
-	setDefault(&c.HeartbeatInterval, defaultHeartbeatInterval)
-	setDefault(&c.SuspectAfter, defaultSuspectAfter)
-	setDefault(&c.DeadAfter, defaultDeadAfter)
-	setDefault(&c.ZoneSuspectAfter, defaultZoneSuspectAfter)
-	setDefault(&c.ZoneDeadAfter, defaultZoneDeadAfter)
-	setDefault(&c.PauseLimit, defaultPauseLimit)
-	setDefault(&c.AloneAfter, defaultAloneAfter)
-	setDefault(&c.FarPeers, defaultFarPeers)
-	setDefault(&c.Witnesses, defaultWitnesses)
-	setDefault(&c.RumourCopies, defaultRumourCopies)
-	setDefault(&c.MaxRumours, defaultMaxRumours)
-	setDefault(&c.MaxStateRumours, defaultMaxStateRumours)
-	setDefault(&c.PullInterval, defaultPullInterval)
-	setDefault(&c.MaxGuests, defaultMaxGuests)
+	c.HeartbeatInterval = cmp.Or(c.HeartbeatInterval, defaultHeartbeatInterval)
+	c.SuspectAfter = cmp.Or(c.SuspectAfter, defaultSuspectAfter)
+	c.DeadAfter = cmp.Or(c.DeadAfter, defaultDeadAfter)
+	c.ZoneSuspectAfter = cmp.Or(c.ZoneSuspectAfter, defaultZoneSuspectAfter)
+	c.ZoneDeadAfter = cmp.Or(c.ZoneDeadAfter, defaultZoneDeadAfter)
+	c.PauseLimit = cmp.Or(c.PauseLimit, defaultPauseLimit)
+	c.AloneAfter = cmp.Or(c.AloneAfter, defaultAloneAfter)
+	c.FarPeers = cmp.Or(c.FarPeers, defaultFarPeers)
+	c.Witnesses = cmp.Or(c.Witnesses, defaultWitnesses)
+	c.RumourCopies = cmp.Or(c.RumourCopies, defaultRumourCopies)
+	c.MaxRumours = cmp.Or(c.MaxRumours, defaultMaxRumours)
+	c.MaxStateRumours = cmp.Or(c.MaxStateRumours, defaultMaxStateRumours)
+	c.PullInterval = cmp.Or(c.PullInterval, defaultPullInterval)
+	c.MaxGuests = cmp.Or(c.MaxGuests, defaultMaxGuests)
 	return c
 }
 
-func setDefault[T int | time.Duration](field *T, value T) {
-	if *field == 0 {
-		*field = value
-	}
-}
-
 // Validate returns every fault of a config that has its defaults, joined.
 func (c Config) Validate() error {
 	return errors.Join(
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/netip"
@@ -65,7 +66,7 @@
 
 // NewClient returns a Client that has not read anything yet.
 func NewClient(cfg ClientConfig) *Client {
-	setDefault(&cfg.CallTimeout, 5*time.Second)
+	cfg.CallTimeout = cmp.Or(cfg.CallTimeout, 5*time.Second)
 	cfg.Reader.UsePlatform = cfg.Platform != nil
 	c := &Client{
 		cfg:    cfg,
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -46,25 +47,17 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.WatchWait, 30*time.Second)
-	setDefault(&c.CallsPerSecond, 1)
-	setDefault(&c.CallBurst, 6)
-	setDefault(&c.FleetCallsPerSecond, 1000)
-	setDefault(&c.Spread, 250*time.Millisecond)
-	setDefault(&c.BackoffMin, 250*time.Millisecond)
-	setDefault(&c.BackoffMax, 4*time.Second)
-	setDefault(&c.RetryRefused, 500*time.Millisecond)
-	setDefault(&c.RetryRefusedMax, 5*time.Minute)
-	setDefault(&c.PeerDelay, time.Second)
-	setDefault(&c.StartWait, 3*time.Second)
-	setDefault(&c.StartPeers, 3)
+	c.WatchWait = cmp.Or(c.WatchWait, 30*time.Second)
+	c.CallsPerSecond = cmp.Or(c.CallsPerSecond, 1)
+	c.CallBurst = cmp.Or(c.CallBurst, 6)
+	c.FleetCallsPerSecond = cmp.Or(c.FleetCallsPerSecond, 1000)
+	c.Spread = cmp.Or(c.Spread, 250*time.Millisecond)
+	c.BackoffMin = cmp.Or(c.BackoffMin, 250*time.Millisecond)
+	c.BackoffMax = cmp.Or(c.BackoffMax, 4*time.Second)
+	c.RetryRefused = cmp.Or(c.RetryRefused, 500*time.Millisecond)
+	c.RetryRefusedMax = cmp.Or(c.RetryRefusedMax, 5*time.Minute)
+	c.PeerDelay = cmp.Or(c.PeerDelay, time.Second)
+	c.StartWait = cmp.Or(c.StartWait, 3*time.Second)
+	c.StartPeers = cmp.Or(c.StartPeers, 3)
 	return c
 }
-
-// setDefault fills in a field that was left at zero.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/standin/caller.go
+++ b/internal/standin/caller.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"time"
@@ -60,8 +61,8 @@
 
 // NewCaller returns a caller whose workloads start now.
 func NewCaller(now time.Time, cfg CallerConfig) *Caller {
-	setDefault(&cfg.MaxAttempts, 10)
-	setDefault(&cfg.MTU, 1500)
+	cfg.MaxAttempts = cmp.Or(cfg.MaxAttempts, 10)
+	cfg.MTU = cmp.Or(cfg.MTU, 1500)
 	c := &Caller{
 		cfg:      cfg,
 		dec:      packet.NewDecoder(packet.DecoderConfig{MTU: cfg.MTU}),
--- a/internal/standin/fabric.go
+++ b/internal/standin/fabric.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -70,8 +71,8 @@
 
 // NewFabric returns a fabric without entry VMs.
 func NewFabric(cfg FabricConfig) *Fabric {
-	setDefault(&cfg.DetectAfter, time.Second)
-	setDefault(&cfg.MTU, 1500)
+	cfg.DetectAfter = cmp.Or(cfg.DetectAfter, time.Second)
+	cfg.MTU = cmp.Or(cfg.MTU, 1500)
 	return &Fabric{
 		cfg:     cfg,
 		dec:     packet.NewDecoder(packet.DecoderConfig{MTU: cfg.MTU}),
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -82,7 +83,7 @@
 
 // NewPlatform returns a platform without documents.
 func NewPlatform(cfg PlatformConfig) *Platform {
-	setDefault(&cfg.CallsPerSecond, 2000)
+	cfg.CallsPerSecond = cmp.Or(cfg.CallsPerSecond, 2000)
 	p := &Platform{
 		cfg:      cfg,
 		budget:   rate.NewLimiter(rate.Limit(cfg.CallsPerSecond), cfg.CallsPerSecond),
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -65,24 +65,16 @@
 }
 
 func (c TargetConfig) withDefaults() TargetConfig {
-	setDefault(&c.Slots, 3)
-	setDefault(&c.QueueLimit, 32)
-	setDefault(&c.MaxConnections, 2000)
-	setDefault(&c.ServiceTime, 2*time.Millisecond)
-	setDefault(&c.ColdFactor, 4)
-	setDefault(&c.RetryAfter, 500*time.Millisecond)
-	setDefault(&c.MTU, 1500)
+	c.Slots = cmp.Or(c.Slots, 3)
+	c.QueueLimit = cmp.Or(c.QueueLimit, 32)
+	c.MaxConnections = cmp.Or(c.MaxConnections, 2000)
+	c.ServiceTime = cmp.Or(c.ServiceTime, 2*time.Millisecond)
+	c.ColdFactor = cmp.Or(c.ColdFactor, 4)
+	c.RetryAfter = cmp.Or(c.RetryAfter, 500*time.Millisecond)
+	c.MTU = cmp.Or(c.MTU, 1500)
 	return c
 }
 
-// setDefault gives a zero field its default.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // LoadReport is what a target tells of itself over HTTP.
 type LoadReport struct {
 	Connections int  `json:"connections"`
--- a/internal/standin/workload.go
+++ b/internal/standin/workload.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 
@@ -43,14 +44,14 @@
 }
 
 func (w Workload) withDefaults() Workload {
-	setDefault(&w.Think, 500*time.Millisecond)
-	setDefault(&w.Interval, time.Second)
+	w.Think = cmp.Or(w.Think, 500*time.Millisecond)
+	w.Interval = cmp.Or(w.Interval, time.Second)
 	if w.Kind == WorkloadBulk {
-		setDefault(&w.AnswerBytes, 200_000)
-		setDefault(&w.Deadline, 30*time.Second)
+		w.AnswerBytes = cmp.Or(w.AnswerBytes, 200_000)
+		w.Deadline = cmp.Or(w.Deadline, 30*time.Second)
 	}
-	setDefault(&w.AnswerBytes, 64)
-	setDefault(&w.Deadline, 5*time.Second)
+	w.AnswerBytes = cmp.Or(w.AnswerBytes, 64)
+	w.Deadline = cmp.Or(w.Deadline, 5*time.Second)
 	return w
 }
 
