Settle only once logs have the same defaults, and ask across a healed partition

An owner settled while another's log still had the defaults of older lists, and resolved that owner's unnamed flows by newer ones; logs of daemons that died beyond a partition never arrived; a flow unknown to both sides was guessed by the one that was asked; a daemon that had only woken on the own side was asked in place of one from beyond. Change: ownersChange names who came back from beyond a partition; those are asked, one of them tells all that it holds, an asked daemon declines what it would know, names in its log whatever it decided, and settling waits until no owner's log has other defaults. The first failing seeds, 311 and 30, are the listed ones now.

--- a/core/delegate.go
+++ b/core/delegate.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sync"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -19,12 +21,39 @@
 	// active is true while further flows may be added.
 	active bool
 	flows  map[model.FlowHash]delegatedFlow
-	// appeared names the daemons, this one among them, that became owners in the change.
+	// joined is true where this daemon became an owner in the change; appeared then names the others that
+	// did.
+	joined   bool
 	appeared []model.MachineID
+	// returned names the daemons that came back from beyond a partition.
+	returned []model.MachineID
 	// ceased names the daemons that were owners before the change.
 	ceased []flow.Peer
 }
 
+// begin adds a change of the owners to those that have not settled yet.
+func (d *delegation) begin(self model.MachineID, c ownersChange) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.flows == nil {
+		d.flows = make(map[model.FlowHash]delegatedFlow)
+		d.joined = false
+		d.appeared, d.returned, d.ceased = nil, nil, nil
+	}
+	d.active = true
+	if c.includes(self) {
+		d.joined = true
+		d.appeared, d.returned = nil, nil
+	} else if len(c.returned) > 0 {
+		// The healing of a partition counts for more than this daemon's own start.
+		d.joined = false
+	}
+	d.appeared = append(d.appeared, c.appeared...)
+	d.returned = append(d.returned, c.returned...)
+	d.ceased = lo.Reject(d.ceased, func(p flow.Peer, _ int) bool { return c.includes(p.ID) })
+	d.ceased = append(d.ceased, c.ceased...)
+}
+
 // delegatedFlow is a flow whose packets are left to its former owner.
 type delegatedFlow struct {
 	key packet.FlowKey
@@ -37,7 +66,7 @@
 // delegate leaves a packet of a flow that is unknown here to the daemon that may know the flow. It
 // returns false where this daemon has to decide itself.
 func (e *Engine) delegate(w *world, a *arrival) (Verdict, bool) {
-	if a.hops >= maxHops {
+	if a.hops >= maxHops || a.declined {
 		return Verdict{}, false
 	}
 	if !e.fresh(a.now) {
@@ -107,41 +136,88 @@
 	return maps.Clone(e.delegated.flows), first
 }
 
-// decideFor decides on a packet of a flow that another daemon owns but does not know. The flow enters
-// this daemon's log, from which the owner learns of it.
+// decideFor decides on a packet of a flow that another daemon owns but does not know. This daemon's log names
+// the flow then, whatever its default is, so that the owner learns of it.
 func (e *Engine) decideFor(w *world, a *arrival, owner model.MachineID) Verdict {
-	if entry, ok := e.touch(a); ok {
-		return e.toTarget(w, entry.Target)
+	if _, ok := e.touch(a); !ok {
+		if v, passed := e.askOn(w, a, owner); passed {
+			return v
+		}
 	}
+	entry, ok := e.table.Get(a.hash)
+	if !ok {
+		return drop(errkind.NotReady)
+	}
+	if !entry.Exception && e.fresh(a.now) {
+		e.placing.RLock()
+		defer e.placing.RUnlock()
+		e.table.SetException(a.hash, true)
+		e.log.Add(a.hash, entry.Target)
+	}
+	return e.toTarget(w, entry.Target)
+}
+
+// askOn takes in an unknown flow for its owner, or passes its packet on to a daemon that may know it; it
+// then returns true with the verdict.
+func (e *Engine) askOn(w *world, a *arrival, owner model.MachineID) (Verdict, bool) {
 	if a.former == 0 {
 		a.former = e.seen.Former(a.hash)
 	}
 	rank := w.rankWithout(a.hash, owner)
 	if _, named := e.copies.Find(a.hash, rank); !named {
+		if asker := w.snapshot.Entry(owner); asker != nil && e.declines(w, a, owner) {
+			return hopWith(asker, wire.HopMeta{Hops: a.hops + 1, Known: a.known, Declined: true, Former: uint32(a.former)}), true
+		}
 		if former := e.formerlyHere(w, a, owner); former != nil {
-			return delegateTo(former, a)
+			return delegateTo(former, a), true
 		}
 	}
 	t, sure := e.resolveFrom(w, a, e.predecessor(w, a, rank), rank)
-	if sure {
-		return e.takeOver(w, a, t)
+	if !sure {
+		if v, passed := e.askUnsure(w, a, owner); passed {
+			return v, true
+		}
 	}
-	return e.decideUnsure(w, a, owner, t)
+	v := e.takeOver(w, a, t)
+	_, entered := e.table.Get(a.hash)
+	return v, !entered
 }
 
-// decideUnsure handles a packet of a flow whose predecessor's lists this daemon does not hold: another
-// daemon may hold them. A daemon that has just started does not guess: the caller repeats the packet.
-func (e *Engine) decideUnsure(w *world, a *arrival, owner model.MachineID, guess *model.Target) Verdict {
+// askUnsure passes on a packet of a flow whose predecessor's lists this daemon does not hold: another daemon
+// may hold them. A daemon that has just started does not guess: the caller repeats the packet.
+func (e *Engine) askUnsure(w *world, a *arrival, owner model.MachineID) (Verdict, bool) {
 	if a.hops < maxHops {
 		other := e.firstOther(w, a.hash, func(id model.MachineID) bool { return id != owner })
 		if other != nil {
-			return delegateTo(other, a)
+			return delegateTo(other, a), true
 		}
 	}
-	if !e.ready.Load() {
-		return drop(errkind.NotReady)
+	return drop(errkind.NotReady), !e.ready.Load()
+}
+
+// declines reports whether this daemon leaves an unknown flow to an owner that came back from beyond a
+// partition: it has owned the flow itself on this side, and so would know what was placed here.
+func (e *Engine) declines(w *world, a *arrival, owner model.MachineID) bool {
+	e.delegated.mu.Lock()
+	defer e.delegated.mu.Unlock()
+	d := &e.delegated
+	if a.hops >= maxHops || !d.active || !slices.Contains(d.returned, owner) {
+		return false
 	}
-	return e.takeOver(w, a, guess)
+	thisSide := func(id model.MachineID) uint64 {
+		if slices.Contains(d.returned, id) {
+			return lastRank
+		}
+		return w.rank(a.hash, id)
+	}
+	return w.formerly(a.hash, e.cfg.Self, thisSide) == 0
+}
+
+// doubt makes peers stop relying on this daemon's log, since it met a flow that it cannot resolve by
+// itself.
+func (e *Engine) doubt() {
+	e.log.SetComplete(false)
+	e.doubting.Store(true)
 }
 
 // formerlyHere returns the daemon to which this one would leave an unknown flow if it owned it, while
@@ -157,10 +233,3 @@
 	}
 	return e.ownerBefore(w, a.hash, owner)
 }
-
-// doubt makes peers stop relying on this daemon's log, since it met a flow that it cannot resolve by
-// itself.
-func (e *Engine) doubt() {
-	e.log.SetComplete(false)
-	e.doubting.Store(true)
-}
--- a/core/engine.go
+++ b/core/engine.go
@@ -51,7 +51,10 @@
 	leaving bool
 	// behind is true from a start or a pause until an owner has told all that it holds.
 	behind bool
-	turn   uint64
+	// healing names the daemons that came back from beyond a partition, until one of them has told all that
+	// it holds: logs of daemons that died there are among it.
+	healing []model.MachineID
+	turn    uint64
 	// listsAt is when the first lists came.
 	listsAt time.Time
 	// lastTick is the time of the last tick.
--- a/core/former.go
+++ b/core/former.go
@@ -8,20 +8,20 @@
 
 // ownerBefore returns the daemon that owned a flow before the change, or nil. It is the first in the
 // flow's order that was an owner and can be reached: one that still is, or one that leaves and whose log
-// may not have arrived here in full. The daemon that asks, 0 for none, does not count. Where this daemon
-// was an owner itself, it is one that comes before it.
+// may not have arrived here in full. Where this daemon was an owner itself, it is one that leaves and comes
+// before it, or one that came back from beyond a partition. The daemon that asks, 0 for none, does not
+// count. Callers hold the delegation's lock.
 func (e *Engine) ownerBefore(w *world, h model.FlowHash, asker model.MachineID) *model.EntryVM {
-	appeared := func(id model.MachineID) bool {
-		return id != asker && slices.Contains(e.delegated.appeared, id)
-	}
-	remained := func(id model.MachineID) bool { return id != asker && !appeared(id) }
-	if appeared(e.cfg.Self) {
+	d := &e.delegated
+	if d.joined {
+		remained := func(id model.MachineID) bool { return id != asker && !slices.Contains(d.appeared, id) }
 		return e.earlier(w, h, e.firstOther(w, h, remained), e.firstCeased(w, h, lastRank))
 	}
 	if leaver := e.firstCeased(w, h, w.rank(h, e.cfg.Self)); leaver != nil {
 		return leaver
 	}
-	return e.firstOther(w, h, appeared)
+	returned := func(id model.MachineID) bool { return id != asker && slices.Contains(d.returned, id) }
+	return e.firstOther(w, h, returned)
 }
 
 // firstCeased returns the daemon that ceased to be an owner in the change, can be reached and comes first
--- a/core/members.go
+++ b/core/members.go
@@ -65,17 +65,18 @@
 	if w == nil || w.view.Version == v.Version {
 		return
 	}
-	appeared, ceased := compareOwners(w.view, v)
+	change := compareOwners(w.view, v)
 	next := w.withView(now, flow.Mark(e.mark.Load()), v)
-	if !e.ready.Load() || slices.Contains(appeared, e.cfg.Self) {
+	if !e.ready.Load() || change.includes(e.cfg.Self) {
 		// Of what this daemon saw before it owned flows, only the last view says who owned them.
 		next.past = next.past[:1]
-		appeared = []model.MachineID{e.cfg.Self}
+		change.appeared = []model.MachineID{e.cfg.Self}
 	}
+	change.returned = w.hidden.among(change.appeared)
 	e.world.Store(next)
 	e.arrangeCopies(now, next)
-	if len(appeared)+len(ceased) > 0 {
-		e.unsettle(now, appeared, ceased)
+	if change.any() {
+		e.unsettle(now, change)
 		e.inherit(now, next)
 	}
 	e.loads.SetOwners(countOwners(v))
@@ -102,21 +103,41 @@
 	e.log.SetPeers(peers)
 }
 
-// compareOwners returns which daemons are owners in b and were none in a, or became them anew, and which
-// ceased to be owners.
-func compareOwners(a, b *membership.View) (appeared []model.MachineID, ceased []flow.Peer) {
+// ownersChange says how the owners of one view differ from those of the view before.
+type ownersChange struct {
+	// appeared names the daemons that became owners, or became them anew.
+	appeared []model.MachineID
+	// returned names those of them that were beyond a partition.
+	returned []model.MachineID
+	// ceased names the daemons that were owners before.
+	ceased []flow.Peer
+}
+
+// any reports whether anything changed.
+func (c ownersChange) any() bool {
+	return len(c.appeared)+len(c.ceased) > 0
+}
+
+// includes reports whether a daemon became an owner.
+func (c ownersChange) includes(id model.MachineID) bool {
+	return slices.Contains(c.appeared, id)
+}
+
+// compareOwners returns how the owners of b differ from those of a, but for who was beyond a partition.
+func compareOwners(a, b *membership.View) ownersChange {
+	var c ownersChange
 	for _, m := range a.Members() {
 		if now, ok := b.Member(m.Entry.ID); m.Owner && (!ok || !now.Owner) {
-			ceased = append(ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation})
+			c.ceased = append(c.ceased, flow.Peer{ID: m.Entry.ID, Incarnation: m.Incarnation})
 		}
 	}
 	for _, m := range b.Members() {
 		before, ok := a.Member(m.Entry.ID)
 		if m.Owner && (!ok || !before.Owner || before.Incarnation != m.Incarnation) {
-			appeared = append(appeared, m.Entry.ID)
+			c.appeared = append(c.appeared, m.Entry.ID)
 		}
 	}
-	return appeared, ceased
+	return c
 }
 
 func countOwners(v *membership.View) int {
--- a/core/packets.go
+++ b/core/packets.go
@@ -25,6 +25,8 @@
 	// known is true for a flow that this daemon or the sender of the hop has known since before the
 	// present partition.
 	known bool
+	// declined is true for a packet that came back from the daemon that was asked to decide on it.
+	declined bool
 	// former is the owner whose log last covered the flow here or at the sender of the hop; 0 for none.
 	former flow.Incarnated
 }
@@ -75,6 +77,7 @@
 	if hop.Delegated {
 		return e.decideFor(w, &a, from)
 	}
+	a.declined = hop.Declined
 	return e.route(w, &a)
 }
 
--- a/core/partition.go
+++ b/core/partition.go
@@ -1,9 +1,12 @@
 package core
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/model"
@@ -49,6 +52,16 @@
 	return next
 }
 
+// among returns those of some daemons that are hidden.
+func (x *hidden) among(ids []model.MachineID) []model.MachineID {
+	if x == nil {
+		return nil
+	}
+	return lo.Filter(ids, func(id model.MachineID, _ int) bool {
+		return slices.ContainsFunc(x.entries, func(e *model.EntryVM) bool { return e.ID == id })
+	})
+}
+
 // lateOwner returns the daemon beyond a partition that would own a flow, while no daemon on this side
 // is known to have met the flow before the partition; else nil. A packet sent there is lost while the partition lasts, and the caller
 // repeats it: by then this daemon decides itself.
--- a/core/peers.go
+++ b/core/peers.go
@@ -147,6 +147,7 @@
 	}
 	if all {
 		e.behind = false
+		e.healing = nil
 	}
 	e.inherit(now, w)
 }
--- a/core/schedule_test.go
+++ b/core/schedule_test.go
@@ -211,12 +211,21 @@
 	proptest.CheckN(t, scheduleChecks, scheduleOf(t, eventSettle))
 }
 
-// The seeds of the next two tests are the first ones that fail from seed 1 on.
+func TestSchedulesThatFailedBefore(t *testing.T) {
+	for _, seed := range []int{154, 1486} {
+		proptest.CheckOne(t, seed, scheduleOf(t, eventSettle))
+	}
+	for _, seed := range []int{46, 301} {
+		proptest.CheckOne(t, seed, scheduleOf(t, 0))
+	}
+}
+
+// The seeds of the next two tests are the first ones that fail from seed 1 on, one schedule each.
 
 func TestRareRandomSchedule(t *testing.T) {
-	proptest.CheckOne(t, 1486, scheduleOf(t, eventSettle))
+	proptest.CheckOne(t, 311, scheduleOf(t, eventSettle))
 }
 
 func TestOverlappingSchedules(t *testing.T) {
-	proptest.CheckOne(t, 301, scheduleOf(t, 0))
+	proptest.CheckOne(t, 30, scheduleOf(t, 0))
 }
--- a/core/settle.go
+++ b/core/settle.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/model"
@@ -14,27 +12,13 @@
 
 // unsettle starts the time in which unknown flows are left to their former owners: until every other
 // owner's log is known here as it was after the change.
-func (e *Engine) unsettle(now time.Time, appeared []model.MachineID, ceased []flow.Peer) {
+func (e *Engine) unsettle(now time.Time, c ownersChange) {
 	e.log.SetComplete(false)
 	e.unsettled.Store(true)
 	e.settleBy = now.Add(e.cfg.SettleTime)
 	e.settleMark = flow.Mark(e.mark.Load())
-	e.delegated.mu.Lock()
-	defer e.delegated.mu.Unlock()
-	if e.delegated.flows == nil {
-		e.delegated.flows = make(map[model.FlowHash]delegatedFlow)
-		e.delegated.appeared, e.delegated.ceased = nil, nil
-	}
-	e.delegated.active = true
-	if slices.Contains(appeared, e.cfg.Self) || slices.Contains(e.delegated.appeared, e.cfg.Self) && len(appeared) > 0 {
-		// The latest kind of change counts: this daemon's own, or that of others.
-		e.delegated.appeared = nil
-	}
-	e.delegated.appeared = append(e.delegated.appeared, appeared...)
-	e.delegated.ceased = lo.Reject(e.delegated.ceased, func(p flow.Peer, _ int) bool {
-		return slices.Contains(appeared, p.ID)
-	})
-	e.delegated.ceased = append(e.delegated.ceased, ceased...)
+	e.healing = append(e.healing, c.returned...)
+	e.delegated.begin(e.cfg.Self, c)
 }
 
 // settle ends the time after a change of the owners in two steps. Once every other log is known as of
@@ -45,7 +29,7 @@
 		return
 	}
 	patient := now.Before(e.settleBy)
-	if patient && !e.current() {
+	if patient && (!e.current() || e.firstHealing() != 0) {
 		return
 	}
 	flows, first := e.endDelegation()
@@ -67,8 +51,7 @@
 }
 
 // current reports whether the copy of every live owner's log was written after the last change of the
-// members was noticed here, and this daemon holds the lists of its generation. It asks the owners that
-// are missing.
+// members was noticed here and has the same defaults. It asks the owners that are missing.
 func (e *Engine) current() bool {
 	w := e.world.Load()
 	all := true
@@ -80,7 +63,7 @@
 	}
 	for _, cp := range e.followed(owns) {
 		p := cp.Position()
-		if p.Heard > e.settleMark && w.routeOf(p.Generation) != nil {
+		if p.Heard > e.settleMark && e.agrees(w, p.Generation) {
 			continue
 		}
 		cp.Want(e.settleMark)
@@ -89,6 +72,14 @@
 	return all
 }
 
+// agrees reports whether flows that another log does not name have the defaults of this daemon's log or of
+// its lists. Where they do not, the other owner is about to follow the lists, and will name the flows that
+// differ.
+func (e *Engine) agrees(w *world, g model.Generation) bool {
+	r := w.routeOf(g)
+	return r != nil && (r == w.routeOf(e.log.Generation()) || r == w.newest())
+}
+
 // takeIn adopts one delegated flow if it is still this daemon's.
 func (e *Engine) takeIn(w *world, now time.Time, h model.FlowHash, f delegatedFlow) {
 	if owner := w.owner(h); owner == nil || owner.ID != e.cfg.Self {
--- a/core/sync.go
+++ b/core/sync.go
@@ -61,5 +61,17 @@
 
 // wantsAll reports whether a member is asked for all that it holds.
 func (e *Engine) wantsAll(m membership.MemberView) bool {
-	return e.behind && m.Owner
+	return m.Owner && (e.behind || m.Entry.ID == e.firstHealing())
+}
+
+// firstHealing returns the first owner that came back from beyond a partition and has not told yet all that
+// it holds; 0 for none.
+func (e *Engine) firstHealing() model.MachineID {
+	v := e.View()
+	for _, id := range e.healing {
+		if m, ok := v.Member(id); ok && m.Owner {
+			return id
+		}
+	}
+	return 0
 }
--- a/core/tick.go
+++ b/core/tick.go
@@ -15,7 +15,7 @@
 	}
 	e.lastTick = now
 	if e.doubting.Swap(false) {
-		e.unsettle(now, nil, nil)
+		e.unsettle(now, ownersChange{})
 	}
 	e.judgeLate(now, e.world.Load())
 	e.settle(now)
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -47,11 +47,13 @@
 	Check(t, prop)
 }
 
-// CheckOne runs a property once with a seed.
+// CheckOne runs a property once with a seed, as a subtest: a test may check several seeds.
 func CheckOne(t *testing.T, seed int, prop func(*rapid.T)) {
 	t.Helper()
-	setUnless(t, checksFlag, unsetChecks, "1")
-	CheckSeed(t, seed, prop)
+	t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) {
+		setUnless(t, checksFlag, unsetChecks, "1")
+		CheckSeed(t, seed, prop)
+	})
 }
 
 // setUnless sets a flag for the time of the test where the command line did not.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -18,6 +18,8 @@
 	// Delegated is true when the sender owns the flow but does not know it: the receiver decides, as the
 	// flow's former owner.
 	Delegated bool
+	// Declined is true when the sender was asked to decide and does not know the flow either.
+	Declined bool
 	// Former identifies the run of the owner whose log last covered the flow at the sender; 0 for none.
 	Former uint32
 }
@@ -27,7 +29,8 @@
 	hopKnown      = 1
 	hopDelegated  = 2
 	hopFormer     = 3
-	hopFlagsEnd   = 16
+	hopDeclined   = 4
+	hopFlagsEnd   = 32
 
 	hopFormerBytes = 4
 )
@@ -37,7 +40,8 @@
 
 // AppendTo appends the encoded meta to dst.
 func (m HopMeta) AppendTo(dst []byte) []byte {
-	flags := boolBit(m.FromTarget, hopFromTarget) | boolBit(m.Known, hopKnown) | boolBit(m.Delegated, hopDelegated)
+	flags := boolBit(m.FromTarget, hopFromTarget) | boolBit(m.Known, hopKnown) | boolBit(m.Delegated, hopDelegated) |
+		boolBit(m.Declined, hopDeclined)
 	if m.Former == 0 {
 		return append(dst, m.Hops, flags)
 	}
@@ -55,6 +59,7 @@
 		FromTarget: body[1]&(1<<hopFromTarget) != 0,
 		Known:      body[1]&(1<<hopKnown) != 0,
 		Delegated:  body[1]&(1<<hopDelegated) != 0,
+		Declined:   body[1]&(1<<hopDeclined) != 0,
 	}
 	rest := body[hopMetaBytes:]
 	if body[1]&(1<<hopFormer) == 0 {
--- a/internal/wire/messages_test.go
+++ b/internal/wire/messages_test.go
@@ -172,6 +172,7 @@
 			{Hops: 2, Delegated: true},
 			{Hops: 2, Known: true, Delegated: true},
 			{Hops: 1, Former: 0xdeadbeef},
+			{Hops: 2, Declined: true, Former: 1},
 		} {
 			meta, packet, kind := DecodeHop(append(want.AppendTo(nil), "packet"...))
 			So(kind, ShouldEqual, errkind.None)
