--- a/internal/flow/copies.go
+++ b/internal/flow/copies.go
@@ -201,14 +201,12 @@
 func (c *Copies) Expire(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	next := c.current.Load().clone()
-	kept := next.retired[:0]
-	for _, cp := range next.retired {
-		if !cp.retiredBefore(now.Add(-c.retention)) {
-			kept = append(kept, cp)
-		}
+	over := func(cp *Copy) bool { return cp.retiredBefore(now.Add(-c.retention)) }
+	if !slices.ContainsFunc(c.current.Load().retired, over) {
+		return
 	}
-	next.retired = kept
+	next := c.current.Load().clone()
+	next.retired = slices.DeleteFunc(next.retired, over)
 	c.current.Store(next)
 }
 
