Drop a verdict that the engine never gives

Cause: core.OpResetTarget and its handling in the daemon were written for retries, which are not wired; no path returned it, and OpReset with a target does the same for open flows. Ruled out: keeping it for later: a reader looks for the path that gives it. No figures: behaviour as before; vet, lint and the tests of core's users pass. Conclusion: one way to reset a target, OpReset with Verdict.To.

--- a/core/verdict.go
+++ b/core/verdict.go
@@ -25,15 +25,13 @@
 	// OpReset answers the caller with a TCP reset that names Verdict.Kind and Verdict.RetryAfter. Where
 	// Verdict.To is set, the flow was open, and the target there is reset too.
 	OpReset
-	// OpResetTarget answers the target at Verdict.To with a TCP reset: its answer comes too late.
-	OpResetTarget
 )
 
 // Verdict is what the engine decides on one packet.
 type Verdict struct {
 	Op   Op
 	Kind errkind.Kind
-	// To is the address to send to; used by OpForward, OpHop, OpResetTarget and for open flows OpReset.
+	// To is the address to send to; used by OpForward, OpHop and for open flows OpReset.
 	To netip.AddrPort
 	// Peer is the receiver of a hop.
 	Peer model.MachineID
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -182,8 +182,6 @@
 		w.hop(v, raw)
 	case core.OpReset:
 		w.reset(v)
-	case core.OpResetTarget:
-		w.resetTarget(v)
 	default:
 		w.d.metrics.kinds.Add(v.Kind, 1)
 	}
@@ -211,13 +209,3 @@
 	}
 	w.toData = append(w.toData, udpio.Message{Buf: answer, N: len(answer), Addr: w.d.settings.Egress})
 }
-
-// resetTarget ends the connection that the target's answer in w.meta belongs to.
-func (w *worker) resetTarget(v core.Verdict) {
-	w.d.metrics.kinds.Add(v.Kind, 1)
-	answer := packet.AppendReset(w.scratch.take()[:0], &w.meta, "")
-	if len(answer) == 0 {
-		return
-	}
-	w.toData = append(w.toData, udpio.Message{Buf: answer, N: len(answer), Addr: v.To})
-}
