--- a/cmd/fireflypind/main.go
+++ b/cmd/fireflypind/main.go
@@ -16,7 +16,9 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fireflypin/fireflypin/internal/daemon"
+	"github.com/fireflypin/fireflypin/internal/edge"
 	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/platform"
 )
 
 const (
@@ -53,7 +55,12 @@
 		Name:  "fireflypind",
 		Usage: "balance the packets that the fabric hands to this entry VM",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "config", Usage: "settings `FILE` in YAML", Required: true},
+			&cli.StringFlag{
+				Name:     "config",
+				Usage:    "settings `FILE` in YAML",
+				Sources:  cli.EnvVars("FIREFLYPIN_BOOT"),
+				Required: true,
+			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return run(ctx, c.String("config"))
@@ -70,6 +77,9 @@
 	if err != nil {
 		return errors.Join(errUsage, err)
 	}
+	if s.Steering == settings.SteerTags {
+		return runTagged(ctx, hangups, s, path)
+	}
 	p, err := daemon.NewProcess(daemon.Options{Settings: s, LogTo: os.Stderr, Now: time.Now()})
 	if err != nil {
 		return errors.Join(errUsage, err)
@@ -89,3 +99,23 @@
 		}
 	}
 }
+
+// runTagged serves a transport that carries flow tags until ctx ends.
+func runTagged(ctx context.Context, hangups <-chan os.Signal, s *settings.Settings, path string) error {
+	p, err := edge.NewProcess(edge.Options{
+		Settings: s,
+		Path:     path,
+		LogTo:    os.Stdout,
+		Now:      time.Now(),
+		Adapter:  platform.Provide,
+	})
+	if err != nil {
+		return errors.Join(errUsage, err)
+	}
+	go func() {
+		for range hangups {
+			p.Reload()
+		}
+	}()
+	return p.Run(ctx)
+}
--- /dev/null
+++ b/core/tagengine.go
@@ -0,0 +1,235 @@
+package core
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+// TagConfig holds the settings of a TagEngine.
+type TagConfig struct {
+	// Policy chooses the targets of new flows; required.
+	Policy placement.Policy
+	// Epoch is a time not after the first event; required.
+	Epoch time.Time
+	// IdleTimeout is how long a flow's record is kept without packets. A record is a memory of the flow's
+	// progress; its way needs none. Default 15 s.
+	IdleTimeout time.Duration
+	// MaxFlows bounds the records, and so their memory; default 200,000. Flows beyond it go on without one.
+	MaxFlows int
+	// Limits bounds customers' flows. Default: no bounds.
+	Limits Limits
+}
+
+const (
+	defaultTagIdleTimeout = 15 * time.Second
+	defaultMaxTagFlows    = 200_000
+)
+
+// TagEngine decides about packets of a transport that carries a flow tag in each packet of a flow. Packet
+// methods may be called from any number of goroutines at once; Adopt and Tick from one goroutine at a time.
+type TagEngine struct {
+	cfg   TagConfig
+	loads *placement.LoadTable
+	flows tagFlows
+	world atomic.Pointer[tagWorld]
+	// current is false while the daemon's beliefs may be old, as after a pause.
+	current atomic.Bool
+}
+
+// tagWorld is everything that packets are decided on and that changes rarely. It is immutable.
+type tagWorld struct {
+	snapshot *model.Snapshot
+	admitter Admitter
+	table    *placement.Table
+	tags     *flowtag.Table
+	targets  map[model.TargetID]*model.Target
+}
+
+// NewTagEngine returns an engine without lists; it drops every packet until Adopt was called.
+func NewTagEngine(cfg TagConfig) *TagEngine {
+	if cfg.IdleTimeout <= 0 {
+		cfg.IdleTimeout = defaultTagIdleTimeout
+	}
+	if cfg.MaxFlows <= 0 {
+		cfg.MaxFlows = defaultMaxTagFlows
+	}
+	if cfg.Limits == nil {
+		cfg.Limits = noLimits{}
+	}
+	e := &TagEngine{cfg: cfg, loads: placement.NewLoadTable()}
+	e.flows.init(cfg)
+	return e
+}
+
+// Adopt puts a set of lists in force.
+func (e *TagEngine) Adopt(now time.Time, s *model.Snapshot, a Admitter) {
+	w := &tagWorld{
+		snapshot: s,
+		admitter: a,
+		table:    placement.NewTable(s),
+		targets:  make(map[model.TargetID]*model.Target),
+	}
+	var published []*model.Target
+	for _, svc := range s.Services {
+		published = append(published, svc.Targets...)
+	}
+	w.tags = flowtag.NewTable(published, s.Former)
+	for _, t := range s.Former {
+		w.targets[t.ID] = t
+	}
+	for _, t := range published {
+		w.targets[t.ID] = t
+	}
+	e.loads.SetTable(now, w.table)
+	e.world.Store(w)
+}
+
+// SetCurrent says whether the lists in force may be acted on. While they may not, new flows get no answer,
+// so that the caller's retransmission is decided on newer ones; open flows go on.
+func (e *TagEngine) SetCurrent(current bool) {
+	e.current.Store(current)
+}
+
+// Ready reports whether the engine can place flows.
+func (e *TagEngine) Ready() bool {
+	return e.world.Load() != nil && e.current.Load()
+}
+
+// Loads returns the table of what is known of the targets' loads.
+func (e *TagEngine) Loads() *placement.LoadTable {
+	return e.loads
+}
+
+// Lists returns the lists in force, or nil.
+func (e *TagEngine) Lists() *model.Snapshot {
+	w := e.world.Load()
+	if w == nil {
+		return nil
+	}
+	return w.snapshot
+}
+
+// OpenFlows returns the number of flows with a record.
+func (e *TagEngine) OpenFlows() int {
+	return e.flows.len()
+}
+
+// Tick drops the records of flows that ended or went silent.
+func (e *TagEngine) Tick(now time.Time) {
+	e.flows.expire(now, e.released)
+}
+
+// released undoes what a record counted.
+func (e *TagEngine) released(now time.Time, f tagFlow) {
+	if f.state != tagClosing {
+		e.loads.Closed(f.target)
+	}
+	if f.counted && f.customer != nil {
+		e.cfg.Limits.Close(now, f.customer)
+	}
+}
+
+// TagReason says why a packet goes where it goes.
+type TagReason uint8
+
+// The reasons of a TagVerdict.
+const (
+	// TagSteered is a packet whose tag or record names the target.
+	TagSteered TagReason = iota
+	// TagPlaced is the first packet of a flow.
+	TagPlaced
+	// TagRepeated is a repeated first packet that goes to the flow's target again.
+	TagRepeated
+	// TagMoved is a repeated first packet that goes to another target, since the first one is silent.
+	TagMoved
+)
+
+// String returns the reason's name in logs.
+func (r TagReason) String() string {
+	return [...]string{"steered", "placed", "repeated", "moved"}[r]
+}
+
+// TagVerdict is what a TagEngine decides on one packet: OpForward to Target with Tag, OpReset or OpDrop.
+type TagVerdict struct {
+	Op     Op
+	Kind   errkind.Kind
+	Reason TagReason
+	Target *model.Target
+	Tag    flowtag.Tag
+	// Route is the flow's route where the packet opens one.
+	Route *model.Route
+	// RetryAfter is when a refused caller should come back; 0 where asking again is useless.
+	RetryAfter time.Duration
+}
+
+func dropTagged(k errkind.Kind) TagVerdict {
+	return TagVerdict{Op: OpDrop, Kind: k}
+}
+
+// FromCaller decides on a packet of a caller that carries a tag.
+func (e *TagEngine) FromCaller(now time.Time, m *packet.Meta, tag flowtag.Tag) TagVerdict {
+	w := e.world.Load()
+	if w == nil {
+		return dropTagged(errkind.NotReady)
+	}
+	h := m.Key().Hash()
+	if m.Flags.Has(packet.SYN) && !m.Flags.Has(packet.ACK) {
+		return e.open(w, now, h, m)
+	}
+	return e.steer(w, now, h, m, tag)
+}
+
+// steer sends a packet of an open flow to its target. The target that a daemon saw first in the flow's tags
+// stays its target: a caller whose repeated SYN reached two targets may return the tag of the one that it
+// did not choose.
+func (e *TagEngine) steer(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta, tag flowtag.Tag) TagVerdict {
+	f, known := e.flows.packet(now, h, m, func() (tagFlow, bool) {
+		return e.learn(w, tag)
+	})
+	if !known {
+		return dropTagged(errkind.TargetLost)
+	}
+	e.judge(now, &f)
+	target := w.targets[f.after.target]
+	if target == nil {
+		return dropTagged(errkind.TargetLost)
+	}
+	return TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag}
+}
+
+// learn returns the record of a flow that this daemon did not open.
+func (e *TagEngine) learn(w *tagWorld, tag flowtag.Tag) (tagFlow, bool) {
+	t := w.tags.Target(tag)
+	if t == nil {
+		return tagFlow{}, false
+	}
+	return tagFlow{target: t.ID, tag: tag, state: tagOpen}, true
+}
+
+// judge turns a packet's progress into evidence on the flow's target.
+func (e *TagEngine) judge(now time.Time, f *tagProgress) {
+	if f.added {
+		e.loads.Opened(f.after.target)
+	}
+	switch {
+	case f.opened:
+		e.loads.Answered(now, f.after.target, f.waited)
+	case f.answered:
+		e.loads.Alive(now, f.after.target)
+	case f.repeated:
+		e.loads.Unanswered(now, f.after.target)
+	}
+	if f.retargeted {
+		e.loads.Closed(f.before.target)
+		e.loads.Opened(f.after.target)
+	}
+	if f.closed {
+		e.loads.Closed(f.after.target)
+	}
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/wire"
 )
 
 // errKeysRemoved refuses a reload that would put the well-known loopback key in place of a secret one.
@@ -32,7 +33,7 @@
 	if len(p.settings.KeyFiles) > 0 && len(now.KeyFiles) == 0 {
 		return errKeysRemoved
 	}
-	ring, err := loadKeyring(now)
+	ring, err := wire.KeyringOf(now.KeyFiles)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,271 @@
+package directory
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// ServiceSpec is a published service.
+type ServiceSpec struct {
+	Name string
+	// MaxConnections bounds the open flows of each target; 0 means no bound.
+	MaxConnections uint32
+}
+
+// ShareSpec is a service's part of a route.
+type ShareSpec struct {
+	Service string
+	Weight  uint32
+}
+
+// RouteSpec is a published route.
+type RouteSpec struct {
+	Name     string
+	Address  netip.AddrPort
+	Shares   []ShareSpec
+	Kind     model.RequestKind
+	Timeout  time.Duration
+	Priority int
+}
+
+// Plan is one published version of routes and services, checked: each share names a service of it.
+type Plan struct {
+	Version  uint64
+	Routes   []RouteSpec
+	Services []ServiceSpec
+	// IdleTimeout is how long a flow may be idle; 0 where none is published.
+	IdleTimeout time.Duration
+}
+
+// Registration is what a target says of itself.
+type Registration struct {
+	Name    string
+	Service string
+	// Zone is the name of the target's availability zone.
+	Zone    string
+	Address netip.AddrPort
+	Guard   uint64
+	Slots   uint32
+	Leaving bool
+	// Warmup is how much longer the target is slow.
+	Warmup time.Duration
+	Born   time.Time
+}
+
+// Config holds the settings of a Directory.
+type Config struct {
+	// Regions names the region of each availability zone.
+	Regions map[string]string
+	// LapseGrace is how long a target whose registration ended without notice still counts as a last resort.
+	// Default 2.5 s: registrations that the platform dropped by mistake are back within two seconds.
+	LapseGrace time.Duration
+	// FormerLifetime is how long a target without a registration stays known for its open flows; default
+	// 75 s, above the longest life of a flow.
+	FormerLifetime time.Duration
+}
+
+const (
+	defaultLapseGrace     = 2500 * time.Millisecond
+	defaultFormerLifetime = 75 * time.Second
+)
+
+// Directory holds what is published. It is not safe for concurrent use.
+type Directory struct {
+	cfg     Config
+	plan    *Plan
+	targets map[string]*record
+	changes uint64
+}
+
+// record is a target with what became of its registration.
+type record struct {
+	Registration
+	warmUntil time.Time
+	// ended is when the registration ended; zero while it stands.
+	ended time.Time
+}
+
+// New returns an empty Directory.
+func New(cfg Config) *Directory {
+	cfg.LapseGrace = cmp.Or(cfg.LapseGrace, defaultLapseGrace)
+	cfg.FormerLifetime = cmp.Or(cfg.FormerLifetime, defaultFormerLifetime)
+	return &Directory{cfg: cfg, targets: make(map[string]*record)}
+}
+
+// SetPlan puts a version of routes and services in force. One that is not newer is not taken.
+func (d *Directory) SetPlan(p *Plan) bool {
+	if d.plan != nil && p.Version <= d.plan.Version {
+		return false
+	}
+	d.plan = p
+	d.changes++
+	return true
+}
+
+// Plan returns the version in force, or nil.
+func (d *Directory) Plan() *Plan {
+	return d.plan
+}
+
+// Register takes what a target says of itself.
+func (d *Directory) Register(now time.Time, r Registration) {
+	rec := &record{Registration: r}
+	if r.Warmup > 0 {
+		rec.warmUntil = now.Add(r.Warmup)
+	}
+	d.targets[r.Name] = rec
+	d.changes++
+}
+
+// End takes the end of a target's registration.
+func (d *Directory) End(now time.Time, name string) {
+	rec := d.targets[name]
+	if rec == nil || !rec.ended.IsZero() {
+		return
+	}
+	ended := *rec
+	ended.ended = now
+	d.targets[name] = &ended
+	d.changes++
+}
+
+// NextChange returns when Snapshot has something to do without an event, or false.
+func (d *Directory) NextChange(now time.Time) (time.Time, bool) {
+	var next time.Time
+	for _, rec := range d.targets {
+		if rec.ended.IsZero() {
+			continue
+		}
+		at := rec.ended.Add(d.cfg.LapseGrace)
+		if !rec.lapsed(now, d.cfg) {
+			at = rec.ended.Add(d.cfg.FormerLifetime)
+		}
+		if next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next, !next.IsZero()
+}
+
+// lapsed reports whether the registration ended a moment ago without notice.
+func (r *record) lapsed(now time.Time, cfg Config) bool {
+	return !r.ended.IsZero() && !r.Leaving && now.Before(r.ended.Add(cfg.LapseGrace))
+}
+
+// Snapshot returns what is in force at now, or nil without a plan. It forgets former targets that are over.
+func (d *Directory) Snapshot(now time.Time) *model.Snapshot {
+	d.forget(now)
+	if d.plan == nil {
+		return nil
+	}
+	b := builder{d: d, now: now, services: make(map[string]*model.Service)}
+	b.addServices()
+	b.addTargets()
+	b.addRoutes()
+	everyone := &model.Plan{Name: "published", Services: b.list}
+	return model.NewRoutedSnapshot(model.Parts{
+		Revisions: model.Revisions{Customers: 1, Plans: d.plan.Version, Machines: d.changes},
+		Customers: []*model.Customer{{Name: "all", Plan: everyone, Prefixes: anyAddress}},
+		Plans:     []*model.Plan{everyone},
+		Services:  b.list,
+		Routes:    b.routes,
+		Former:    b.former,
+	})
+}
+
+// anyAddress are the prefixes of a platform that publishes no customers: it admits every caller.
+var anyAddress = []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0"), netip.MustParsePrefix("::/0")}
+
+func (d *Directory) forget(now time.Time) {
+	for name, rec := range d.targets {
+		if !rec.ended.IsZero() && !now.Before(rec.ended.Add(d.cfg.FormerLifetime)) {
+			delete(d.targets, name)
+		}
+	}
+}
+
+// builder assembles one Snapshot.
+type builder struct {
+	d        *Directory
+	now      time.Time
+	list     []*model.Service
+	services map[string]*model.Service
+	limits   map[string]uint32
+	routes   []*model.Route
+	former   []*model.Target
+}
+
+func (b *builder) addServices() {
+	b.limits = make(map[string]uint32)
+	for _, spec := range b.d.plan.Services {
+		s := &model.Service{Name: spec.Name}
+		b.list = append(b.list, s)
+		b.services[spec.Name] = s
+		b.limits[spec.Name] = spec.MaxConnections
+	}
+}
+
+// addTargets sorts the targets by name, so that all daemons hold them in the same order.
+func (b *builder) addTargets() {
+	names := make([]string, 0, len(b.d.targets))
+	for name := range b.d.targets {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		rec := b.d.targets[name]
+		t := b.target(rec)
+		s := b.services[rec.Service]
+		if s == nil || !rec.ended.IsZero() && !t.Lapsed {
+			b.former = append(b.former, t)
+			continue
+		}
+		s.Targets = append(s.Targets, t)
+	}
+}
+
+func (b *builder) target(rec *record) *model.Target {
+	return &model.Target{
+		ID:             model.TargetIDOf(rec.Name),
+		Name:           rec.Name,
+		Service:        rec.Service,
+		Zone:           model.Zone{Region: b.d.cfg.Regions[rec.Zone], Name: rec.Zone},
+		Leaving:        rec.Leaving,
+		Data:           rec.Address,
+		Weight:         max(rec.Slots, 1),
+		MaxConnections: b.limits[rec.Service],
+		Slots:          rec.Slots,
+		Guard:          rec.Guard,
+		Born:           rec.Born,
+		WarmUntil:      rec.warmUntil,
+		Lapsed:         rec.lapsed(b.now, b.d.cfg),
+	}
+}
+
+// addRoutes gives each route's address to its first share's service, which admission goes by.
+func (b *builder) addRoutes() {
+	for _, spec := range b.d.plan.Routes {
+		r := &model.Route{
+			Name:     spec.Name,
+			Address:  spec.Address,
+			Kind:     spec.Kind,
+			Timeout:  spec.Timeout,
+			Priority: spec.Priority,
+		}
+		for _, share := range spec.Shares {
+			if s := b.services[share.Service]; s != nil && share.Weight > 0 {
+				r.Shares = append(r.Shares, model.Share{Service: s, Weight: share.Weight})
+			}
+		}
+		if len(r.Shares) == 0 {
+			continue
+		}
+		first := r.Shares[0].Service
+		first.Addresses = append(first.Addresses, r.Address)
+		b.routes = append(b.routes, r)
+	}
+}
--- /dev/null
+++ b/internal/edge/control.go
@@ -0,0 +1,354 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/admission"
+	"github.com/fireflypin/fireflypin/internal/directory"
+	"github.com/fireflypin/fireflypin/internal/news"
+)
+
+const (
+	// tickInterval is the time between two ticks of the decision makers.
+	tickInterval = 100 * time.Millisecond
+	// adoptDelay gathers changes that come together into one set of lists.
+	adoptDelay = 20 * time.Millisecond
+	// pauseLimit is the gap between two ticks, by a clock that counts suspension, from which the process was
+	// paused and what it believes may be old.
+	pauseLimit = time.Second
+	// relearnTime is how long a daemon that was paused waits at most for word from others.
+	relearnTime = 600 * time.Millisecond
+	// answerSlack is the time that a call to the platform gets on top of its wait.
+	answerSlack = 700 * time.Millisecond
+	// reportEvery is the time between two reports for operators.
+	reportEvery = time.Second
+	// logLeftOutEvery is the least time between two lines that tell how many flows were not logged.
+	logLeftOutEvery = time.Second
+)
+
+// Status is what operators see of a daemon.
+type Status struct {
+	Name        string   `json:"name"`
+	Zone        string   `json:"zone"`
+	Plan        uint64   `json:"plan"`
+	Complete    uint64   `json:"complete"`
+	AgeMS       int64    `json:"age_ms"`
+	OpenFlows   int      `json:"open_flows"`
+	Services    []string `json:"services"`
+	Targets     int      `json:"targets"`
+	Former      int      `json:"former_targets"`
+	LivePeers   int      `json:"live_peers"`
+	Stopping    bool     `json:"stopping"`
+	NotCurrent  bool     `json:"not_current"`
+	LinesOmited int64    `json:"flows_not_logged_total"`
+}
+
+// control is the goroutine that owns everything but packets.
+type control struct {
+	d         *Daemon
+	news      *news.Engine
+	directory *directory.Directory
+	status    atomic.Pointer[Status]
+
+	// adoptAt is when changes are put in force; zero while there are none.
+	adoptAt time.Time
+	// cancel ends the open call to the platform.
+	cancel context.CancelFunc
+	clock  suspendClock
+	// pausedAt is when a pause was noticed; zero while the lists are current.
+	pausedAt time.Time
+	lastLine time.Time
+	reported time.Time
+}
+
+func (c *control) run(ctx context.Context) error {
+	c.clock.start()
+	c.status.Store(c.report(time.Now()))
+	c.d.engine.SetCurrent(true)
+	c.handle(ctx, c.news.Start)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	soon := time.NewTimer(0)
+	defer soon.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-c.d.events:
+			c.take(ctx, e)
+		case s := <-c.d.seeds:
+			c.handle(ctx, func(now time.Time) []news.Action { return c.news.SetSeeds(now, s.Seeds) })
+		case <-ticker.C:
+			c.tick(ctx)
+		case <-soon.C:
+		}
+		c.adopt(time.Now(), soon)
+	}
+}
+
+func (c *control) take(ctx context.Context, e event) {
+	if e.datagram == nil {
+		c.handle(ctx, e.handle)
+		return
+	}
+	c.handle(ctx, func(now time.Time) []news.Action {
+		return c.news.HandleDatagram(now, e.from, *e.datagram)
+	})
+	c.heardAgain()
+}
+
+// heardAgain ends the doubt after a pause: what others told since is in force.
+func (c *control) heardAgain() {
+	if c.pausedAt.IsZero() {
+		return
+	}
+	c.pausedAt = time.Time{}
+	c.d.engine.SetCurrent(true)
+	c.d.log.Info("lists are current again", "op", "pause", "event", "ended")
+}
+
+func (c *control) tick(ctx context.Context) {
+	now := time.Now()
+	if gap := c.clock.gap(); gap >= pauseLimit {
+		c.pausedAt = now
+		c.d.engine.SetCurrent(false)
+		c.d.store.Reset()
+		c.d.log.Warn("the process was paused", "op", "pause", "event", "noticed", "for_ms", gap.Milliseconds())
+	}
+	if !c.pausedAt.IsZero() && now.Sub(c.pausedAt) >= relearnTime {
+		c.heardAgain()
+	}
+	c.d.engine.Tick(now)
+	c.handle(ctx, c.news.Tick)
+	c.d.confirmedAt.Store(now.Add(-c.news.Age(now)).UnixNano())
+	if next, ok := c.directory.NextChange(now); ok && !now.Before(next) {
+		c.adoptAt = now
+	}
+	if now.Sub(c.reported) >= reportEvery {
+		c.reported = now
+		c.status.Store(c.report(now))
+	}
+	c.reportOmitted(now)
+}
+
+func (c *control) reportOmitted(now time.Time) {
+	if now.Sub(c.lastLine) < logLeftOutEvery {
+		return
+	}
+	if n := c.d.flowsUnlogged.Swap(0); n > 0 {
+		c.lastLine = now
+		c.d.log.Warn("flows were not logged", "op", "log", "event", "left_out", "flows", n)
+	}
+}
+
+// handle hands an event to the news engine and carries out what it decides.
+func (c *control) handle(ctx context.Context, e func(now time.Time) []news.Action) {
+	now := time.Now()
+	c.d.answers.Lock()
+	actions := e(now)
+	c.d.answers.Unlock()
+	for _, a := range actions {
+		c.perform(ctx, now, a)
+	}
+}
+
+func (c *control) perform(ctx context.Context, now time.Time, a news.Action) {
+	switch a := a.(type) {
+	case news.Send:
+		if len(a.To) == 0 {
+			return
+		}
+		if err := c.d.peers.send(a.To, a.Datagram); err != nil {
+			c.d.log.Error("a datagram cannot be encoded", "op", "peers", "event", "send_failed", "err", err)
+		}
+	case news.Changed:
+		c.changed(now, a.Items)
+	case news.ReadAll:
+		c.call(ctx, answerSlack, func(callCtx context.Context) { c.readAll(ctx, callCtx, a) })
+	case news.Watch:
+		c.call(ctx, a.Wait+answerSlack, func(callCtx context.Context) { c.watch(ctx, callCtx, a) })
+	case news.Abandon:
+		c.abandon()
+	case news.Fetch:
+		c.fetch(ctx, a)
+	case news.Reachable:
+		c.logReachable(a)
+	case news.Reading:
+		c.d.log.Info("reading of the platform changed", "op", "platform", "event", "reading", "reads", a.Reading,
+			"before", a.Position, "age_ms", a.Age.Milliseconds())
+	case news.PeerChanged:
+		c.d.log.Info("peer changed", "op", "peers", "event", "peer", "peer", a.Member.Addr, "zone", a.Member.Zone, "up", a.Up)
+	}
+}
+
+func (c *control) logReachable(a news.Reachable) {
+	if a.Reachable {
+		c.d.log.Info("the platform answers", "op", "platform", "event", "reached")
+		return
+	}
+	c.d.log.Warn("the platform does not answer", "op", "platform", "event", "lost", "err", a.Err)
+}
+
+// call runs a call to the platform in a goroutine of its own that ends within its time.
+func (c *control) call(ctx context.Context, limit time.Duration, do func(ctx context.Context)) {
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	c.cancel = cancel
+	go func() {
+		defer cancel()
+		do(callCtx)
+	}()
+}
+
+func (c *control) abandon() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.d.store.Reset()
+}
+
+func (c *control) readAll(ctx, callCtx context.Context, a news.ReadAll) {
+	c.d.metrics.storeReads.Inc(1)
+	items, asOf, err := c.d.store.ReadAll(callCtx, a.Stale)
+	c.d.send(ctx, func(now time.Time) []news.Action {
+		if err != nil {
+			return c.failed(now, a.Call, err)
+		}
+		return c.news.HandleRead(now, a.Call, items, asOf)
+	})
+}
+
+func (c *control) watch(ctx, callCtx context.Context, a news.Watch) {
+	c.d.metrics.storeWatches.Inc(1)
+	items, asOf, err := c.d.store.Watch(callCtx, a.After, a.Wait)
+	c.d.send(ctx, func(now time.Time) []news.Action {
+		if err != nil {
+			return c.failed(now, a.Call, err)
+		}
+		return c.news.HandleWatch(now, a.Call, items, asOf)
+	})
+}
+
+func (c *control) failed(now time.Time, call uint64, err error) []news.Action {
+	c.d.metrics.storeFailures.Inc(1)
+	return c.news.HandleFailure(now, call, news.Failure{Err: err, Compacted: errors.Is(err, ErrCompacted)})
+}
+
+func (c *control) fetch(ctx context.Context, a news.Fetch) {
+	c.d.metrics.fetches.Inc(1)
+	go func() {
+		f := c.d.fetcher.Fetch(ctx, a.From, a.Have)
+		c.d.send(ctx, func(now time.Time) []news.Action {
+			if f.Err != nil {
+				c.d.log.Warn("items could not be fetched", "op", "peers", "event", "fetch_failed", "peer", a.From, "err", f.Err)
+			}
+			return c.news.HandleFetched(now, f)
+		})
+	}()
+}
+
+// send hands something to the control loop, unless ctx ends first.
+func (d *Daemon) send(ctx context.Context, handle func(now time.Time) []news.Action) {
+	select {
+	case d.events <- event{handle: handle}:
+	case <-ctx.Done():
+	}
+}
+
+// changed hands news to the directory.
+func (c *control) changed(now time.Time, items []news.Item) {
+	for _, it := range items {
+		c.changedItem(now, it)
+	}
+	if c.adoptAt.IsZero() {
+		c.adoptAt = now.Add(adoptDelay)
+	}
+}
+
+func (c *control) changedItem(now time.Time, it news.Item) {
+	name, isTarget := c.d.interpreter.TargetName(it.Key)
+	if it.Removed && isTarget && len(it.Value) == 0 {
+		c.endTarget(now, name, it.Revision)
+		return
+	}
+	p, err := c.d.interpreter.Interpret(it)
+	switch {
+	case err != nil:
+		c.d.metrics.unusable.Inc(1)
+		c.d.log.Warn("a published item cannot be used", "op", "lists", "event", "refused", "key", it.Key, "revision", it.Revision, "err", err)
+		if isTarget {
+			c.endTarget(now, name, it.Revision)
+		}
+	case p.Plan != nil && !it.Removed:
+		c.setPlan(p.Plan, it.Revision)
+	case p.Target != nil:
+		c.register(now, it, p.Target)
+	}
+}
+
+func (c *control) setPlan(p *directory.Plan, revision uint64) {
+	if !c.directory.SetPlan(p) {
+		return
+	}
+	c.d.planVersion.Store(p.Version)
+	c.d.log.Info("plan in force", "op", "lists", "event", "adopted", "version", p.Version, "revision", revision,
+		"routes", len(p.Routes), "services", len(p.Services))
+}
+
+func (c *control) register(now time.Time, it news.Item, r *directory.Registration) {
+	c.directory.Register(now, *r)
+	event := "registered"
+	if it.Removed {
+		event = "ended"
+		c.directory.End(now, r.Name)
+	}
+	c.d.log.Info("target changed", "op", "targets", "event", event, "target", r.Name, "service", r.Service, "zone", r.Zone,
+		"address", r.Address, "leaving", r.Leaving, "warmup_ms", r.Warmup.Milliseconds(), "revision", it.Revision)
+}
+
+func (c *control) endTarget(now time.Time, name string, revision uint64) {
+	c.directory.End(now, name)
+	c.d.log.Info("target changed", "op", "targets", "event", "ended", "target", name, "revision", revision)
+}
+
+// adopt puts gathered changes in force, or sets the timer for it.
+func (c *control) adopt(now time.Time, soon *time.Timer) {
+	if c.adoptAt.IsZero() {
+		return
+	}
+	if now.Before(c.adoptAt) {
+		soon.Reset(c.adoptAt.Sub(now))
+		return
+	}
+	c.adoptAt = time.Time{}
+	s := c.directory.Snapshot(now)
+	if s == nil {
+		return
+	}
+	c.d.engine.Adopt(now, s, admission.NewTable(s))
+}
+
+func (c *control) report(now time.Time) *Status {
+	st := &Status{
+		Name:        c.d.settings.Name,
+		Zone:        c.d.settings.Zone.String(),
+		Plan:        c.d.planVersion.Load(),
+		Complete:    c.news.Complete(),
+		AgeMS:       c.news.Age(now).Milliseconds(),
+		OpenFlows:   c.d.engine.OpenFlows(),
+		LivePeers:   len(c.news.Members(now)),
+		Stopping:    c.d.stopping.Load(),
+		NotCurrent:  !c.pausedAt.IsZero(),
+		LinesOmited: c.d.flowsUnlogged.Load(),
+	}
+	if s := c.d.engine.Lists(); s != nil {
+		for _, svc := range s.Services {
+			st.Services = append(st.Services, svc.Name)
+			st.Targets += len(svc.Targets)
+		}
+		st.Former = len(s.Former)
+	}
+	return st
+}
--- /dev/null
+++ b/internal/edge/daemon.go
@@ -0,0 +1,256 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/lo"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/directory"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/news"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+const (
+	// rotationTime is how long the fabric goes on sending new flows to a daemon that says that it is not
+	// ready: two checks, half a second apart, and the time in which the second may fail.
+	rotationTime = 1300 * time.Millisecond
+	// quietBeforeStop is how long no packet may come before a stopping daemon ends.
+	quietBeforeStop = 300 * time.Millisecond
+	// stopMargin is kept free of the time that the platform gives a process to end.
+	stopMargin = time.Second
+	// stopCheck is the time between two looks at whether a stopping daemon is done.
+	stopCheck = 50 * time.Millisecond
+	// flowLinesPerSecond bounds the log lines on single flows, flowLineBurst those at once.
+	flowLinesPerSecond = 100
+	flowLineBurst      = 200
+	// memoryShare is the part of the memory limit that the runtime's heap may use before it collects harder.
+	memoryShare = 0.7
+)
+
+// Deps are the modules that a Daemon works with.
+type Deps struct {
+	Settings    *settings.Settings
+	Network     udpio.Network
+	Transport   Transport
+	Store       Store
+	Interpreter Interpreter
+	Keys        wire.KeyringProvider
+	Fetcher     *news.Fetcher
+	Metrics     *metrics.Set
+	Log         *log.Logger
+	// Now is the start of the process; it gives the incarnation.
+	Now time.Time
+}
+
+// Daemon is one entry VM's process.
+type Daemon struct {
+	settings    *settings.Settings
+	network     udpio.Network
+	transport   Transport
+	store       Store
+	interpreter Interpreter
+	fetcher     *news.Fetcher
+	log         *log.Logger
+	metrics     *meters
+	engine      *core.TagEngine
+	peers       *peerLink
+
+	flowLines     *rate.Limiter
+	flowsUnlogged atomic.Int64
+	planVersion   atomic.Uint64
+	// confirmedAt is when the platform last confirmed the lists in force, in nanoseconds since 1970.
+	confirmedAt atomic.Int64
+	stopping    atomic.Bool
+
+	events  chan event
+	tasks   *errgroup.Group
+	seeds   chan *settings.Settings
+	control *control
+
+	// answers guards the news engine's copy for calls of other daemons.
+	answers sync.Mutex
+}
+
+// New returns a daemon that has not opened its sockets yet.
+func New(deps Deps) *Daemon {
+	s := deps.Settings
+	d := &Daemon{
+		settings:    s,
+		network:     deps.Network,
+		transport:   deps.Transport,
+		store:       deps.Store,
+		interpreter: deps.Interpreter,
+		fetcher:     deps.Fetcher,
+		log:         deps.Log,
+		metrics:     newMeters(deps.Metrics),
+		flowLines:   rate.NewLimiter(flowLinesPerSecond, flowLineBurst),
+		events:      make(chan event, eventQueue),
+		seeds:       make(chan *settings.Settings, 1),
+	}
+	d.engine = core.NewTagEngine(core.TagConfig{
+		Policy: placement.NewNearest(placement.NearestConfig{Zone: s.Zone}),
+		Epoch:  deps.Now,
+	})
+	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_open_flows", Help: "Flows with a record."},
+		func() float64 { return float64(d.engine.OpenFlows()) })
+	incarnation := wire.NewIncarnation(deps.Now)
+	d.peers = newPeerLink(s, deps.Keys, incarnation, d.metrics)
+	seed := uint64(model.MachineIDOf(s.Name))
+	d.control = &control{
+		d: d,
+		news: news.New(news.Config{
+			Self:      news.Member{Addr: s.Peer, Zone: s.Zone.Name},
+			Seeds:     s.Seeds,
+			Rand:      rand.New(rand.NewPCG(seed, incarnation)),
+			WatchWait: s.Platform.WatchWait,
+		}),
+		directory: directory.New(directory.Config{
+			Regions: lo.SliceToMap(s.Zones, func(z model.Zone) (string, string) { return z.Name, z.Region }),
+		}),
+	}
+	return d
+}
+
+// Ready implements ops.Readiness.
+func (d *Daemon) Ready() error {
+	switch {
+	case d.stopping.Load():
+		return errStopping
+	case !d.engine.Ready():
+		return errNoLists
+	}
+	return nil
+}
+
+var (
+	errStopping = errors.New("the daemon stops")
+	errNoLists  = errors.New("no current lists yet")
+)
+
+// newsAge returns the time since the platform confirmed the lists in force.
+func (d *Daemon) newsAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, d.confirmedAt.Load()))
+}
+
+// Run serves until ctx ends, then stops gracefully: it goes on passing packets until the fabric has moved on.
+func (d *Daemon) Run(ctx context.Context) error {
+	limitMemory(d.settings.MemoryLimit)
+	data, err := d.network.Listen(d.settings.Data)
+	if err != nil {
+		return fmt.Errorf("open the data socket %v: %w", d.settings.Data, err)
+	}
+	defer data.Close()
+	peer, err := d.network.Listen(d.settings.Peer)
+	if err != nil {
+		return fmt.Errorf("open the peer socket %v: %w", d.settings.Peer, err)
+	}
+	defer peer.Close()
+	calls, err := d.serveCalls()
+	if err != nil {
+		return err
+	}
+	defer calls.Close()
+	tasksCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	d.tasks, tasksCtx = errgroup.WithContext(tasksCtx)
+	d.peers.conn = peer
+	d.tasks.Go(d.newMover(data).run)
+	d.tasks.Go(func() error { return d.peers.run(d.events, tasksCtx) })
+	d.tasks.Go(func() error { return d.control.run(tasksCtx) })
+	d.log.Info("daemon serves", "op", "start", "event", "started", "data", d.settings.Data, "peer", d.settings.Peer,
+		"zone", d.settings.Zone.String(), "seeds", fmt.Sprint(d.settings.Seeds))
+
+	select {
+	case <-ctx.Done():
+		d.drain(tasksCtx)
+	case <-tasksCtx.Done():
+	}
+	stop()
+	data.Close()
+	peer.Close()
+	if err := d.tasks.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// limitMemory makes the collector work harder before the process reaches its limit in MiB.
+func limitMemory(limit int) {
+	if limit > 0 {
+		debug.SetMemoryLimit(int64(float64(limit) * memoryShare * (1 << 20)))
+	}
+}
+
+// drain passes packets on until the fabric has taken the daemon out of its rotation.
+func (d *Daemon) drain(ctx context.Context) {
+	start := time.Now()
+	d.stopping.Store(true)
+	d.send(ctx, func(now time.Time) []news.Action { return d.control.news.Leave(now) })
+	d.log.Info("daemon is leaving", "op", "stop", "event", "draining", "flows", d.engine.OpenFlows())
+	limit := d.settings.DrainTimeout - stopMargin
+	for {
+		time.Sleep(stopCheck)
+		now := time.Now()
+		waited := now.Sub(start)
+		if waited >= limit || waited >= rotationTime && d.metrics.sinceLastPacket(now) >= quietBeforeStop {
+			d.log.Info("daemon stops", "op", "stop", "event", "stopped", "after_ms", waited.Milliseconds())
+			return
+		}
+	}
+}
+
+// serveCalls answers the calls of other daemons.
+func (d *Daemon) serveCalls() (*http.Server, error) {
+	l, err := net.Listen("tcp", d.settings.Bulk.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for calls of other daemons on %v: %w", d.settings.Bulk, err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(news.NewHandler(d))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: callTimeout, IdleTimeout: callTimeout}
+	go server.Serve(l)
+	return server, nil
+}
+
+// callTimeout bounds how long a caller among the daemons may take to send a request.
+const callTimeout = 2 * time.Second
+
+// Lacking implements news.Holder.
+func (d *Daemon) Lacking(have []news.Version) (uint64, time.Duration, []news.Item, []news.Version) {
+	d.answers.Lock()
+	defer d.answers.Unlock()
+	return d.control.news.Answer(time.Now(), have)
+}
+
+// Adopt takes changed settings: the seeds and the log level.
+func (d *Daemon) Adopt(s *settings.Settings) {
+	d.log.SetLevel(s.LogLevel)
+	select {
+	case d.seeds <- s:
+	default:
+		// An earlier change still waits; the next look at the file brings this one.
+	}
+}
+
+// Status implements ops.StatusSource.
+func (d *Daemon) Status() any {
+	return d.control.status.Load()
+}
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"github.com/fireflypin/fireflypin/internal/metrics"
+)
+
+// meters are the daemon's metrics.
+type meters struct {
+	forwarded     gometrics.Counter
+	placed        gometrics.Counter
+	repeated      gometrics.Counter
+	moved         gometrics.Counter
+	refused       gometrics.Counter
+	sendErrors    gometrics.Counter
+	peerSent      gometrics.Counter
+	peerReceived  gometrics.Counter
+	storeReads    gometrics.Counter
+	storeWatches  gometrics.Counter
+	storeFailures gometrics.Counter
+	fetches       gometrics.Counter
+	unusable      gometrics.Counter
+	kinds         *metrics.KindCounters
+	placements    *metrics.HistogramVec
+
+	// lastPacket is when the fabric last sent something, in nanoseconds since 1970.
+	lastPacket atomic.Int64
+}
+
+// maxServiceSeries bounds the histograms, one for each service.
+const maxServiceSeries = 64
+
+func newMeters(s *metrics.Set) *meters {
+	counter := func(name, help string) gometrics.Counter {
+		return s.Counter(metrics.Family{Name: "fireflypin_" + name, Help: help})
+	}
+	return &meters{
+		forwarded:     counter("forwarded_packets_total", "Packets sent to targets."),
+		placed:        counter("placed_flows_total", "New flows that were given a target."),
+		repeated:      counter("repeated_opens_total", "Repeated first packets sent to the same target."),
+		moved:         counter("moved_opens_total", "Repeated first packets sent to another target."),
+		refused:       counter("refused_flows_total", "New flows that were refused."),
+		sendErrors:    counter("send_errors_total", "Datagrams that the system refused to send."),
+		peerSent:      counter("control_sent_bytes_total", "Payload of control datagrams sent to peers."),
+		peerReceived:  counter("control_received_bytes_total", "Payload of control datagrams received from peers."),
+		storeReads:    counter("platform_reads_total", "Reads of all published items."),
+		storeWatches:  counter("platform_watches_total", "Watches for published changes."),
+		storeFailures: counter("platform_failures_total", "Calls to the platform that failed."),
+		fetches:       counter("item_fetches_total", "Fetches of items from other daemons."),
+		unusable:      counter("unusable_items_total", "Published items that cannot be used."),
+		kinds:         s.KindCounters(metrics.Family{Name: "fireflypin_errors_total", Help: "Packets, flows, messages and lists that were not taken."}),
+		placements: s.HistogramVec(metrics.Family{Name: "fireflypin_target_open_flows", Help: "Open flows of this daemon on the target that a new flow was given, with it."},
+			maxServiceSeries, "service"),
+	}
+}
+
+func (m *meters) sinceLastPacket(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, m.lastPacket.Load()))
+}
--- /dev/null
+++ b/internal/edge/packets.go
@@ -0,0 +1,99 @@
+package edge
+
+import (
+	"errors"
+	"net"
+	"time"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+const (
+	// batchSize is the number of datagrams that one read takes at most.
+	batchSize = 64
+	// bufferBytes holds the largest packet with its headroom.
+	bufferBytes = 2048
+)
+
+// mover moves packets from the data socket. It is one goroutine with its own buffers.
+type mover struct {
+	d        *Daemon
+	conn     udpio.Conn
+	headroom int
+
+	// frames hold the packets of in behind their headroom.
+	frames [][]byte
+	in     []udpio.Message
+	out    []udpio.Message
+	resets [][]byte
+	meta   packet.Meta
+}
+
+func (d *Daemon) newMover(conn udpio.Conn) *mover {
+	m := &mover{d: d, conn: conn, headroom: d.transport.Headroom()}
+	for range batchSize {
+		frame := make([]byte, bufferBytes)
+		m.frames = append(m.frames, frame)
+		m.in = append(m.in, udpio.Message{Buf: frame[m.headroom:]})
+		m.resets = append(m.resets, make([]byte, 0, bufferBytes))
+	}
+	return m
+}
+
+// run moves packets until the socket is closed.
+func (m *mover) run() error {
+	for {
+		n, err := m.conn.ReadBatch(m.in)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		now := time.Now()
+		m.d.metrics.lastPacket.Store(now.UnixNano())
+		for i := range m.in[:n] {
+			m.handle(now, i)
+		}
+		m.flush()
+	}
+}
+
+func (m *mover) flush() {
+	if len(m.out) == 0 {
+		return
+	}
+	if n, err := m.conn.WriteBatch(m.out); err != nil {
+		m.d.metrics.sendErrors.Inc(int64(len(m.out) - n))
+	}
+	m.out = m.out[:0]
+}
+
+func (m *mover) handle(now time.Time, i int) {
+	raw := m.in[i].Buf[:m.in[i].N]
+	tag, kind := m.d.transport.Decode(raw, &m.meta)
+	if kind != errkind.None {
+		m.d.metrics.kinds.Add(kind, 1)
+		return
+	}
+	v := m.d.engine.FromCaller(now, &m.meta, tag)
+	switch v.Op {
+	case core.OpForward:
+		frame := m.frames[i][:m.headroom+len(raw)]
+		m.d.transport.Address(frame, v.Target, v.Tag)
+		m.out = append(m.out, udpio.Message{Buf: frame, N: len(frame), Addr: v.Target.Data})
+		m.d.metrics.forwarded.Inc(1)
+		if v.Reason != core.TagSteered {
+			m.d.notePlaced(now, &m.meta, &v)
+		}
+	case core.OpReset:
+		reset := m.d.transport.AppendReset(m.resets[i][:0], &m.meta)
+		m.out = append(m.out, udpio.Message{Buf: reset, N: len(reset), Addr: m.d.transport.CallerAddr(&m.meta)})
+		m.d.noteRefused(now, &m.meta, &v)
+	default:
+		m.d.metrics.kinds.Add(v.Kind, 1)
+	}
+}
--- /dev/null
+++ b/internal/edge/peers.go
@@ -0,0 +1,108 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/news"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/internal/wire"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// peerLink sends and receives the datagrams of daemons.
+type peerLink struct {
+	conn    udpio.Conn
+	sealer  *wire.Sealer
+	opener  *wire.Opener
+	metrics *meters
+	out     []udpio.Message
+}
+
+func newPeerLink(s *settings.Settings, keys wire.KeyringProvider, incarnation uint64, m *meters) *peerLink {
+	self := model.MachineIDOf(s.Name)
+	return &peerLink{
+		sealer:  wire.NewSealer(keys, self, incarnation, new(wire.Counter)),
+		opener:  wire.NewOpener(keys, self, wire.NewReplay(wire.ReplayConfig{})),
+		metrics: m,
+	}
+}
+
+// send seals a datagram once and sends it to all; only the control loop calls it.
+func (p *peerLink) send(to []netip.AddrPort, d news.Datagram) error {
+	body, err := d.Encode()
+	if err != nil {
+		return err
+	}
+	sealed := p.sealer.AppendSealed(nil, wire.Anyone, wire.KindNews, body)
+	p.out = p.out[:0]
+	for _, a := range to {
+		p.out = append(p.out, udpio.Message{Buf: sealed, N: len(sealed), Addr: a})
+	}
+	p.metrics.peerSent.Inc(int64(len(sealed) * len(to)))
+	n, err := p.conn.WriteBatch(p.out)
+	if err != nil {
+		p.metrics.sendErrors.Inc(int64(len(to) - n))
+	}
+	return nil
+}
+
+// run hands received datagrams to the control loop until the socket is closed.
+func (p *peerLink) run(events chan<- event, ctx context.Context) error {
+	in := make([]udpio.Message, batchSize)
+	for i := range in {
+		in[i].Buf = make([]byte, bufferBytes)
+	}
+	for {
+		n, err := p.conn.ReadBatch(in)
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		for _, m := range in[:n] {
+			d, kind := p.open(m.Buf[:m.N])
+			if kind != errkind.None {
+				p.metrics.kinds.Add(kind, 1)
+				continue
+			}
+			p.metrics.peerReceived.Inc(int64(m.N))
+			select {
+			case events <- event{from: m.Addr, datagram: d}:
+			case <-ctx.Done():
+				return nil
+			}
+		}
+	}
+}
+
+func (p *peerLink) open(raw []byte) (*news.Datagram, errkind.Kind) {
+	env, kind := p.opener.Open(raw)
+	if kind != errkind.None {
+		return nil, kind
+	}
+	if env.Kind != wire.KindNews {
+		return nil, errkind.PeerMalformed
+	}
+	d, err := news.Decode(env.Body)
+	if err != nil {
+		return nil, errkind.PeerMalformed
+	}
+	return &d, errkind.None
+}
+
+// event is one input of the control loop: a datagram, or a function that hands something else in.
+type event struct {
+	from     netip.AddrPort
+	datagram *news.Datagram
+	handle   func(now time.Time) []news.Action
+}
+
+// eventQueue bounds the events that wait for the control loop.
+const eventQueue = 256
--- /dev/null
+++ b/internal/edge/wiring.go
@@ -0,0 +1,224 @@
+package edge
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/samber/do/v2"
+
+	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/logsink"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/news"
+	"github.com/fireflypin/fireflypin/internal/ops"
+	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/internal/wire"
+)
+
+const (
+	// opsShutdownTimeout bounds the wait for operators' requests under way.
+	opsShutdownTimeout = 200 * time.Millisecond
+	// logPatience bounds the wait for the output of the last log lines.
+	logPatience = 200 * time.Millisecond
+	// settingsEvery is the time between two looks at the settings file, which may change without a signal.
+	settingsEvery = 5 * time.Second
+)
+
+// Options are what a process gives the wiring besides the settings.
+type Options struct {
+	Settings *settings.Settings
+	// Path is the settings file, which is read again when it changes.
+	Path string
+	// LogTo receives the log lines.
+	LogTo io.Writer
+	// Now is the start of the process.
+	Now time.Time
+	// Adapter adds the Transport, the Store and the Interpreter.
+	Adapter func(i do.Injector)
+}
+
+// Process is a daemon with the servers that belong to it.
+type Process struct {
+	options Options
+	daemon  *Daemon
+	ops     *ops.Server
+	sink    *logsink.Sink
+	log     *log.Logger
+	reload  chan struct{}
+}
+
+// NewProcess builds all modules of a process; nothing is opened yet.
+func NewProcess(o Options) (*Process, error) {
+	i := do.New()
+	sink := logsink.New(o.LogTo, 0)
+	do.ProvideValue(i, o.Settings)
+	do.ProvideValue(i, metrics.NewSet())
+	do.ProvideValue(i, newLogger(o, sink))
+	do.Provide(i, newNetwork)
+	do.Provide(i, newKeys)
+	do.Provide(i, newFetcher)
+	o.Adapter(i)
+	do.Provide(i, func(i do.Injector) (*Daemon, error) { return newDaemon(i, o.Now) })
+	do.Provide(i, newOps)
+	d, err := do.Invoke[*Daemon](i)
+	if err != nil {
+		return nil, err
+	}
+	return &Process{
+		options: o,
+		daemon:  d,
+		ops:     do.MustInvoke[*ops.Server](i),
+		sink:    sink,
+		log:     do.MustInvoke[*log.Logger](i),
+		reload:  make(chan struct{}, 1),
+	}, nil
+}
+
+func newLogger(o Options, to io.Writer) *log.Logger {
+	logger := log.NewWithOptions(to, log.Options{
+		Level:           o.Settings.LogLevel,
+		ReportTimestamp: true,
+		TimeFormat:      time.RFC3339Nano,
+		Formatter:       log.LogfmtFormatter,
+	})
+	return logger.With("entry", o.Settings.Name)
+}
+
+func newNetwork(i do.Injector) (udpio.Network, error) {
+	logger := do.MustInvoke[*log.Logger](i)
+	return udpio.System(udpio.Config{
+		OnFallback: func(r udpio.Report) {
+			logger.Warn("system call not available", "op", "listen", "event", "fallback", "fallback", r.Fallback.String(), "cause", r.Cause)
+		},
+	}), nil
+}
+
+func newKeys(i do.Injector) (*wire.KeyStore, error) {
+	ring, err := wire.KeyringOf(do.MustInvoke[*settings.Settings](i).KeyFiles)
+	if err != nil {
+		return nil, err
+	}
+	return wire.NewKeyStore(ring), nil
+}
+
+func newFetcher(i do.Injector) (*news.Fetcher, error) {
+	files := do.MustInvoke[*settings.Settings](i).TLS
+	var config *tls.Config
+	if files.CertFile != "" {
+		var err error
+		if config, err = bulk.LoadTLS(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile}); err != nil {
+			return nil, err
+		}
+	}
+	return news.NewFetcher(config), nil
+}
+
+func newDaemon(i do.Injector, now time.Time) (*Daemon, error) {
+	keys, err := do.Invoke[*wire.KeyStore](i)
+	if err != nil {
+		return nil, err
+	}
+	fetcher, err := do.Invoke[*news.Fetcher](i)
+	if err != nil {
+		return nil, err
+	}
+	return New(Deps{
+		Settings:    do.MustInvoke[*settings.Settings](i),
+		Network:     do.MustInvoke[udpio.Network](i),
+		Transport:   do.MustInvoke[Transport](i),
+		Store:       do.MustInvoke[Store](i),
+		Interpreter: do.MustInvoke[Interpreter](i),
+		Keys:        keys,
+		Fetcher:     fetcher,
+		Metrics:     do.MustInvoke[*metrics.Set](i),
+		Log:         do.MustInvoke[*log.Logger](i),
+		Now:         now,
+	}), nil
+}
+
+func newOps(i do.Injector) (*ops.Server, error) {
+	d := do.MustInvoke[*Daemon](i)
+	set := do.MustInvoke[*metrics.Set](i)
+	set.RegisterProcess()
+	return ops.NewServer(ops.Config{Addr: d.settings.Ops, Metrics: set, Ready: d, Status: d}), nil
+}
+
+// Run serves until ctx ends and returns after the graceful stop.
+func (p *Process) Run(ctx context.Context) error {
+	defer p.sink.Close(logPatience)
+	if err := p.ops.Listen(); err != nil {
+		return err
+	}
+	watchCtx, stop := context.WithCancel(ctx)
+	defer stop()
+	go p.followSettings(watchCtx)
+	err := p.daemon.Run(ctx)
+	shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), opsShutdownTimeout)
+	defer cancel()
+	if stopErr := p.ops.Shutdown(shutdownCtx); stopErr != nil {
+		p.log.Warn("the operators' server was cut off", "op", "stop", "event", "cut", "err", stopErr)
+	}
+	return err
+}
+
+// Reload makes the process read its settings again now.
+func (p *Process) Reload() {
+	select {
+	case p.reload <- struct{}{}:
+	default:
+		// A reload is due already.
+	}
+}
+
+// followSettings takes changed settings, on request and when the file has changed.
+func (p *Process) followSettings(ctx context.Context) {
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	known, err := os.ReadFile(p.options.Path)
+	if err != nil {
+		p.log.Error("settings cannot be read", "op", "reload", "event", "refused", "err", err)
+	}
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.reload:
+			asked = true
+		case <-ticker.C:
+		}
+		text, err := os.ReadFile(p.options.Path)
+		if err == nil && string(text) == string(known) && !asked {
+			continue
+		}
+		known = text
+		p.take(err)
+	}
+}
+
+func (p *Process) take(err error) {
+	var s *settings.Settings
+	if err == nil {
+		s, err = settings.Load(p.options.Path)
+	}
+	if err != nil {
+		p.log.Error("settings refused", "op", "reload", "event", "refused", "err", err)
+		return
+	}
+	if s.Steering != settings.SteerTags {
+		p.log.Error("settings refused", "op", "reload", "event", "refused", "err", errSteering)
+		return
+	}
+	changed, restart := settings.Changed(p.options.Settings, s)
+	p.daemon.Adopt(s)
+	p.log.Info("settings reloaded", "op", "reload", "event", "reloaded", "changed", fmt.Sprint(changed), "need_restart", fmt.Sprint(restart))
+}
+
+var errSteering = errors.New("steering: a running daemon cannot change it")
--- /dev/null
+++ b/internal/news/codec.go
@@ -0,0 +1,107 @@
+package news
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/fireflypin/fireflypin/internal/news/newspb"
+)
+
+// Encode returns the bytes of a datagram.
+func (d Datagram) Encode() ([]byte, error) {
+	msg := &newspb.Datagram{
+		Items: lo.Map(d.Items, func(it Item, _ int) *newspb.Item { return encodeItem(it) }),
+		Asks:  d.Asks,
+	}
+	for _, m := range d.Members {
+		if p := encodeMember(m); p != nil {
+			msg.Members = append(msg.Members, p)
+		}
+	}
+	if h := d.Heartbeat; h != nil {
+		msg.Heartbeat = &newspb.Heartbeat{
+			Zone:       h.Zone,
+			IntervalMs: uint32(h.Interval.Milliseconds()),
+			Highest:    h.Highest,
+			Complete:   h.Complete,
+			Digest:     h.Digest,
+			AgeMs:      uint32(h.Age.Milliseconds()),
+			Reads:      h.Reads,
+			Failing:    h.Failing,
+			Leaving:    h.Leaving,
+		}
+	}
+	data, err := proto.Marshal(msg)
+	if err != nil {
+		return nil, fmt.Errorf("encode a datagram of news: %w", err)
+	}
+	return data, nil
+}
+
+// Decode reads the bytes of a datagram.
+func Decode(data []byte) (Datagram, error) {
+	var msg newspb.Datagram
+	if err := proto.Unmarshal(data, &msg); err != nil {
+		return Datagram{}, fmt.Errorf("decode a datagram of news: %w", err)
+	}
+	d := Datagram{
+		Items:   lo.Map(msg.Items, func(it *newspb.Item, _ int) Item { return decodeItem(it) }),
+		Members: lo.Map(msg.Members, func(m *newspb.Member, _ int) Member { return decodeMember(m) }),
+		Asks:    msg.Asks,
+	}
+	if h := msg.Heartbeat; h != nil {
+		d.Heartbeat = &Heartbeat{
+			Zone:     h.Zone,
+			Interval: time.Duration(h.IntervalMs) * time.Millisecond,
+			Highest:  h.Highest,
+			Complete: h.Complete,
+			Digest:   h.Digest,
+			Age:      time.Duration(h.AgeMs) * time.Millisecond,
+			Reads:    h.Reads,
+			Failing:  h.Failing,
+			Leaving:  h.Leaving,
+		}
+	}
+	return d, nil
+}
+
+func encodeItem(it Item) *newspb.Item {
+	return &newspb.Item{Key: it.Key, Revision: it.Revision, Value: it.Value, Removed: it.Removed, Withheld: it.Withheld}
+}
+
+func decodeItem(it *newspb.Item) Item {
+	return Item{Key: it.GetKey(), Revision: it.GetRevision(), Value: it.GetValue(), Removed: it.GetRemoved(), Withheld: it.GetWithheld()}
+}
+
+// encodeMember returns nil for a member without an IPv4 address.
+func encodeMember(m Member) *newspb.Member {
+	a := m.Addr.Addr().Unmap()
+	if !a.Is4() {
+		return nil
+	}
+	b := a.As4()
+	return &newspb.Member{Ip: binary.BigEndian.Uint32(b[:]), Port: uint32(m.Addr.Port()), Zone: m.Zone}
+}
+
+func decodeMember(m *newspb.Member) Member {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], m.GetIp())
+	return Member{Addr: netip.AddrPortFrom(netip.AddrFrom4(b), uint16(m.GetPort())), Zone: m.GetZone()}
+}
+
+func encodeVersions(vs []Version) []*newspb.ItemVersion {
+	return lo.Map(vs, func(v Version, _ int) *newspb.ItemVersion {
+		return &newspb.ItemVersion{Key: v.Key, Revision: v.Revision}
+	})
+}
+
+func decodeVersions(vs []*newspb.ItemVersion) []Version {
+	return lo.Map(vs, func(v *newspb.ItemVersion, _ int) Version {
+		return Version{Key: v.GetKey(), Revision: v.GetRevision()}
+	})
+}
--- /dev/null
+++ b/internal/news/reader.go
@@ -0,0 +1,191 @@
+package news
+
+import "time"
+
+// call is what the engine has open at the platform; there is never more than one.
+type call uint8
+
+const (
+	callNone call = iota
+	callRead
+	callWatch
+)
+
+// reader is the state of the daemon's calls to the platform.
+type reader struct {
+	open call
+	// number tells the open call from those that were abandoned.
+	number uint64
+	// stale is true for an open read that may be answered with an old state.
+	stale    bool
+	next     time.Time
+	failures int
+	// failingUntil is when the platform is asked again although others hear it.
+	failingUntil time.Time
+	// mustRead is true where the platform no longer has the changes since the copy.
+	mustRead bool
+	reading  bool
+	reached  bool
+	// unseen is since when others tell of changes that the open watch has not shown.
+	unseen time.Time
+}
+
+// unseenFor is how long an open watch may lack a change that others tell of before it is given up: well above
+// the spread of one change's arrival at two watches.
+const unseenFor = 700 * time.Millisecond
+
+// first is the number of daemons of a zone that ask again soon while the platform answers nobody.
+const first = 3
+
+// HandleRead takes every published item, as of a revision, in answer to ReadAll.
+func (e *Engine) HandleRead(now time.Time, number uint64, items []Item, asOf uint64) []Action {
+	if number != e.reader.number {
+		return nil
+	}
+	stale := e.reader.stale
+	e.reader.open = callNone
+	var actions []Action
+	if !stale || !e.board.filled {
+		standing := make([]Version, 0, len(items))
+		for _, it := range items {
+			standing = append(standing, it.Version())
+		}
+		actions = e.changed(now, e.board.reset(now, asOf, items, standing), e.self())
+	}
+	if !stale {
+		e.reader.mustRead = false
+		e.confirmed = now
+	}
+	e.reader.next = now
+	if stale {
+		e.reader.next = e.started.Add(e.cfg.Listen + e.jitter(e.cfg.Gather))
+	}
+	return append(e.reachedPlatform(actions), e.step(now)...)
+}
+
+// HandleWatch takes the changes of a watch and the revision to go on from.
+func (e *Engine) HandleWatch(now time.Time, number uint64, items []Item, asOf uint64) []Action {
+	if number != e.reader.number {
+		return nil
+	}
+	e.reader.open = callNone
+	e.reader.unseen = time.Time{}
+	actions := e.changed(now, e.board.applyAll(now, items), e.self())
+	e.board.completeTo(max(asOf, e.board.complete))
+	e.confirmed = now
+	e.reader.next = now
+	if len(items) > 0 {
+		e.reader.next = now.Add(e.cfg.Gather)
+	}
+	return append(e.reachedPlatform(actions), e.step(now)...)
+}
+
+// Failure is a call to the platform that did not succeed.
+type Failure struct {
+	Err error
+	// Compacted is true where the platform no longer has the changes that a watch asked for.
+	Compacted bool
+}
+
+// HandleFailure takes the failure of the open call.
+func (e *Engine) HandleFailure(now time.Time, number uint64, f Failure) []Action {
+	if number != e.reader.number {
+		return nil
+	}
+	e.reader.open = callNone
+	if f.Compacted {
+		e.reader.mustRead = true
+		e.reader.next = now
+		return append(e.reachedPlatform(nil), e.step(now)...)
+	}
+	wait := min(e.cfg.BackoffMin<<min(e.reader.failures, 8), e.cfg.BackoffMax)
+	if e.members.position(now) >= first {
+		wait *= 2
+	}
+	e.reader.failures++
+	e.reader.next = now.Add(wait/2 + e.jitter(wait))
+	e.reader.failingUntil = now.Add(e.cfg.FailingFor)
+	actions := []Action{Abandon{}}
+	if e.reader.reached || e.reader.failures == 1 {
+		actions = append(actions, Reachable{Err: f.Err})
+	}
+	e.reader.reached = false
+	return append(actions, e.step(now)...)
+}
+
+// reachedPlatform notes that the platform has answered.
+func (e *Engine) reachedPlatform(actions []Action) []Action {
+	e.reader.failures = 0
+	e.reader.failingUntil = time.Time{}
+	if e.reader.reached {
+		return actions
+	}
+	e.reader.reached = true
+	return append(actions, Reachable{Reachable: true})
+}
+
+// stepReader opens the next call where one is due.
+func (e *Engine) stepReader(now time.Time) []Action {
+	actions := e.checkOpen(now)
+	if e.reader.open != callNone || now.Before(e.reader.next) {
+		return actions
+	}
+	if !e.board.filled {
+		return append(actions, e.read(true))
+	}
+	reading, position := e.mustRead(now)
+	if reading != e.reader.reading {
+		e.reader.reading = reading
+		actions = append(actions, Reading{Reading: reading, Position: position, Age: e.age(now)})
+	}
+	switch {
+	case !reading:
+		return actions
+	case e.reader.mustRead:
+		return append(actions, e.read(false))
+	}
+	e.reader.open = callWatch
+	e.reader.number++
+	return append(actions, Watch{Call: e.reader.number, After: e.board.complete, Wait: e.cfg.WatchWait})
+}
+
+func (e *Engine) read(stale bool) Action {
+	e.reader.open = callRead
+	e.reader.stale = stale
+	e.reader.number++
+	return ReadAll{Call: e.reader.number, Stale: stale}
+}
+
+// mustRead reports whether this daemon watches the platform: as one of the first of its zone that hear it, or
+// because nobody tells of news. It answers the loss of the daemon that read until now.
+func (e *Engine) mustRead(now time.Time) (reading bool, position int) {
+	position = e.members.position(now)
+	failing := now.Before(e.reader.failingUntil)
+	if position < e.cfg.Readers && !failing {
+		return true, position
+	}
+	patience := e.cfg.Trust
+	if !failing {
+		patience += time.Duration(min(position, first)) * e.cfg.Gather
+	}
+	return e.age(now) > patience || !e.members.anyLive(now), position
+}
+
+// checkOpen gives up an open watch that lacks changes which others tell of: its connection is silent.
+func (e *Engine) checkOpen(now time.Time) []Action {
+	if e.reader.open != callWatch || e.board.highest <= e.board.complete {
+		e.reader.unseen = time.Time{}
+		return nil
+	}
+	if e.reader.unseen.IsZero() {
+		e.reader.unseen = now
+	}
+	if now.Sub(e.reader.unseen) < unseenFor {
+		return nil
+	}
+	e.reader.open = callNone
+	e.reader.number++
+	e.reader.unseen = time.Time{}
+	e.reader.next = now
+	return []Action{Abandon{}}
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -6,11 +6,13 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/fireflypin/fireflypin/internal/yamldoc"
+	"github.com/fireflypin/fireflypin/model"
 )
 
 // Defaults of the settings that may be left out.
@@ -44,7 +46,9 @@
 	s := &Settings{}
 	findings := yamldoc.Read(d, func(m *yamldoc.Map) {
 		r := reader{m: m, dir: filepath.Dir(d.Name)}
+		s.Steering = Steering(r.m.Choice("steering", steerings...))
 		r.readPlace(s)
+		r.readZones(s)
 		r.readSource(s)
 		r.readSeeds(s)
 		r.readSecurity(s)
@@ -70,13 +74,27 @@
 	s.Data = r.m.NeedAddress("data")
 	s.Peer = r.m.NeedAddress("peer")
 	s.Bulk = r.m.NeedAddress("bulk")
-	s.Egress = r.m.NeedAddress("egress")
+	if s.Steering == SteerOwners || r.m.Has("egress") {
+		s.Egress = r.m.NeedAddress("egress")
+	}
 	s.Ops = DefaultOps
 	if r.m.Has("ops") {
 		s.Ops = r.m.Address("ops")
 	}
 }
 
+func (r *reader) readZones(s *Settings) {
+	items := r.m.Texts("zones", false)
+	for i := range items {
+		region, zone, ok := strings.Cut(items[i].Text, "/")
+		if !ok || !yamldoc.ValidName(region) || !yamldoc.ValidName(zone) {
+			items[i].Fault("%q is not of the form region/zone", items[i].Text)
+			continue
+		}
+		s.Zones = append(s.Zones, model.Zone{Region: region, Name: zone})
+	}
+}
+
 // readSource reads where the lists come from: the platform or local files.
 func (r *reader) readSource(s *Settings) {
 	switch platform, files := r.m.Has("platform"), r.m.Has("lists"); {
@@ -123,6 +141,7 @@
 }
 
 func (r *reader) readSecurity(s *Settings) {
+	s.TrustedPeers = r.m.Choice("peer_network", "keyed", "trusted") == 1
 	items := r.m.Texts("key_files", false)
 	for i := range items {
 		if items[i].Text == "" {
@@ -159,6 +178,7 @@
 	s.LogBatchInterval = r.m.Duration("log_batch_interval", DefaultLogBatchInterval, time.Millisecond, 5*time.Second)
 	s.FlowIdleTimeout = r.m.Duration("flow_idle_timeout", DefaultFlowIdleTimeout, 10*time.Second, 24*time.Hour)
 	s.DrainTimeout = r.m.Duration("drain_timeout", DefaultDrainTimeout, time.Second, time.Hour)
+	s.MemoryLimit = int(r.m.Uint("memory_limit", 0, 0, 1<<20))
 	s.LogLevel = logLevels[r.m.Choice("log_level", "info", "debug", "warn", "error")]
 }
 
@@ -170,7 +190,7 @@
 	if s.Bulk.IsValid() && s.Bulk == s.Ops {
 		r.m.Fault("ops", "%s is the bulk address too", s.Ops)
 	}
-	if loopback(s.Data) && loopback(s.Peer) && loopback(s.Bulk) {
+	if s.TrustedPeers || loopback(s.Data) && loopback(s.Peer) && loopback(s.Bulk) {
 		return
 	}
 	if len(s.KeyFiles) == 0 {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,8 +23,20 @@
 	Bulk netip.AddrPort
 	// Ops serves metrics, health and status over HTTP. Key ops; default 127.0.0.1:9650.
 	Ops netip.AddrPort
-	// Egress receives the IP-in-UDP packets of answers that go to callers. Key egress; required.
+	// Egress receives the IP-in-UDP packets of answers that go to callers. Key egress; required with
+	// SteerOwners, unused else.
 	Egress netip.AddrPort
+	// Steering says how a packet finds its flow's target. Key steering; default owners.
+	Steering Steering
+	// Zones are the availability zones of the site, which name the regions of targets that publish a zone
+	// alone. Key zones, each as region/zone; default none.
+	Zones []model.Zone
+	// TrustedPeers allows daemons to talk without keys and certificates on a network that carries nothing
+	// else. Key peer_network, trusted or keyed; default keyed.
+	TrustedPeers bool
+	// MemoryLimit is the size in MiB that the process's memory must stay under. Key memory_limit; default 0,
+	// which means none.
+	MemoryLimit int
 
 	// Platform is the source of the published lists; its URL is empty where Lists is used.
 	Platform Platform
@@ -62,6 +74,25 @@
 	LogLevel log.Level
 }
 
+// Steering is a way of finding a flow's target.
+type Steering int
+
+// The ways of steering.
+const (
+	// SteerOwners asks the flow's owner, for transports whose packets carry nothing of the system.
+	SteerOwners Steering = iota
+	// SteerTags reads the flow tag that both ends of a flow return.
+	SteerTags
+)
+
+// String returns the way's name in the settings file.
+func (s Steering) String() string {
+	return steerings[s]
+}
+
+// steerings are the names in the settings file, by Steering.
+var steerings = []string{"owners", "tags"}
+
 // Platform says how the platform's service is reached.
 type Platform struct {
 	// URL is the address of the service, such as "http://192.0.2.1:8500". Key platform.url.
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -23,8 +23,10 @@
 	KindLogAck Kind = 4
 	// KindBundle carries several messages; see AppendBundled.
 	KindBundle Kind = 5
+	// KindNews carries what daemons tell each other of published items.
+	KindNews Kind = 6
 
-	kindEnd Kind = 6
+	kindEnd Kind = 7
 )
 
 // Anyone is the receiver of a datagram that is sealed once and sent to many.
@@ -78,7 +80,7 @@
 
 // mustBeDirected reports whether a kind is only valid when it is sealed for one receiver.
 func (k Kind) mustBeDirected() bool {
-	return k != KindHeartbeat
+	return k != KindHeartbeat && k != KindNews
 }
 
 func appendHeader(dst []byte, keyID, kind byte, sender model.MachineID, incarnation, counter uint64) []byte {
--- a/internal/wire/keyring.go
+++ b/internal/wire/keyring.go
@@ -132,6 +132,26 @@
 	return file, keys, nil
 }
 
+// sharedSecret authenticates datagrams of daemons that need no secret one: over loopback alone, or on a network
+// that carries nothing else.
+const sharedSecret = "fireflypin daemons on loopback only"
+
+// KeyringOf reads key files. Without any it returns the well-known key of daemons that need no secret one.
+func KeyringOf(paths []string) (*Keyring, error) {
+	if len(paths) > 0 {
+		ring, err := LoadKeyring(paths...)
+		if err != nil {
+			return nil, fmt.Errorf("load keys: %w", err)
+		}
+		return ring, nil
+	}
+	ring, err := NewKeyring(0, Key{ID: 0, Secret: []byte(sharedSecret)})
+	if err != nil {
+		return nil, fmt.Errorf("make the well-known key: %w", err)
+	}
+	return ring, nil
+}
+
 // KeyringProvider gives the keyring in force. It is safe for concurrent use.
 type KeyringProvider interface {
 	Keyring() *Keyring
--- a/model/machine.go
+++ b/model/machine.go
@@ -72,6 +72,17 @@
 	MaxConnections uint32
 	// Slots bounds the requests that the target runs at the same time.
 	Slots uint32
+	// Guard precedes each packet of a transport that lets the receiver check whether it is meant; 0 where
+	// there is none.
+	Guard uint64
+	// Born is the start of the target's process; zero while unknown. Of two targets that claim one flow
+	// tag, the older one holds it.
+	Born time.Time
+	// WarmUntil is when the target has its full speed; zero for one that is warm.
+	WarmUntil time.Time
+	// Lapsed is true for a target whose registration ended a moment ago without an announced stop. It may
+	// still live: it takes new flows only where a service has no other target.
+	Lapsed bool
 }
 
 // Link describes the way between two zones.
--- a/model/snapshot.go
+++ b/model/snapshot.go
@@ -30,14 +30,49 @@
 	Services  []*Service
 	Entries   []*EntryVM
 	Endpoints []*EndpointVM
+	// Routes say where new flows to an address go; each address has one.
+	Routes []*Route
+	// Former are targets that are no longer published but may still hold open flows.
+	Former []*Target
 
+	routeByAddress   map[netip.AddrPort]*Route
 	serviceByAddress map[netip.AddrPort]*Service
 	targetByID       map[TargetID]*Target
 	targetByData     map[netip.AddrPort]*Target
 	entryByID        map[MachineID]*EntryVM
 }
 
-// NewSnapshot indexes validated lists. The caller gives up the slices: nobody may change them after.
+// Parts are the validated lists of a Snapshot.
+type Parts struct {
+	Revisions Revisions
+	Customers []*Customer
+	Plans     []*Plan
+	Services  []*Service
+	Entries   []*EntryVM
+	Endpoints []*EndpointVM
+	Routes    []*Route
+	Former    []*Target
+}
+
+// NewRoutedSnapshot indexes lists in which each address of a service has a route. The caller gives up the
+// slices: nobody may change them after.
+func NewRoutedSnapshot(p Parts) *Snapshot {
+	s := NewSnapshot(p.Revisions, p.Customers, p.Plans, p.Services, p.Entries, p.Endpoints)
+	s.Routes = p.Routes
+	s.Former = p.Former
+	s.routeByAddress = make(map[netip.AddrPort]*Route, len(p.Routes))
+	for _, r := range p.Routes {
+		s.routeByAddress[r.Address] = r
+	}
+	return s
+}
+
+// RouteAt returns the route of a destination, or nil.
+func (s *Snapshot) RouteAt(a netip.AddrPort) *Route {
+	return s.routeByAddress[a]
+}
+
+// NewSnapshot indexes validated lists without routes. The caller gives up the slices: nobody may change them after.
 func NewSnapshot(rev Revisions, customers []*Customer, plans []*Plan, services []*Service, entries []*EntryVM, endpoints []*EndpointVM) *Snapshot {
 	s := &Snapshot{
 		Revisions:        rev,
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -41,6 +41,8 @@
 	Unanswered float64
 	// MissesInRow is the number of attempts without an answer since the last answer.
 	MissesInRow int
+	// LastMiss is the time of the last attempt without an answer; zero when there was none.
+	LastMiss time.Time
 	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
 	Handshake time.Duration
 	// Since is the time at which the target joined; zero when it was there from the start.
@@ -192,6 +194,14 @@
 	})
 }
 
+// Alive notes that the target sent something on an open flow.
+func (l *LoadTable) Alive(now time.Time, id model.TargetID) {
+	l.with(id, func(t *targetLoad) {
+		t.evidence.MissesInRow = 0
+		t.evidence.LastAnswer = now
+	})
+}
+
 // Unanswered notes that the target shed a connection attempt or left it unanswered.
 func (l *LoadTable) Unanswered(now time.Time, id model.TargetID) {
 	l.with(id, func(t *targetLoad) {
@@ -264,6 +274,7 @@
 		Open:        t.open,
 		Unanswered:  t.unansweredAt(now),
 		MissesInRow: t.evidence.MissesInRow,
+		LastMiss:    t.evidence.LastMiss,
 		Handshake:   t.handshake,
 		Since:       t.since,
 		Down:        t.down,
