Reset flows of targets that fell silent, and spill flows out of a zone under a burst

After all daemons were down, the first one back put the callers of all zones on its own zone's targets, which shed.

Ruled out: resets after one flow's repeats (one flow alone may have lost its path); resets of requests that must run once while the registration stands.

--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -34,10 +34,11 @@
 // TagEngine decides about packets of a transport that carries a flow tag in each packet of a flow. Packet
 // methods may be called from any number of goroutines at once; Adopt and Tick from one goroutine at a time.
 type TagEngine struct {
-	cfg   TagConfig
-	loads *placement.LoadTable
-	flows tagFlows
-	world atomic.Pointer[tagWorld]
+	cfg    TagConfig
+	loads  *placement.LoadTable
+	flows  tagFlows
+	world  atomic.Pointer[tagWorld]
+	silent silentTargets
 	// current is false while the daemon's beliefs may be old, as after a pause.
 	current atomic.Bool
 }
@@ -115,14 +116,24 @@
 	return w.snapshot
 }
 
+// Target returns a target that open flows may lead to, or nil.
+func (e *TagEngine) Target(id model.TargetID) *model.Target {
+	w := e.world.Load()
+	if w == nil {
+		return nil
+	}
+	return w.targets[id]
+}
+
 // OpenFlows returns the number of flows with a record.
 func (e *TagEngine) OpenFlows() int {
 	return e.flows.len()
 }
 
-// Tick drops the records of flows that ended or went silent.
-func (e *TagEngine) Tick(now time.Time) {
+// Tick drops the records of flows that ended or went silent, and returns the flows to reset at their callers.
+func (e *TagEngine) Tick(now time.Time) []TagReset {
 	e.flows.expire(now, e.released)
+	return e.resetSilent(now)
 }
 
 // released undoes what a record counted.
@@ -195,11 +206,15 @@
 	if !known {
 		return dropTagged(errkind.TargetLost)
 	}
-	e.judge(now, &f)
+	e.judge(now, h, &f)
 	target := w.targets[f.after.target]
 	if target == nil {
 		return dropTagged(errkind.TargetLost)
 	}
+	if f.repeated && e.givesUp(w, now, m.Dst, &f.after) {
+		e.end(now, h)
+		return refuseTagged(errkind.TargetLost, h)
+	}
 	return TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag}
 }
 
@@ -213,7 +228,7 @@
 }
 
 // judge turns a packet's progress into evidence on the flow's target.
-func (e *TagEngine) judge(now time.Time, f *tagProgress) {
+func (e *TagEngine) judge(now time.Time, h model.FlowHash, f *tagProgress) {
 	if f.added {
 		e.loads.Opened(f.after.target)
 	}
@@ -223,7 +238,7 @@
 	case f.answered:
 		e.loads.Alive(now, f.after.target)
 	case f.repeated:
-		e.loads.Unanswered(now, f.after.target)
+		e.missed(now, h, f.after.target)
 	}
 	if f.retargeted {
 		e.loads.Closed(f.before.target)
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/flowtag"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
@@ -35,15 +36,17 @@
 type tagFlow struct {
 	target model.TargetID
 	tag    flowtag.Tag
+	// caller and service are the flow's ends.
+	caller, service flow.Endpoint
 	// seq and ack are the highest numbers that the caller has sent.
 	seq, ack uint32
 	// at is the time of the last packet that told something new, last that of the last packet; in
 	// milliseconds since the epoch.
 	at, last uint32
 	state    tagState
-	// copies counts the repetitions of the SYN.
-	copies  uint8
-	counted bool
+	// copies counts the repetitions of the SYN, repeats those of the data that the caller sent last.
+	copies, repeats uint8
+	counted         bool
 	// customer is set for flows that were admitted here.
 	customer *model.Customer
 }
@@ -176,6 +179,7 @@
 		p.retargeted = f.target != fresh.target
 	}
 	p.after.target, p.after.tag = fresh.target, fresh.tag
+	p.after.caller, p.after.service = flow.EndpointOf(m.Src), flow.EndpointOf(m.Dst)
 	p.after.state = tagOpen
 	p.after.seq, p.after.ack = m.Seq+m.SegmentLen(), m.Ack
 	p.after.at, p.after.last = ms, ms
@@ -203,8 +207,10 @@
 	}
 	if news {
 		p.after.at = ms
+		p.after.repeats = 0
 	} else if m.SegmentLen() > 0 && p.waited >= repeatAfter {
 		p.repeated = true
+		p.after.repeats++
 		p.after.at = ms
 	}
 	p.after.last = ms
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/flowtag"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
@@ -51,7 +52,7 @@
 	f := e.newFlow(now, m, v)
 	f.customer, f.counted = customer, true
 	if e.flows.put(h, f) {
-		e.loads.Opened(f.target)
+		e.loads.Placed(now, f.target)
 	} else {
 		e.cfg.Limits.Close(now, customer)
 	}
@@ -61,11 +62,13 @@
 func (e *TagEngine) newFlow(now time.Time, m *packet.Meta, v TagVerdict) tagFlow {
 	ms := e.flows.millis(now)
 	return tagFlow{
-		target: v.Target.ID,
-		tag:    v.Tag,
-		seq:    m.Seq + m.SegmentLen(),
-		at:     ms,
-		last:   ms,
+		target:  v.Target.ID,
+		tag:     v.Tag,
+		caller:  flow.EndpointOf(m.Src),
+		service: flow.EndpointOf(m.Dst),
+		seq:     m.Seq + m.SegmentLen(),
+		at:      ms,
+		last:    ms,
 	}
 }
 
@@ -88,7 +91,7 @@
 // reopen handles the repetition of a SYN. It goes to the same target while that one is known to answer
 // others, since a second target would open a connection for nothing, and else to another one.
 func (e *TagEngine) reopen(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta, f tagFlow) TagVerdict {
-	e.loads.Unanswered(now, f.target)
+	e.missed(now, h, f.target)
 	f.copies++
 	f.last = e.flows.millis(now)
 	target := w.targets[f.target]
@@ -106,7 +109,7 @@
 			continue
 		}
 		e.loads.Closed(f.target)
-		e.loads.Opened(v.Target.ID)
+		e.loads.Placed(now, v.Target.ID)
 		f.target, f.tag = v.Target.ID, v.Tag
 		e.flows.put(h, f)
 		v.Reason = TagMoved
--- /dev/null
+++ b/core/tagsilent.go
@@ -0,0 +1,169 @@
+package core
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+// A target that dies without a word leaves its callers to wait until their time is up. Their repeated packets
+// tell of it seconds before its registration ends. The thresholds are on the side of a target that lives: what
+// it sends on any flow clears it.
+const (
+	// silentMisses and silentFlows are the packets without an answer, and the flows that they belong to, from
+	// which a target counts as silent. One flow alone may have lost its path.
+	silentMisses = 3
+	silentFlows  = 2
+	// silentTime is how long the misses must span: more than one retransmission, so that a moment's loss of a
+	// link does not pass for a death.
+	silentTime = 200 * time.Millisecond
+	// endedMisses and endedTime hold for a target whose registration has ended.
+	endedMisses = 2
+	endedTime   = 150 * time.Millisecond
+	// idleAfter is how long a caller that waits for nothing has sent nothing: data without an answer is
+	// repeated sooner.
+	idleAfter = 300 * time.Millisecond
+	// silentFor is how long a silent target is remembered; a live one answers its next packet.
+	silentFor = 10 * time.Second
+)
+
+// silentTargets are the targets that fell silent since the last tick.
+type silentTargets struct {
+	sync.Mutex
+	fresh []model.TargetID
+}
+
+func (s *silentTargets) add(id model.TargetID) {
+	s.Lock()
+	defer s.Unlock()
+	for _, known := range s.fresh {
+		if known == id {
+			return
+		}
+	}
+	s.fresh = append(s.fresh, id)
+}
+
+func (s *silentTargets) take() []model.TargetID {
+	s.Lock()
+	defer s.Unlock()
+	taken := s.fresh
+	s.fresh = nil
+	return taken
+}
+
+// isSilent reports whether the evidence says that a target is gone.
+func isSilent(now time.Time, ev placement.Evidence, ended bool) bool {
+	span := now.Sub(ev.FirstMiss)
+	if ev.MissesInRow == 0 || now.Sub(ev.LastMiss) > silentFor {
+		return false
+	}
+	if ended {
+		return ev.MissesInRow >= endedMisses && span >= endedTime
+	}
+	return ev.MissesInRow >= silentMisses && ev.MissedFlows >= silentFlows && span >= silentTime
+}
+
+// missed notes a packet of a flow that its target did not answer in time.
+func (e *TagEngine) missed(now time.Time, h model.FlowHash, id model.TargetID) {
+	if isSilent(now, e.loads.Missed(now, id, h), false) {
+		e.silent.add(id)
+	}
+}
+
+// ended reports whether a target's registration has ended.
+func (w *tagWorld) ended(id model.TargetID) bool {
+	t := w.snapshot.Target(id)
+	return t == nil || t.Lapsed
+}
+
+// givesUp reports whether a repeated packet is answered with a reset in its target's place. A request that may
+// run again is given up as soon as the target counts as silent, so that its caller asks again in time; another
+// one when the target's registration has ended too, since nobody can say whether it ran.
+func (e *TagEngine) givesUp(w *tagWorld, now time.Time, dst netip.AddrPort, f *tagFlow) bool {
+	ended := w.ended(f.target)
+	if !isSilent(now, e.loads.Evidence(f.target), ended) {
+		return false
+	}
+	route := w.snapshot.RouteAt(dst)
+	return ended || route != nil && route.Kind.Idempotent()
+}
+
+// end marks a flow as over.
+func (e *TagEngine) end(now time.Time, h model.FlowHash) {
+	if f, ok := e.flows.remove(h); ok {
+		e.released(now, f)
+	}
+}
+
+// TagReset asks to reset a flow at its caller.
+type TagReset struct {
+	Caller, Service netip.AddrPort
+	// Ack is the last number that the caller has acknowledged.
+	Ack    uint32
+	Kind   errkind.Kind
+	Target model.TargetID
+}
+
+// resetSilent returns the flows of targets that fell silent whose callers are better off with a new flow: those
+// that wait for nothing, and those whose request may run again. It answers the load pattern of a target that
+// dies with many idle flows, on which callers would send their next request into the void.
+func (e *TagEngine) resetSilent(now time.Time) []TagReset {
+	fresh := e.silent.take()
+	w := e.world.Load()
+	if len(fresh) == 0 || w == nil {
+		return nil
+	}
+	var out []TagReset
+	for _, id := range fresh {
+		if !isSilent(now, e.loads.Evidence(id), false) {
+			continue
+		}
+		for _, f := range e.flows.takeOf(id, func(f tagFlow) bool { return e.abandons(w, now, f) }) {
+			e.released(now, f)
+			out = append(out, TagReset{
+				Caller:  f.caller.AddrPort(),
+				Service: f.service.AddrPort(),
+				Ack:     f.ack,
+				Kind:    errkind.TargetLost,
+				Target:  id,
+			})
+		}
+	}
+	return out
+}
+
+// abandons reports whether a flow of a silent target is reset.
+func (e *TagEngine) abandons(w *tagWorld, now time.Time, f tagFlow) bool {
+	if f.state != tagOpen {
+		return false
+	}
+	route := w.snapshot.RouteAt(f.service.AddrPort())
+	if route == nil {
+		return false
+	}
+	idle := f.repeats == 0 && e.flows.millis(now)-f.last >= uint32(idleAfter/time.Millisecond)
+	return idle || route.Kind.Idempotent()
+}
+
+// takeOf removes and returns the records of a target's flows that meet a condition.
+func (t *tagFlows) takeOf(id model.TargetID, meets func(tagFlow) bool) []tagFlow {
+	var out []tagFlow
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.Lock()
+		for h, f := range s.flows {
+			if f.target == id && meets(f) {
+				delete(s.flows, h)
+				t.count.Add(-1)
+				out = append(out, f)
+			}
+		}
+		s.Unlock()
+	}
+	return out
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -6,9 +6,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/internal/admission"
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/news"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/packet"
 )
 
 const (
@@ -121,7 +124,7 @@
 	if !c.pausedAt.IsZero() && now.Sub(c.pausedAt) >= relearnTime {
 		c.heardAgain()
 	}
-	c.d.engine.Tick(now)
+	c.reset(c.d.engine.Tick(now))
 	c.handle(ctx, c.news.Tick)
 	c.d.confirmedAt.Store(now.Add(-c.news.Age(now)).UnixNano())
 	if next, ok := c.directory.NextChange(now); ok && !now.Before(next) {
@@ -134,6 +137,24 @@
 	c.reportOmitted(now)
 }
 
+// reset ends flows at their callers.
+func (c *control) reset(flows []core.TagReset) {
+	if len(flows) == 0 {
+		return
+	}
+	out := make([]udpio.Message, 0, len(flows))
+	for _, f := range flows {
+		m := packet.Meta{Src: f.Caller, Dst: f.Service, Ack: f.Ack}
+		raw := c.d.transport.AppendReset(nil, &m)
+		out = append(out, udpio.Message{Buf: raw, N: len(raw), Addr: c.d.transport.CallerAddr(&m)})
+		c.d.noteReset(&f)
+	}
+	if n, err := c.d.data.WriteBatch(out); err != nil {
+		c.d.metrics.sendErrors.Inc(int64(len(out) - n))
+		c.d.log.Warn("resets could not be sent", "op", "flow", "event", "send_failed", "err", err)
+	}
+}
+
 func (c *control) reportOmitted(now time.Time) {
 	if now.Sub(c.lastLine) < logLeftOutEvery {
 		return
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -80,6 +80,8 @@
 	confirmedAt atomic.Int64
 	stopping    atomic.Bool
 
+	// data is the socket of the fabric's packets.
+	data    udpio.Conn
 	events  chan event
 	tasks   *errgroup.Group
 	seeds   chan *settings.Settings
@@ -172,6 +174,7 @@
 	defer stop()
 	d.tasks, tasksCtx = errgroup.WithContext(tasksCtx)
 	d.peers.conn = peer
+	d.data = data
 	d.tasks.Go(d.newMover(data).run)
 	d.tasks.Go(func() error { return d.peers.run(d.events, tasksCtx) })
 	d.tasks.Go(func() error { return d.control.run(tasksCtx) })
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -45,3 +45,16 @@
 	d.log.Info("flow refused", "op", "flow", "event", "refused", "flow", flowID(m), "kind", v.Kind,
 		"retry_after_ms", v.RetryAfter.Milliseconds(), "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
 }
+
+// noteReset counts and logs an open flow that was ended at its caller.
+func (d *Daemon) noteReset(f *core.TagReset) {
+	d.metrics.kinds.Add(f.Kind, 1)
+	d.metrics.reset.Inc(1)
+	ev := d.engine.Loads().Evidence(f.Target)
+	target := ""
+	if t := d.engine.Target(f.Target); t != nil {
+		target = t.Name
+	}
+	d.log.Info("flow reset", "op", "flow", "event", "reset", "flow", fmt.Sprintf("%v>%v", f.Caller, f.Service), "kind", f.Kind,
+		"target", target, "misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", time.Since(ev.FirstMiss).Milliseconds())
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -23,6 +23,9 @@
 type Observation struct {
 	// Open is the number of open flows that this owner placed on the target.
 	Open int
+	// Recent is the number of flows that this owner placed on the target lately: each counts 1 at first and
+	// less with time, as recentTime says.
+	Recent float64
 	// FleetOpen estimates the open flows of all owners; valid while FleetKnown.
 	FleetOpen  int
 	FleetKnown bool
@@ -64,6 +67,9 @@
 const (
 	// evidenceWeight is the weight of one connection attempt in the moving averages.
 	evidenceWeight = 0.1
+	// recentTime is the time in which a flow's part in Recent falls to 1/e: about as long as a caller waits
+	// for an answer.
+	recentTime = 250 * time.Millisecond
 	// evidenceHalfLife is the time after which evidence that is not renewed counts half.
 	evidenceHalfLife = 10 * time.Second
 )
@@ -82,11 +88,19 @@
 	// LastAnswer and LastMiss are the times of the last attempts with and without an answer; zero when
 	// there was none.
 	LastAnswer, LastMiss time.Time
+	// FirstMiss is the time of the first attempt without an answer since the last answer.
+	FirstMiss time.Time
+	// MissedFlows is how often the flow of an attempt without an answer was another one than the flow before,
+	// since the last answer.
+	MissedFlows int
+	lastMissed  model.FlowHash
 }
 
 type targetLoad struct {
 	mu         sync.Mutex
 	open       int
+	recent     float64
+	recentAt   time.Time
 	evidence   Evidence
 	report     Report
 	reportOpen int
@@ -152,6 +166,22 @@
 	l.with(id, func(t *targetLoad) { t.open++ })
 }
 
+// Placed counts a flow that this owner placed on the target now.
+func (l *LoadTable) Placed(now time.Time, id model.TargetID) {
+	l.with(id, func(t *targetLoad) {
+		t.open++
+		t.recent = t.recentNow(now) + 1
+		t.recentAt = now
+	})
+}
+
+func (t *targetLoad) recentNow(now time.Time) float64 {
+	if t.recent == 0 {
+		return 0
+	}
+	return t.recent * math.Exp(-float64(now.Sub(t.recentAt))/float64(recentTime))
+}
+
 // Closed counts the end of a flow that this owner had placed on the target.
 func (l *LoadTable) Closed(id model.TargetID) {
 	l.with(id, func(t *targetLoad) {
@@ -184,8 +214,7 @@
 func (l *LoadTable) Answered(now time.Time, id model.TargetID, d time.Duration) {
 	l.with(id, func(t *targetLoad) {
 		t.noteAttempt(now, 0)
-		t.evidence.MissesInRow = 0
-		t.evidence.LastAnswer = now
+		t.evidence.answered(now)
 		if t.handshake == 0 {
 			t.handshake = d
 			return
@@ -196,10 +225,7 @@
 
 // Alive notes that the target sent something on an open flow.
 func (l *LoadTable) Alive(now time.Time, id model.TargetID) {
-	l.with(id, func(t *targetLoad) {
-		t.evidence.MissesInRow = 0
-		t.evidence.LastAnswer = now
-	})
+	l.with(id, func(t *targetLoad) { t.evidence.answered(now) })
 }
 
 // Unanswered notes that the target shed a connection attempt or left it unanswered.
@@ -211,6 +237,34 @@
 	})
 }
 
+// Missed notes that a flow got no answer from the target in time, and returns the evidence with it.
+func (l *LoadTable) Missed(now time.Time, id model.TargetID, h model.FlowHash) Evidence {
+	var e Evidence
+	l.with(id, func(t *targetLoad) {
+		t.noteAttempt(now, 1)
+		t.evidence.missed(now, h)
+		e = t.evidence
+	})
+	return e
+}
+
+func (e *Evidence) answered(now time.Time) {
+	e.MissesInRow, e.MissedFlows, e.lastMissed = 0, 0, 0
+	e.LastAnswer = now
+}
+
+func (e *Evidence) missed(now time.Time, h model.FlowHash) {
+	if e.MissesInRow == 0 {
+		e.FirstMiss = now
+	}
+	if h != e.lastMissed {
+		e.MissedFlows++
+		e.lastMissed = h
+	}
+	e.MissesInRow++
+	e.LastMiss = now
+}
+
 // Evidence returns what own connection attempts to the target met.
 func (l *LoadTable) Evidence(id model.TargetID) Evidence {
 	var e Evidence
@@ -272,6 +326,7 @@
 	defer t.mu.Unlock()
 	o := Observation{
 		Open:        t.open,
+		Recent:      t.recentNow(now),
 		Unanswered:  t.unansweredAt(now),
 		MissesInRow: t.evidence.MissesInRow,
 		LastMiss:    t.evidence.LastMiss,
--- a/placement/nearest.go
+++ b/placement/nearest.go
@@ -17,11 +17,16 @@
 	// LocalShare is the part of its even share of a service's slots that a zone must hold to take all of its
 	// own callers' flows, 0 to 1; default 0.75. Below it, flows spill into other zones in proportion.
 	LocalShare float64
+	// LocalRecent is the number of flows that the daemon may have placed lately on each slot of its own zone;
+	// default 0.5. Beyond it flows spill into other zones in proportion: callers of other zones come here
+	// while their own daemons are away.
+	LocalRecent float64
 	// SuspectMisses is the number of attempts in a row without an answer that put a target aside; default 2.
 	SuspectMisses int
 	// SuspectTime is how long after its last unanswered attempt a target stays aside; default 1 s. The flow
-	// that it gets then is the trial that decides about the next.
-	SuspectTime time.Duration
+	// that it gets then is the trial that decides about the next. It grows with the misses up to
+	// MaxSuspectTime; default 4 s, about the time in which a dead target's registration ends.
+	SuspectTime, MaxSuspectTime time.Duration
 	// ColdFactor is how much more an open flow counts on a target that warms up; default 2.
 	ColdFactor float64
 }
@@ -33,18 +38,29 @@
 	if c.LocalShare <= 0 {
 		c.LocalShare = 0.75
 	}
+	if c.LocalRecent <= 0 {
+		c.LocalRecent = 0.5
+	}
 	if c.SuspectMisses <= 0 {
 		c.SuspectMisses = 2
 	}
 	if c.SuspectTime <= 0 {
 		c.SuspectTime = time.Second
 	}
+	if c.MaxSuspectTime <= 0 {
+		c.MaxSuspectTime = 4 * time.Second
+	}
 	if c.ColdFactor <= 0 {
 		c.ColdFactor = 2
 	}
 	return c
 }
 
+// suspectTime returns how long a target with a number of misses in a row stays aside.
+func (c NearestConfig) suspectTime(misses int) time.Duration {
+	return min(c.SuspectTime*time.Duration(max(misses-c.SuspectMisses, 1)), c.MaxSuspectTime)
+}
+
 // Nearest keeps flows in the caller's availability zone while it has its share of a service's slots, and
 // takes the least loaded of a few targets that the flow's hash draws. It answers the load pattern of many
 // daemons that each see only their own flows: hashes draw different targets in each, so that daemons with
@@ -74,6 +90,8 @@
 	rank   tier
 	usable bool
 	local  bool
+	// recent is the target's Observation.Recent.
+	recent float64
 }
 
 // supply is what one look over a service's targets finds for a tier.
@@ -82,6 +100,8 @@
 	local, remote int
 	// localSlots and slots are those of the own zone and of all zones.
 	localSlots, slots uint32
+	// localRecent sums up what was placed lately in the own zone.
+	localRecent float64
 }
 
 // survey is one look over a service's targets; standings runs parallel to them.
@@ -125,6 +145,7 @@
 	}
 	tier.local++
 	tier.localSlots += max(t.Slots, 1)
+	tier.localRecent += s.recent
 }
 
 // look returns what is known of a target, and sets full where only its connection limit speaks against it.
@@ -142,10 +163,11 @@
 		return s
 	}
 	s.usable = true
+	s.recent = o.Recent
 	switch {
 	case t.Lapsed:
 		s.rank = tierLapsed
-	case o.MissesInRow >= p.cfg.SuspectMisses && now.Sub(o.LastMiss) < p.cfg.SuspectTime:
+	case o.MissesInRow >= p.cfg.SuspectMisses && now.Sub(o.LastMiss) < p.cfg.suspectTime(o.MissesInRow):
 		s.rank = tierSuspect
 	}
 	return s
@@ -158,6 +180,9 @@
 	}
 	even := float64(s.slots) / float64(len(st.zones))
 	keep := float64(s.localSlots) / (even * p.cfg.LocalShare)
+	if pressure := s.localRecent / float64(s.localSlots) / p.cfg.LocalRecent; pressure > 1 {
+		keep = min(keep, 1) / pressure
+	}
 	return keep >= 1 || unitInterval(h, model.TargetID(zoneDraw)) < keep
 }
 
@@ -170,16 +195,16 @@
 // draw returns the least loaded of a few targets of a tier that the flow's hash names.
 func (p *Nearest) draw(now time.Time, h model.FlowHash, st *ServiceTable, l Loads, rank tier, v *survey) *model.Target {
 	s := &v.tiers[rank]
-	want := standing{rank: rank, usable: true, local: p.stays(h, st, s)}
+	local := p.stays(h, st, s)
 	count := s.remote
-	if want.local {
+	if local {
 		count = s.local
 	}
 	var best *model.Target
 	var bestLoad float64
 	for i := range p.cfg.Samples {
 		n := int(unitInterval(h, model.TargetID(targetDraw+i)) * float64(count))
-		t := st.targets[v.nth(want, n)]
+		t := st.targets[v.nth(rank, local, n)]
 		load := p.load(now, t, l)
 		if best == nil || load < bestLoad {
 			best, bestLoad = t, load
@@ -188,10 +213,10 @@
 	return best
 }
 
-// nth returns the index of the n-th target of a standing; there are more than n of them.
-func (v *survey) nth(want standing, n int) int {
+// nth returns the index of the n-th usable target of a tier in the own zone or outside it; there are more than n.
+func (v *survey) nth(rank tier, local bool, n int) int {
 	for i, s := range v.standings {
-		if s != want {
+		if !s.usable || s.rank != rank || s.local != local {
 			continue
 		}
 		if n == 0 {
