--- /dev/null
+++ b/core/tag_test.go
@@ -0,0 +1,502 @@
+package core
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/admission"
+	"github.com/fireflypin/fireflypin/internal/directory"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+var (
+	safeAddr   = netip.MustParseAddrPort("198.18.0.1:8443")
+	unsafeAddr = netip.MustParseAddrPort("198.18.0.1:8080")
+	splitAddr  = netip.MustParseAddrPort("198.18.0.2:8443")
+)
+
+// tagSite holds what is published, and a clock.
+type tagSite struct {
+	directory *directory.Directory
+	now       time.Time
+	port      uint16
+}
+
+func newTagSite(targets int) *tagSite {
+	s := &tagSite{directory: directory.New(directory.Config{}), now: time.Unix(5000, 0), port: 1024}
+	one := func(name string) []directory.ShareSpec { return []directory.ShareSpec{{Service: name, Weight: 1}} }
+	s.directory.SetPlan(&directory.Plan{
+		Version:  1,
+		Services: []directory.ServiceSpec{{Name: "booking", MaxConnections: 2000}, {Name: "brochure", MaxConnections: 2000}},
+		Routes: []directory.RouteSpec{
+			{Name: "safe", Address: safeAddr, Kind: model.RequestSafe, Shares: one("booking")},
+			{Name: "unsafe", Address: unsafeAddr, Kind: model.RequestUnsafe, Shares: one("booking")},
+			{Name: "split", Address: splitAddr, Kind: model.RequestSafe, Shares: []directory.ShareSpec{{Service: "booking", Weight: 90}, {Service: "brochure", Weight: 10}}},
+		},
+	})
+	for i := range targets {
+		s.register("booking", i)
+		s.register("brochure", i)
+	}
+	return s
+}
+
+func (s *tagSite) register(service string, i int) {
+	s.directory.Register(s.now, s.registration(service, i))
+}
+
+func (s *tagSite) registration(service string, i int) directory.Registration {
+	last := byte(i)
+	if service == "brochure" {
+		last += 100
+	}
+	return directory.Registration{
+		Name:    fmt.Sprintf("%s-%02x", service, i),
+		Service: service,
+		Zone:    "a",
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, last}), 8080),
+		Slots:   3,
+		Born:    time.UnixMilli(int64(1000 + i)),
+	}
+}
+
+// engine returns a daemon that has just started with what is published.
+func (s *tagSite) engine() *TagEngine {
+	e := NewTagEngine(TagConfig{Policy: placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}), Epoch: s.now})
+	s.publish(e)
+	e.SetCurrent(true)
+	return e
+}
+
+func (s *tagSite) publish(e *TagEngine) {
+	lists := s.directory.Snapshot(s.now)
+	e.Adopt(s.now, lists, admission.NewTable(lists))
+}
+
+// caller is one end of a flow.
+type caller struct {
+	site     *tagSite
+	src, dst netip.AddrPort
+	seq, ack uint32
+	tag      flowtag.Tag
+	target   model.TargetID
+}
+
+func (s *tagSite) caller(dst netip.AddrPort) *caller {
+	s.port++
+	return &caller{site: s, src: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), s.port), dst: dst, seq: 1000, ack: 0}
+}
+
+func (c *caller) meta(flags packet.Flags, data int) *packet.Meta {
+	return &packet.Meta{Src: c.src, Dst: c.dst, Flags: flags, Seq: c.seq, Ack: c.ack, PayloadLen: data}
+}
+
+// syn sends the flow's first packet, or its repetition.
+func (c *caller) syn(e *TagEngine) TagVerdict {
+	v := e.FromCaller(c.site.now, c.meta(packet.SYN, 0), flowtag.None)
+	if v.Op == OpForward {
+		c.tag, c.target = v.Tag, v.Target.ID
+	}
+	return v
+}
+
+// open opens the flow: the target answers at once.
+func (c *caller) open(e *TagEngine) *caller {
+	c.syn(e)
+	c.seq++
+	c.ack = 5000
+	c.site.now = c.site.now.Add(2 * time.Millisecond)
+	c.send(e, 0)
+	return c
+}
+
+// send sends the flow's next packet, and ask a request that the target answers.
+func (c *caller) send(e *TagEngine, data int) TagVerdict {
+	return e.FromCaller(c.site.now, c.meta(packet.ACK, data), c.tag)
+}
+
+func (c *caller) ask(e *TagEngine) TagVerdict {
+	v := c.send(e, 100)
+	c.seq += 100
+	c.ack += 2000
+	c.site.now = c.site.now.Add(40 * time.Millisecond)
+	c.send(e, 0)
+	return v
+}
+
+func TestTagsSteerWithoutARecord(t *testing.T) {
+	Convey("A daemon that has just started sends the packets of open flows to their targets", t, func() {
+		s := newTagSite(14)
+		first := s.engine()
+		for range 200 {
+			c := s.caller(safeAddr).open(first)
+			v := c.send(s.engine(), 100)
+			So(v.Op, ShouldEqual, OpForward)
+			So(v.Target.ID, ShouldEqual, c.target)
+			So(v.Tag, ShouldEqual, c.tag)
+		}
+	})
+	Convey("A flow stays with its target", t, func() {
+		for _, c := range []struct {
+			name   string
+			change func(s *tagSite, r directory.Registration)
+		}{
+			{"that drains", func(s *tagSite, r directory.Registration) {
+				r.Leaving = true
+				s.directory.Register(s.now, r)
+			}},
+			{"whose registration ended", func(s *tagSite, r directory.Registration) {
+				s.directory.End(s.now, r.Name)
+			}},
+			{"whose registration ended long ago", func(s *tagSite, r directory.Registration) {
+				s.directory.End(s.now, r.Name)
+				s.now = s.now.Add(30 * time.Second)
+			}},
+			{"that started again under its name", func(s *tagSite, r directory.Registration) {
+				r.Born = r.Born.Add(time.Hour)
+				s.directory.Register(s.now, r)
+			}},
+			{"whose address was given to another service", func(s *tagSite, r directory.Registration) {
+				s.directory.End(s.now, r.Name)
+				other := s.registration("brochure", 77)
+				other.Address = r.Address
+				s.directory.Register(s.now, other)
+			}},
+			{"while others join", func(s *tagSite, _ directory.Registration) {
+				for i := 20; i < 60; i++ {
+					s.register("booking", i)
+				}
+			}},
+		} {
+			Convey(c.name, func() {
+				s := newTagSite(4)
+				known := s.engine()
+				flow := s.caller(safeAddr).open(known)
+				for i := range 4 {
+					if r := s.registration("booking", i); model.TargetIDOf(r.Name) == flow.target {
+						c.change(s, r)
+					}
+				}
+				s.publish(known)
+				for _, e := range []*TagEngine{known, s.engine()} {
+					v := flow.send(e, 100)
+					So(v.Op, ShouldEqual, OpForward)
+					So(v.Target.ID, ShouldEqual, flow.target)
+				}
+			})
+		}
+	})
+	Convey("A packet whose tag nobody knows, or without one, is dropped: its target may live", t, func() {
+		s := newTagSite(4)
+		e := s.engine()
+		c := s.caller(safeAddr)
+		for _, tag := range []flowtag.Tag{flowtag.None, 1, 0xffffffff} {
+			c.tag = tag
+			v := c.send(e, 100)
+			So(v.Op, ShouldEqual, OpDrop)
+			So(v.Kind, ShouldEqual, errkind.TargetLost)
+		}
+	})
+}
+
+func TestTagsAdmission(t *testing.T) {
+	Convey("A flow to an address without a route is refused", t, func() {
+		s := newTagSite(4)
+		v := s.caller(netip.MustParseAddrPort("198.18.0.9:1")).syn(s.engine())
+		So(v.Op, ShouldEqual, OpReset)
+		So(v.Kind, ShouldEqual, errkind.NoSuchService)
+	})
+	Convey("A daemon whose lists may be old opens no flow, and goes on with open ones", t, func() {
+		s := newTagSite(4)
+		e := s.engine()
+		open := s.caller(safeAddr).open(e)
+		e.SetCurrent(false)
+		So(s.caller(safeAddr).syn(e).Op, ShouldEqual, OpDrop)
+		So(open.send(e, 10).Op, ShouldEqual, OpForward)
+		So(e.Ready(), ShouldBeFalse)
+	})
+	Convey("New flows split by weight, and each goes to one service everywhere", t, func() {
+		s := newTagSite(8)
+		a, b := s.engine(), s.engine()
+		brochures := 0
+		const flows = 10_000
+		for range flows {
+			c := s.caller(splitAddr)
+			v := c.syn(a)
+			So(c.syn(b).Target.Service, ShouldEqual, v.Target.Service)
+			if v.Target.Service == "brochure" {
+				brochures++
+			}
+		}
+		So(float64(brochures)/flows, ShouldBeBetween, 0.08, 0.12)
+	})
+	Convey("A draining or ended target gets no new flow", t, func() {
+		s := newTagSite(3)
+		r := s.registration("booking", 0)
+		r.Leaving = true
+		s.directory.Register(s.now, r)
+		s.directory.End(s.now, s.registration("booking", 1).Name)
+		e := s.engine()
+		for range 200 {
+			So(s.caller(safeAddr).syn(e).Target.Name, ShouldEqual, "booking-02")
+		}
+	})
+}
+
+func TestTagsRepeatedSYN(t *testing.T) {
+	Convey("The repetition of a SYN", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		c := s.caller(safeAddr)
+		first := c.syn(e)
+		Convey("goes to the same target while that one answers others", func() {
+			s.now = s.now.Add(100 * time.Millisecond)
+			e.Loads().Alive(s.now, first.Target.ID)
+			s.now = s.now.Add(100 * time.Millisecond)
+			again := c.syn(e)
+			So(again.Reason, ShouldEqual, TagRepeated)
+			So(again.Target.ID, ShouldEqual, first.Target.ID)
+			Convey("and to another one the second time: the first may be full", func() {
+				s.now = s.now.Add(400 * time.Millisecond)
+				So(c.syn(e).Target.ID, ShouldNotEqual, first.Target.ID)
+			})
+		})
+		Convey("goes to another target while the first one is silent", func() {
+			s.now = s.now.Add(200 * time.Millisecond)
+			again := c.syn(e)
+			So(again.Reason, ShouldEqual, TagMoved)
+			So(again.Target.ID, ShouldNotEqual, first.Target.ID)
+			So(again.Target.Service, ShouldEqual, first.Target.Service)
+			Convey("and the flow stays with the target that the caller names first", func() {
+				c.tag, c.seq, c.ack = first.Tag, c.seq+1, 700
+				So(c.send(e, 0).Target.ID, ShouldEqual, first.Target.ID)
+				// The second target's answer makes the caller return its tag from now on.
+				c.tag = again.Tag
+				v := c.send(e, 100)
+				So(v.Target.ID, ShouldEqual, first.Target.ID)
+				So(v.Tag, ShouldEqual, first.Tag)
+			})
+		})
+		Convey("reaches the same target through another daemon", func() {
+			So(c.syn(s.engine()).Target.ID, ShouldEqual, first.Target.ID)
+		})
+	})
+	Convey("A SYN with another number on the same ports opens a new flow", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		c := s.caller(safeAddr).open(e)
+		c.seq += 100_000
+		So(c.syn(e).Reason, ShouldEqual, TagPlaced)
+		So(e.OpenFlows(), ShouldEqual, 1)
+	})
+}
+
+// silence is a site with open flows whose target has died without a word.
+type silence struct {
+	*tagSite
+	engine *TagEngine
+	flows  []*caller
+	dead   model.TargetID
+}
+
+// newSilence opens flows to two routes and lets others be answered meanwhile.
+func newSilence(dst netip.AddrPort, flows int) *silence {
+	s := &silence{tagSite: newTagSite(4)}
+	s.engine = s.tagSite.engine()
+	for range flows {
+		s.flows = append(s.flows, s.caller(dst).open(s.engine))
+	}
+	s.dead = s.flows[0].target
+	return s
+}
+
+// others lets the flows of the other targets be answered.
+func (s *silence) others() {
+	for _, c := range s.flows {
+		if c.target != s.dead {
+			c.ask(s.engine)
+		}
+	}
+}
+
+func (s *silence) ofDead() []*caller {
+	var out []*caller
+	for _, c := range s.flows {
+		if c.target == s.dead {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// strike makes n flows of the dead target send data and repeat it twice; it returns the last verdict of each.
+func (s *silence) strike(n int) []TagVerdict {
+	waiting := s.ofDead()[:n]
+	out := make([]TagVerdict, n)
+	for _, c := range waiting {
+		c.send(s.engine, 100)
+	}
+	for _, wait := range []time.Duration{200, 400} {
+		start := s.now
+		s.others()
+		s.now = start.Add(wait * time.Millisecond)
+		for i, c := range waiting {
+			out[i] = c.send(s.engine, 100)
+		}
+	}
+	return out
+}
+
+func TestSilentTarget(t *testing.T) {
+	Convey("Callers of a target that died are told in time", t, func() {
+		Convey("A request that may run again is reset with its repetition, and idle flows with the next tick", func() {
+			s := newSilence(safeAddr, 40)
+			dead := len(s.ofDead())
+			last := s.strike(3)
+			So(last[2].Op, ShouldEqual, OpReset)
+			So(last[2].Kind, ShouldEqual, errkind.TargetLost)
+			resets := s.engine.Tick(s.now)
+			So(len(resets), ShouldBeBetween, dead-4, dead)
+			for _, r := range resets {
+				So(r.Target, ShouldEqual, s.dead)
+				So(r.Service, ShouldEqual, safeAddr)
+			}
+			So(s.engine.Tick(s.now), ShouldBeEmpty)
+		})
+		Convey("A request that must run once is left alone while the registration stands; idle flows are reset", func() {
+			s := newSilence(unsafeAddr, 40)
+			dead := len(s.ofDead())
+			for _, v := range s.strike(3) {
+				So(v.Op, ShouldEqual, OpForward)
+			}
+			So(len(s.engine.Tick(s.now)), ShouldEqual, dead-3)
+			Convey("and is reset once it has ended", func() {
+				s.directory.End(s.now, s.engine.Target(s.dead).Name)
+				s.publish(s.engine)
+				s.others()
+				s.now = s.now.Add(700 * time.Millisecond)
+				s.others()
+				So(s.ofDead()[0].send(s.engine, 100).Op, ShouldEqual, OpReset)
+			})
+		})
+	})
+	Convey("No flow is reset", t, func() {
+		for _, c := range []struct {
+			name string
+			run  func(s *silence)
+		}{
+			{"when one flow alone repeats", func(s *silence) { s.strike(1); s.strike(1) }},
+			{"when the target answers some flow", func(s *silence) {
+				waiting := s.ofDead()
+				for range 4 {
+					waiting[0].send(s.engine, 100)
+					waiting[1].send(s.engine, 100)
+					s.now = s.now.Add(200 * time.Millisecond)
+					s.others()
+					waiting[2].ask(s.engine)
+				}
+			}},
+			{"when a slow target makes callers repeat once", func(s *silence) {
+				for _, c := range s.ofDead() {
+					c.send(s.engine, 100)
+				}
+				start := s.now
+				s.others()
+				s.now = start.Add(200 * time.Millisecond)
+				for _, c := range s.ofDead() {
+					c.send(s.engine, 100)
+				}
+			}},
+			{"when no target answers: the cause is here", func(s *silence) {
+				for _, c := range s.flows {
+					c.send(s.engine, 100)
+				}
+				for _, wait := range []time.Duration{200, 400, 800} {
+					s.now = s.now.Add(wait * time.Millisecond)
+					for _, c := range s.flows {
+						So(c.send(s.engine, 100).Op, ShouldEqual, OpForward)
+					}
+				}
+			}},
+		} {
+			Convey(c.name, func() {
+				s := newSilence(safeAddr, 40)
+				c.run(s)
+				So(s.engine.Tick(s.now), ShouldBeEmpty)
+			})
+		}
+	})
+}
+
+func TestTagRecords(t *testing.T) {
+	Convey("Records end with their flows and with silence, and their counts with them", t, func() {
+		s := newTagSite(1)
+		e := s.engine()
+		id := model.TargetIDOf("booking-00")
+		closing, idle := s.caller(safeAddr).open(e), s.caller(safeAddr).open(e)
+		So(e.Loads().Open(id), ShouldEqual, 2)
+		e.FromCaller(s.now, closing.meta(packet.FIN|packet.ACK, 0), closing.tag)
+		So(e.Loads().Open(id), ShouldEqual, 1)
+		tick := func(d time.Duration) {
+			s.now = s.now.Add(d)
+			for range 16 {
+				e.Tick(s.now)
+			}
+		}
+		tick(3 * time.Second)
+		So(e.OpenFlows(), ShouldEqual, 1)
+		tick(20 * time.Second)
+		So(e.OpenFlows(), ShouldEqual, 0)
+		So(e.Loads().Open(id), ShouldEqual, 0)
+		Convey("and a flow that speaks again goes on", func() {
+			v := idle.send(e, 10)
+			So(v.Op, ShouldEqual, OpForward)
+			So(v.Target.ID, ShouldEqual, id)
+			So(e.Loads().Open(id), ShouldEqual, 1)
+		})
+	})
+	Convey("Flows beyond the bound go on without a record", t, func() {
+		s := newTagSite(4)
+		e := NewTagEngine(TagConfig{Policy: placement.NewNearest(placement.NearestConfig{}), Epoch: s.now, MaxFlows: 10})
+		s.publish(e)
+		e.SetCurrent(true)
+		for range 50 {
+			c := s.caller(safeAddr).open(e)
+			So(c.send(e, 10).Target.ID, ShouldEqual, c.target)
+		}
+		So(e.OpenFlows(), ShouldEqual, 10)
+	})
+}
+
+func BenchmarkTagSteer(b *testing.B) {
+	s := newTagSite(14)
+	e := s.engine()
+	flows := make([]*caller, 1000)
+	for i := range flows {
+		flows[i] = s.caller(safeAddr).open(e)
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		c := flows[i%len(flows)]
+		m := packet.Meta{Src: c.src, Dst: c.dst, Flags: packet.ACK, Seq: c.seq, Ack: c.ack}
+		e.FromCaller(s.now, &m, c.tag)
+	}
+}
+
+func TestTagSteeringAllocatesNothing(t *testing.T) {
+	Convey("A packet of an open flow allocates nothing", t, func() {
+		s := newTagSite(14)
+		e := s.engine()
+		c := s.caller(safeAddr).open(e)
+		m := c.meta(packet.ACK, 100)
+		So(testing.AllocsPerRun(1000, func() { e.FromCaller(s.now, m, c.tag) }), ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,139 @@
+package directory
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func plan(version uint64, services ...string) *Plan {
+	p := &Plan{Version: version}
+	for _, name := range services {
+		p.Services = append(p.Services, ServiceSpec{Name: name, MaxConnections: 100})
+	}
+	p.Routes = []RouteSpec{{
+		Name:    "r",
+		Address: netip.MustParseAddrPort("198.18.0.1:443"),
+		Shares:  []ShareSpec{{Service: services[0], Weight: 1}},
+	}}
+	return p
+}
+
+func registration(name string) Registration {
+	return Registration{Name: name, Service: "s", Zone: "a", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 3}
+}
+
+// names lists the published, lapsed and former targets of a snapshot.
+func names(s *model.Snapshot) (published, lapsed, former []string) {
+	for _, svc := range s.Services {
+		for _, t := range svc.Targets {
+			if t.Lapsed {
+				lapsed = append(lapsed, t.Name)
+			} else {
+				published = append(published, t.Name)
+			}
+		}
+	}
+	for _, t := range s.Former {
+		former = append(former, t.Name)
+	}
+	return published, lapsed, former
+}
+
+func TestPlans(t *testing.T) {
+	Convey("Without a plan there is nothing in force", t, func() {
+		d := New(Config{})
+		d.Register(time.Unix(1, 0), registration("x"))
+		So(d.Snapshot(time.Unix(1, 0)), ShouldBeNil)
+	})
+	Convey("A version never goes back", t, func() {
+		d := New(Config{})
+		So(d.SetPlan(plan(5, "s")), ShouldBeTrue)
+		So(d.SetPlan(plan(4, "s")), ShouldBeFalse)
+		So(d.SetPlan(plan(5, "t")), ShouldBeFalse)
+		So(d.Plan().Version, ShouldEqual, 5)
+	})
+	Convey("Routes, services and targets fit together", t, func() {
+		d := New(Config{Regions: map[string]string{"a": "west"}})
+		p := plan(1, "s", "other")
+		p.Routes = append(p.Routes, RouteSpec{Name: "nowhere", Address: netip.MustParseAddrPort("198.18.0.2:443"), Shares: []ShareSpec{{Service: "unknown", Weight: 1}}})
+		d.SetPlan(p)
+		now := time.Unix(100, 0)
+		r := registration("x")
+		r.Warmup = 2 * time.Second
+		d.Register(now, r)
+		stranger := registration("y")
+		stranger.Service = "unknown"
+		d.Register(now, stranger)
+		s := d.Snapshot(now)
+		published, _, former := names(s)
+		So(published, ShouldResemble, []string{"x"})
+		So(former, ShouldResemble, []string{"y"})
+		So(s.Routes, ShouldHaveLength, 1)
+		x := s.Services[0].Targets[0]
+		So(x.Zone, ShouldResemble, model.Zone{Region: "west", Name: "a"})
+		So(x.MaxConnections, ShouldEqual, 100)
+		So(x.WarmUntil, ShouldEqual, now.Add(2*time.Second))
+		So(s.RouteAt(p.Routes[0].Address).ServiceOf(123).Name, ShouldEqual, "s")
+	})
+}
+
+func TestLivesOfTargets(t *testing.T) {
+	now := time.Unix(1000, 0)
+	Convey("A target whose registration ends without notice lapses, then is former, then forgotten", t, func() {
+		d := New(Config{})
+		d.SetPlan(plan(1, "s"))
+		d.Register(now, registration("x"))
+		d.End(now, "x")
+		for _, c := range []struct {
+			after             time.Duration
+			lapsed, formerly  []string
+			changesAfterwards bool
+		}{
+			{0, []string{"x"}, nil, true},
+			{2 * time.Second, []string{"x"}, nil, true},
+			{2500 * time.Millisecond, nil, []string{"x"}, true},
+			{70 * time.Second, nil, []string{"x"}, true},
+			{75 * time.Second, nil, nil, false},
+		} {
+			at := now.Add(c.after)
+			published, lapsed, former := names(d.Snapshot(at))
+			So(published, ShouldBeEmpty)
+			So(lapsed, ShouldResemble, c.lapsed)
+			So(former, ShouldResemble, c.formerly)
+			next, ok := d.NextChange(at)
+			So(ok, ShouldEqual, c.changesAfterwards)
+			if ok {
+				So(next.After(at), ShouldBeTrue)
+			}
+		}
+	})
+	Convey("A target that had announced its stop is former at once", t, func() {
+		d := New(Config{})
+		d.SetPlan(plan(1, "s"))
+		r := registration("x")
+		r.Leaving = true
+		d.Register(now, r)
+		d.End(now, "x")
+		_, lapsed, former := names(d.Snapshot(now))
+		So(lapsed, ShouldBeEmpty)
+		So(former, ShouldResemble, []string{"x"})
+	})
+	Convey("A registration that is back stands again", t, func() {
+		d := New(Config{})
+		d.SetPlan(plan(1, "s"))
+		d.Register(now, registration("x"))
+		d.End(now, "x")
+		d.End(now.Add(time.Second), "x")
+		d.End(now, "never seen")
+		d.Register(now.Add(2*time.Second), registration("x"))
+		published, lapsed, former := names(d.Snapshot(now.Add(2 * time.Second)))
+		So(published, ShouldResemble, []string{"x"})
+		So(lapsed, ShouldBeEmpty)
+		So(former, ShouldBeEmpty)
+	})
+}
--- /dev/null
+++ b/internal/flowtag/tag_test.go
@@ -0,0 +1,96 @@
+package flowtag
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func target(name string, born int64) *model.Target {
+	t := &model.Target{ID: model.TargetIDOf(name), Name: name}
+	if born > 0 {
+		t.Born = time.UnixMilli(born)
+	}
+	return t
+}
+
+// collidingNames returns pairs of names whose first tags are equal, found among many.
+func collidingNames(want int) [][2]string {
+	seen := make(map[Tag]string)
+	var pairs [][2]string
+	for i := 0; len(pairs) < want; i++ {
+		name := fmt.Sprintf("i-%08x", uint32(i)*2654435761)
+		tag := claims(name)[0]
+		if other, taken := seen[tag]; taken {
+			pairs = append(pairs, [2]string{other, name})
+		}
+		seen[tag] = name
+	}
+	return pairs
+}
+
+func TestTags(t *testing.T) {
+	Convey("A tag carries the version and is never None", t, func() {
+		for i := range 1000 {
+			for _, tag := range claims(fmt.Sprint("i-", i)) {
+				So(tag, ShouldNotEqual, None)
+				So(tag.Version(), ShouldEqual, Version)
+			}
+		}
+	})
+	Convey("Published and former targets are found by their tags, others are not", t, func() {
+		a, gone := target("i-a", 1), target("i-gone", 1)
+		table := NewTable([]*model.Target{a}, []*model.Target{gone})
+		So(table.Target(table.Tag(a.ID)), ShouldEqual, a)
+		So(table.Target(claims("i-gone")[0]), ShouldEqual, gone)
+		So(table.Tag(gone.ID), ShouldEqual, None)
+		So(table.Target(claims("i-b")[0]), ShouldBeNil)
+		So(table.Target(2<<versionShift|claims("i-a")[0]&hashMask), ShouldBeNil)
+		So(table.Target(None), ShouldBeNil)
+	})
+	Convey("A target that starts again under its name keeps its tag", t, func() {
+		before := NewTable([]*model.Target{target("i-a", 1)}, nil)
+		after := NewTable([]*model.Target{target("i-a", 9)}, nil)
+		id := model.TargetIDOf("i-a")
+		So(after.Tag(id), ShouldEqual, before.Tag(id))
+	})
+}
+
+func TestCollisions(t *testing.T) {
+	Convey("Of two targets with one tag the older keeps it and the younger gets another", t, func() {
+		for _, pair := range collidingNames(20) {
+			for _, c := range []struct {
+				name         string
+				first, other int64
+				holder       string
+			}{
+				{"the first is older", 1, 2, pair[0]},
+				{"the second is older", 2, 1, pair[1]},
+				{"the age of the first is unknown", 0, 1, pair[1]},
+				{"the age of the second is unknown", 1, 0, pair[0]},
+			} {
+				a, b := target(pair[0], c.first), target(pair[1], c.other)
+				table := NewTable([]*model.Target{a, b}, nil)
+				turned := NewTable([]*model.Target{b, a}, nil)
+				shared := claims(pair[0])[0]
+				So(table.Target(shared).Name, ShouldEqual, c.holder)
+				So(turned.Target(shared).Name, ShouldEqual, c.holder)
+				So(table.Tag(a.ID), ShouldNotEqual, table.Tag(b.ID))
+				So(table.Target(table.Tag(a.ID)), ShouldEqual, a)
+				So(table.Target(table.Tag(b.ID)), ShouldEqual, b)
+				So(turned.Tag(a.ID), ShouldEqual, table.Tag(a.ID))
+			}
+		}
+	})
+	Convey("A target that joins does not take over the flows of a former one", t, func() {
+		pair := collidingNames(1)[0]
+		former, joins := target(pair[0], 1), target(pair[1], 2)
+		table := NewTable([]*model.Target{joins}, []*model.Target{former})
+		So(table.Target(claims(pair[0])[0]), ShouldEqual, former)
+		So(table.Tag(joins.ID), ShouldEqual, claims(pair[1])[1])
+	})
+}
--- /dev/null
+++ b/internal/news/board_test.go
@@ -0,0 +1,172 @@
+package news
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"github.com/fireflypin/fireflypin/internal/proptest"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func item(key string, revision uint64) Item {
+	return Item{Key: key, Revision: revision, Value: fmt.Appendf(nil, "%s@%d", key, revision)}
+}
+
+func gone(key string, revision uint64) Item {
+	return Item{Key: key, Revision: revision, Removed: true}
+}
+
+func TestBoard(t *testing.T) {
+	Convey("Items come and end by revision, in any order", t, func() {
+		b := newBoard()
+		So(b.apply(t0, item("a", 5)), ShouldBeTrue)
+		So(b.apply(t0, item("a", 5)), ShouldBeFalse)
+		So(b.apply(t0, item("a", 4)), ShouldBeFalse)
+		So(b.apply(t0, gone("a", 7)), ShouldBeTrue)
+		So(b.apply(t0, item("a", 6)), ShouldBeFalse)
+		So(b.standing(), ShouldBeEmpty)
+		So(b.digest, ShouldEqual, 0)
+		Convey("and the end keeps the last value for daemons that start", func() {
+			So(string(b.lacking(nil)[0].Value), ShouldEqual, "a@5")
+		})
+		Convey("until it is forgotten; then an old copy cannot bring the item back", func() {
+			b.completeTo(8)
+			b.forget(t0.Add(2 * endedFor))
+			So(b.items, ShouldBeEmpty)
+			So(b.apply(t0, item("a", 6)), ShouldBeFalse)
+			So(b.apply(t0, item("a", 9)), ShouldBeTrue)
+		})
+	})
+	Convey("A whole view ends what it does not name, unless that is newer", t, func() {
+		b := newBoard()
+		b.applyAll(t0, []Item{item("a", 1), item("b", 2), item("c", 9)})
+		news := b.reset(t0, 5, []Item{item("b", 2), item("d", 4)}, []Version{{"b", 2}, {"d", 4}})
+		So(news, ShouldHaveLength, 2)
+		So(b.standing(), ShouldHaveLength, 3)
+		So(b.items["a"].Removed, ShouldBeTrue)
+		So(b.items["c"].Removed, ShouldBeFalse)
+		Convey("and an older view changes nothing that is held", func() {
+			So(b.reset(t0, 3, []Item{item("a", 1)}, []Version{{"a", 1}}), ShouldBeEmpty)
+			So(b.items["a"].Removed, ShouldBeTrue)
+		})
+	})
+	Convey("Copies that hold the same items have the same digest, whatever the order", t, func() {
+		a, b := newBoard(), newBoard()
+		a.applyAll(t0, []Item{item("a", 1), item("b", 2), gone("a", 3)})
+		b.applyAll(t0, []Item{gone("a", 3), item("b", 2), item("a", 1)})
+		So(a.digest, ShouldEqual, b.digest)
+		b.apply(t0, item("c", 4))
+		So(a.digest, ShouldNotEqual, b.digest)
+	})
+}
+
+func TestBoardProperties(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		keys := []string{"a", "b", "c"}
+		var all []Item
+		for revision := uint64(1); revision <= 12; revision++ {
+			key := rapid.SampledFrom(keys).Draw(t, "key")
+			if rapid.Bool().Draw(t, "ends") {
+				all = append(all, gone(key, revision))
+			} else {
+				all = append(all, item(key, revision))
+			}
+		}
+		inOrder, shuffled := newBoard(), newBoard()
+		inOrder.applyAll(t0, all)
+		last := make(map[string]uint64)
+		for _, it := range rapid.Permutation(all).Draw(t, "order") {
+			shuffled.apply(t0, it)
+			held := shuffled.items[it.Key].Revision
+			if held < last[it.Key] {
+				t.Fatalf("%s went back from %d to %d", it.Key, last[it.Key], held)
+			}
+			last[it.Key] = held
+		}
+		if inOrder.digest != shuffled.digest {
+			t.Fatalf("digests differ: %x and %x", inOrder.digest, shuffled.digest)
+		}
+	})
+}
+
+// text returns a published text with n entries, of which one differs by a mark.
+func text(n, changed int, mark string) []byte {
+	var b strings.Builder
+	b.WriteString(`{"routes":[`)
+	for i := range n {
+		if i == changed {
+			fmt.Fprintf(&b, `{"name":"r%d","timeout":%q},`, i, mark)
+			continue
+		}
+		fmt.Fprintf(&b, `{"name":"r%d","timeout":"3s"},`, i)
+	}
+	b.WriteString(`]}`)
+	return []byte(b.String())
+}
+
+func TestDelta(t *testing.T) {
+	Convey("A delta builds the new text from the old one, and is small for a small change", t, func() {
+		for _, c := range []struct {
+			name     string
+			from, to []byte
+			most     int
+		}{
+			{"one entry changes", text(1000, 0, "3s"), text(1000, 500, "9s"), 100},
+			{"entries are added", text(1000, 0, "3s"), text(1010, 0, "3s"), 250},
+			{"entries are removed", text(1000, 0, "3s"), text(900, 0, "3s"), 100},
+			{"nothing changes", text(100, 0, "3s"), text(100, 0, "3s"), 50},
+			{"there was nothing", nil, text(100, 0, "3s"), 1500},
+			{"nothing is left", text(100, 0, "3s"), nil, 50},
+			{"a text without pieces", []byte("plain"), []byte("other"), 50},
+		} {
+			delta := diff(c.from, c.to)
+			So(len(delta), ShouldBeLessThanOrEqualTo, c.most)
+			got, err := patch(c.from, delta)
+			So(err, ShouldBeNil)
+			So(string(got), ShouldEqual, string(c.to))
+		}
+	})
+	Convey("A delta for another text is refused", t, func() {
+		delta := diff(text(100, 0, "3s"), text(100, 5, "9s"))
+		for _, from := range [][]byte{nil, text(99, 0, "3s"), text(100, 7, "1s")} {
+			_, err := patch(from, delta)
+			So(err, ShouldNotBeNil)
+		}
+	})
+	Convey("What is packed is unpacked, garbage is refused", t, func() {
+		got, err := unpack(pack(text(100, 0, "x")))
+		So(err, ShouldBeNil)
+		So(string(got), ShouldEqual, string(text(100, 0, "x")))
+		_, err = unpack([]byte("garbage"))
+		So(err, ShouldNotBeNil)
+	})
+}
+
+func FuzzPatch(f *testing.F) {
+	f.Add(text(10, 0, "3s"), diff(text(10, 0, "3s"), text(10, 5, "9s")))
+	f.Add([]byte(nil), []byte(nil))
+	f.Add(text(3, 0, "a"), pack([]byte{1, 200, 1, 2, 3, 4, 5, 6, 7, 8, 9}))
+	f.Fuzz(func(_ *testing.T, from, delta []byte) {
+		_, _ = patch(from, delta)
+		_, _ = patch(from, pack(delta))
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	d := Datagram{Heartbeat: &Heartbeat{Zone: "a", Interval: time.Second}, Items: []Item{item("a", 1)}, Asks: true}
+	data, err := d.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Add([]byte{0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		_, _ = Decode(data)
+	})
+}
--- a/internal/news/engine.go
+++ b/internal/news/engine.go
@@ -81,7 +81,7 @@
 
 // Members returns the daemons that are live.
 func (e *Engine) Members(now time.Time) []Member {
-	return e.members.heard(now, len(e.members.ordered))
+	return e.members.live(now)
 }
 
 // Complete returns the revision up to which every change is held.
@@ -116,7 +116,8 @@
 		}
 	}
 	if d.Asks {
-		answer := Datagram{Heartbeat: e.beat(now), Members: e.members.heard(now, e.cfg.MaxMembers)}
+		known := e.members.introduce(now, m.Zone, e.cfg.Voices, e.cfg.MaxMembers, e.cfg.Rand)
+		answer := Datagram{Heartbeat: e.beat(now), Members: known}
 		actions = append(actions, Send{To: []netip.AddrPort{from}, Datagram: answer})
 	}
 	actions = append(actions, e.told(now, m, d.Items)...)
@@ -410,9 +411,14 @@
 
 // whomToAsk returns a live daemon, and the seeds while there is none in the own zone.
 func (e *Engine) whomToAsk(now time.Time) []netip.AddrPort {
-	live := e.members.heard(now, len(e.members.ordered))
-	if len(live) > 1 {
-		return []netip.AddrPort{live[e.cfg.Rand.IntN(len(live))].Addr}
+	var near []netip.AddrPort
+	for _, m := range e.members.live(now) {
+		if m.Zone == e.cfg.Self.Zone {
+			near = append(near, m.Addr)
+		}
+	}
+	if len(near) > 1 {
+		return []netip.AddrPort{near[e.cfg.Rand.IntN(len(near))]}
 	}
 	var out []netip.AddrPort
 	for _, a := range e.cfg.Seeds {
--- a/internal/news/members.go
+++ b/internal/news/members.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -212,17 +213,47 @@
 	return out
 }
 
-// heard returns the members that spoke lately, for a daemon that asks.
-func (ms *members) heard(now time.Time, limit int) []Member {
+// live returns the members that spoke lately.
+func (ms *members) live(now time.Time) []Member {
 	var out []Member
 	for _, m := range ms.ordered {
-		if m.live(now) && len(out) < limit {
+		if m.live(now) {
 			out = append(out, m.Member)
 		}
 	}
 	return out
 }
 
+// introduce returns the members that a daemon of a zone should know: the first ones of each zone, and of its
+// own zone as many as the limit allows, from a random one on.
+func (ms *members) introduce(now time.Time, zone string, voices, limit int, random *rand.Rand) []Member {
+	var out, own []Member
+	count := make(map[string]int)
+	for _, m := range ms.ordered {
+		if !m.live(now) {
+			continue
+		}
+		count[m.Zone]++
+		switch {
+		case count[m.Zone] <= voices:
+			out = append(out, m.Member)
+		case m.Zone == zone:
+			own = append(own, m.Member)
+		}
+	}
+	if len(own) == 0 {
+		return out
+	}
+	from := random.IntN(len(own))
+	for i := range own {
+		if len(out) >= limit {
+			break
+		}
+		out = append(out, own[(from+i)%len(own)])
+	}
+	return out
+}
+
 // anyLive reports whether a daemon of the own zone, or with all of any zone, is live.
 func (ms *members) anyLive(now time.Time) bool {
 	return slices.ContainsFunc(ms.ordered, func(m *member) bool { return m.live(now) })
--- /dev/null
+++ b/placement/nearest_test.go
@@ -0,0 +1,182 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+)
+
+var (
+	zoneA = model.Zone{Region: "r", Name: "a"}
+	zoneB = model.Zone{Region: "r", Name: "b"}
+	zoneC = model.Zone{Region: "r", Name: "c"}
+)
+
+// nearestSite is a service with some targets in each of three zones, seen by a daemon of zone a.
+type nearestSite struct {
+	policy *Nearest
+	loads  *LoadTable
+	table  *ServiceTable
+	now    time.Time
+	flows  uint64
+}
+
+func newNearestSite(perZone ...int) *nearestSite {
+	svc := &model.Service{Name: "s"}
+	for z, n := range perZone {
+		zone := []model.Zone{zoneA, zoneB, zoneC}[z]
+		for i := range n {
+			name := fmt.Sprintf("%s%02d", zone.Name, i)
+			svc.Targets = append(svc.Targets, &model.Target{ID: model.TargetIDOf(name), Name: name, Zone: zone, Slots: 3, MaxConnections: 2000})
+		}
+	}
+	table := NewTable(model.NewSnapshot(model.Revisions{}, nil, nil, []*model.Service{svc}, nil, nil))
+	s := &nearestSite{
+		policy: NewNearest(NearestConfig{Zone: zoneA}),
+		loads:  NewLoadTable(),
+		table:  table.Service(svc),
+		now:    time.Unix(1000, 0),
+	}
+	s.loads.SetTable(s.now, table)
+	return s
+}
+
+// place places flows that come at an interval and returns how many each zone and target got.
+func (s *nearestSite) place(n int, every time.Duration) (zones map[string]int, targets map[string]int) {
+	zones, targets = make(map[string]int), make(map[string]int)
+	for range n {
+		s.now = s.now.Add(every)
+		s.flows++
+		t, kind := s.policy.Choose(s.now, model.FlowHash(mix(s.flows, 1)), s.table, s.loads)
+		if kind != errkind.None {
+			zones[kind.String()]++
+			continue
+		}
+		s.loads.Placed(s.now, t.ID)
+		zones[t.Zone.Name]++
+		targets[t.Name]++
+	}
+	return zones, targets
+}
+
+func (s *nearestSite) target(name string) *model.Target {
+	for _, t := range s.table.Targets() {
+		if t.Name == name {
+			return t
+		}
+	}
+	return nil
+}
+
+func TestNearestKeepsFlowsInTheZone(t *testing.T) {
+	Convey("At an ordinary rate all flows stay in the zone and spread evenly", t, func() {
+		s := newNearestSite(5, 5, 4)
+		zones, targets := s.place(1000, 50*time.Millisecond)
+		So(zones["a"], ShouldEqual, 1000)
+		for _, n := range targets {
+			So(n, ShouldBeBetween, 180, 220)
+		}
+	})
+	Convey("A zone without targets uses those of the others", t, func() {
+		s := newNearestSite(0, 5, 4)
+		zones, _ := s.place(900, 50*time.Millisecond)
+		So(zones["b"]+zones["c"], ShouldEqual, 900)
+		So(zones["b"], ShouldBeBetween, 430, 570)
+	})
+	Convey("A zone that lost most of its targets spills in proportion", t, func() {
+		s := newNearestSite(1, 5, 5)
+		zones, _ := s.place(1000, 50*time.Millisecond)
+		// One target of eleven has 0.27 of the even share; kept is that by the local share of 0.75.
+		So(zones["a"], ShouldBeBetween, 300, 430)
+	})
+}
+
+func TestNearestSpillsABurst(t *testing.T) {
+	Convey("Callers of all zones that come to one daemon at once spread over all zones", t, func() {
+		s := newNearestSite(5, 5, 4)
+		zones, _ := s.place(300, time.Millisecond)
+		So(zones["a"], ShouldBeLessThan, 150)
+		So(zones["b"], ShouldBeGreaterThan, 60)
+		So(zones["c"], ShouldBeGreaterThan, 50)
+		Convey("and stay in the zone again after it", func() {
+			s.now = s.now.Add(3 * time.Second)
+			zones, _ := s.place(100, 50*time.Millisecond)
+			So(zones["a"], ShouldEqual, 100)
+		})
+	})
+}
+
+func TestNearestAvoids(t *testing.T) {
+	Convey("Targets that take no new flow, or should not, are passed over", t, func() {
+		s := newNearestSite(2, 2, 0)
+		bad := s.target("a00")
+		for _, c := range []struct {
+			name string
+			make func()
+			undo func()
+		}{
+			{"leaving", func() { bad.Leaving = true }, func() { bad.Leaving = false }},
+			{"lapsed", func() { bad.Lapsed = true }, func() { bad.Lapsed = false }},
+			{"at its limit", func() { bad.MaxConnections = 1; s.loads.Opened(bad.ID) }, func() { bad.MaxConnections = 2000 }},
+			{"silent", func() {
+				for i := range 6 {
+					s.loads.Missed(s.now, bad.ID, model.FlowHash(i+1), true)
+				}
+			}, func() { s.loads.Alive(s.now, bad.ID) }},
+		} {
+			c.make()
+			_, targets := s.place(40, 20*time.Millisecond)
+			So(targets["a00"], ShouldEqual, 0)
+			c.undo()
+			_, targets = s.place(400, 20*time.Millisecond)
+			So(targets["a00"], ShouldBeGreaterThan, 0)
+		}
+	})
+	Convey("A target that lapsed is better than none, one that leaves is not", t, func() {
+		s := newNearestSite(1, 0, 0)
+		only := s.target("a00")
+		only.Lapsed = true
+		zones, _ := s.place(5, time.Second)
+		So(zones["a"], ShouldEqual, 5)
+		only.Leaving = true
+		zones, _ = s.place(5, time.Second)
+		So(zones[errkind.NoTargetReachable.String()], ShouldEqual, 5)
+	})
+	Convey("When every target is at its limit the service is full", t, func() {
+		s := newNearestSite(1, 0, 0)
+		s.target("a00").MaxConnections = 1
+		zones, _ := s.place(3, time.Second)
+		So(zones[errkind.ServiceFull.String()], ShouldEqual, 2)
+	})
+	Convey("A target that warms up gets fewer flows", t, func() {
+		s := newNearestSite(2, 0, 0)
+		s.target("a00").WarmUntil = s.now.Add(time.Hour)
+		_, targets := s.place(300, 50*time.Millisecond)
+		So(targets["a00"], ShouldBeBetween, 80, 120)
+	})
+}
+
+func TestRestartedDaemonsDoNotHerd(t *testing.T) {
+	Convey("Eight daemons without any count spread their first flows over the targets", t, func() {
+		total := make(map[string]int)
+		flows := uint64(0)
+		for range 8 {
+			s := newNearestSite(5, 5, 4)
+			s.flows = flows
+			_, targets := s.place(28, 60*time.Millisecond)
+			flows = s.flows
+			for name, n := range targets {
+				total[name] += n
+			}
+		}
+		mean := 8 * 28.0 / 5
+		for _, n := range total {
+			So(float64(n)/mean, ShouldBeLessThan, 1.25)
+		}
+	})
+}
