--- a/internal/logsink/sink.go
+++ b/internal/logsink/sink.go
@@ -81,6 +81,7 @@
 				reported = time.Now()
 				lines = fmt.Appendf(lines, "op=log event=left_out lines=%d\n", omitted)
 			}
+			spare = lines
 			if len(lines) == 0 {
 				if closed {
 					return
@@ -89,7 +90,6 @@
 			}
 			// A refused write has nowhere to be reported; the next line tries again.
 			_, _ = s.out.Write(lines)
-			spare = lines
 		}
 	}
 }
--- /dev/null
+++ b/internal/logsink/sink_test.go
@@ -0,0 +1,71 @@
+package logsink
+
+import (
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// gate is an output that takes nothing until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(b)
+}
+
+func (g *gate) String() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.String()
+}
+
+func TestSink(t *testing.T) {
+	Convey("Lines come out whole and in order", t, func() {
+		g := &gate{open: make(chan struct{})}
+		close(g.open)
+		s := New(g, 0)
+		for range 100 {
+			_, err := s.Write([]byte("line\n"))
+			So(err, ShouldBeNil)
+		}
+		s.Close(time.Minute)
+		So(g.String(), ShouldEqual, strings.Repeat("line\n", 100))
+	})
+	Convey("A writer is never held up by an output that takes nothing, and what is left out is counted", t, func() {
+		g := &gate{open: make(chan struct{})}
+		s := New(g, 50)
+		for range 1000 {
+			n, err := s.Write([]byte("0123456789\n"))
+			So(n, ShouldEqual, 11)
+			So(err, ShouldBeNil)
+		}
+		close(g.open)
+		s.Close(time.Minute)
+		lines := strings.Count(g.String(), "0123456789\n")
+		So(lines, ShouldBeLessThan, 20)
+		So(g.String(), ShouldContainSubstring, "event=left_out lines=")
+	})
+	Convey("A full pipe that nobody reads holds up neither a writer nor the end", t, func() {
+		r, w, err := os.Pipe()
+		So(err, ShouldBeNil)
+		s := New(w, 1<<20)
+		line := []byte(strings.Repeat("x", 1023) + "\n")
+		for range 10_000 {
+			_, _ = s.Write(line)
+		}
+		s.Close(time.Millisecond)
+		So(r.Close(), ShouldBeNil)
+		So(w.Close(), ShouldBeNil)
+	})
+}
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -37,6 +37,10 @@
 // first is the number of daemons of a zone that ask again soon while the platform answers nobody.
 const first = 3
 
+// laterWait is how many times longer the other daemons of the zone wait: the first ones tell them once the
+// platform answers again.
+const laterWait = 4
+
 // HandleRead takes every published item, as of a revision, in answer to ReadAll.
 func (e *Engine) HandleRead(now time.Time, number uint64, items []Item, asOf uint64) []Action {
 	if number != e.reader.number {
@@ -99,8 +103,8 @@
 		return append(e.reachedPlatform(nil), e.step(now)...)
 	}
 	wait := min(e.cfg.BackoffMin<<min(e.reader.failures, 8), e.cfg.BackoffMax)
-	if e.members.position(now) >= first {
-		wait *= 2
+	if place, _ := e.members.place(now); place >= first {
+		wait *= laterWait
 	}
 	e.reader.failures++
 	e.reader.next = now.Add(wait/2 + e.jitter(wait))
