Try a connection to a suspected target before judging it silent

Ruled out: fewer misses alone (a slow target makes callers repeat once).

Conclusion: a probe settles what repeats leave open, both ways.

--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -24,6 +24,9 @@
 	MaxFlows int
 	// Limits bounds customers' flows. Default: no bounds.
 	Limits Limits
+	// Suspect asks to try a connection to a target and to hand the outcome to Probed. It must not block. Default:
+	// none is tried.
+	Suspect func(t *model.Target)
 }
 
 const (
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -15,19 +15,20 @@
 // it sends on any flow clears it.
 const (
 	// silentMisses and silentFlows are the packets without an answer, and the flows that they belong to, from
-	// which a target counts as silent. One flow alone may have lost its path.
+	// which a target counts as silent where no connection was tried. One flow alone may have lost its path.
 	silentMisses = 3
 	silentFlows  = 2
 	// silentStrong of the misses are ones that a busy target would have answered: a SYN, or data that was
 	// repeated twice. A target that works on a request acknowledges the first repetition.
 	silentStrong  = 1
 	strongRepeats = 2
-	// ownWindow is how far back the other targets' answers are looked at. While fewer targets answer than do
-	// not, this daemon's own link or processor is the likelier cause.
-	ownWindow = time.Second
 	// silentTime is how long the misses must span: more than one retransmission, so that a moment's loss of a
 	// link does not pass for a death.
 	silentTime = 200 * time.Millisecond
+	// missDelay is the time from a packet to the miss that it causes: the first retransmission.
+	missDelay = 200 * time.Millisecond
+	// probeEvery is the least time between two connections that are tried to one target.
+	probeEvery = 500 * time.Millisecond
 	// endedMisses and endedTime hold for a target whose registration has ended.
 	endedMisses = 2
 	endedTime   = 150 * time.Millisecond
@@ -72,19 +73,39 @@
 	if ended {
 		return ev.MissesInRow >= endedMisses && span >= endedTime
 	}
+	if !ev.ProbedAt.Before(ev.FirstMiss) {
+		return !ev.Connected
+	}
 	return ev.MissesInRow >= silentMisses && ev.MissedFlows >= silentFlows && ev.Strong >= silentStrong && span >= silentTime
 }
 
 // missed notes a packet of a flow that its target did not answer in time.
 func (e *TagEngine) missed(now time.Time, h model.FlowHash, id model.TargetID, strong bool) {
-	if isSilent(now, e.loads.Missed(now, id, h, strong), false) {
+	ev := e.loads.Missed(now, id, h, strong)
+	if isSilent(now, ev, false) {
+		e.silent.add(id)
+	}
+	if now.Sub(ev.ProbedAt) < probeEvery {
+		return
+	}
+	if t := e.world.Load().snapshot.Target(id); t != nil && e.cfg.Suspect != nil {
+		e.cfg.Suspect(t)
+	}
+}
+
+// Probed notes whether a suspected target took a connection. One that does not, while its flows miss answers and
+// those of other targets do not, is silent.
+func (e *TagEngine) Probed(now time.Time, id model.TargetID, connected bool) {
+	e.loads.Probed(now, id, connected)
+	if !connected {
 		e.silent.add(id)
 	}
 }
 
-// hampered reports whether the cause of silence is more likely here than at the targets.
-func (e *TagEngine) hampered(now time.Time) bool {
-	answering, missing := e.loads.Answering(now.Add(-ownWindow))
+// hampered reports whether the cause of silence is more likely here than at the target: since the first packet
+// that it did not answer, no more targets have answered than have not.
+func (e *TagEngine) hampered(ev placement.Evidence) bool {
+	answering, missing := e.loads.Answering(ev.FirstMiss.Add(-missDelay))
 	return answering <= missing
 }
 
@@ -99,7 +120,8 @@
 // one when the target's registration has ended too, since nobody can say whether it ran.
 func (e *TagEngine) givesUp(w *tagWorld, now time.Time, dst netip.AddrPort, f *tagFlow) bool {
 	ended := w.ended(f.target)
-	if !isSilent(now, e.loads.Evidence(f.target), ended) || e.hampered(now) {
+	ev := e.loads.Evidence(f.target)
+	if !isSilent(now, ev, ended) || e.hampered(ev) {
 		return false
 	}
 	route := w.snapshot.RouteAt(dst)
@@ -128,12 +150,12 @@
 func (e *TagEngine) resetSilent(now time.Time) []TagReset {
 	fresh := e.silent.take()
 	w := e.world.Load()
-	if len(fresh) == 0 || w == nil || e.hampered(now) {
+	if len(fresh) == 0 || w == nil {
 		return nil
 	}
 	var out []TagReset
 	for _, id := range fresh {
-		if !isSilent(now, e.loads.Evidence(id), false) {
+		if ev := e.loads.Evidence(id); !isSilent(now, ev, false) || e.hampered(ev) {
 			continue
 		}
 		for _, f := range e.flows.takeOf(id, func(f tagFlow) bool { return e.abandons(w, now, f) }) {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -85,6 +85,7 @@
 	events  chan event
 	tasks   *errgroup.Group
 	seeds   chan *settings.Settings
+	probes  *probes
 	control *control
 
 	// answers guards the news engine's copy for calls of other daemons.
@@ -106,10 +107,12 @@
 		flowLines:   rate.NewLimiter(flowLinesPerSecond, flowLineBurst),
 		events:      make(chan event, eventQueue),
 		seeds:       make(chan *settings.Settings, 1),
+		probes:      newProbes(),
 	}
 	d.engine = core.NewTagEngine(core.TagConfig{
-		Policy: placement.NewNearest(placement.NearestConfig{Zone: s.Zone}),
-		Epoch:  deps.Now,
+		Policy:  placement.NewNearest(placement.NearestConfig{Zone: s.Zone}),
+		Epoch:   deps.Now,
+		Suspect: d.probes.add,
 	})
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_open_flows", Help: "Flows with a record."},
 		func() float64 { return float64(d.engine.OpenFlows()) })
@@ -178,6 +181,7 @@
 	d.tasks.Go(d.newMover(data).run)
 	d.tasks.Go(func() error { return d.peers.run(d.events, tasksCtx) })
 	d.tasks.Go(func() error { return d.control.run(tasksCtx) })
+	d.tasks.Go(func() error { return d.probeSuspects(tasksCtx) })
 	d.log.Info("daemon serves", "op", "start", "event", "started", "data", d.settings.Data, "peer", d.settings.Peer,
 		"zone", d.settings.Zone.String(), "seeds", fmt.Sprint(d.settings.Seeds))
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -17,6 +17,7 @@
 	moved         gometrics.Counter
 	refused       gometrics.Counter
 	reset         gometrics.Counter
+	probes        gometrics.Counter
 	sendErrors    gometrics.Counter
 	peerSent      gometrics.Counter
 	peerReceived  gometrics.Counter
@@ -46,6 +47,7 @@
 		moved:         counter("moved_opens_total", "Repeated first packets sent to another target."),
 		refused:       counter("refused_flows_total", "New flows that were refused."),
 		reset:         counter("reset_flows_total", "Open flows that were ended at their callers, since their targets are silent."),
+		probes:        counter("target_probes_total", "Suspected targets to which connections were tried."),
 		sendErrors:    counter("send_errors_total", "Datagrams that the system refused to send."),
 		peerSent:      counter("control_sent_bytes_total", "Payload of control datagrams sent to peers."),
 		peerReceived:  counter("control_received_bytes_total", "Payload of control datagrams received from peers."),
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -94,7 +94,11 @@
 	// since the last answer.
 	MissedFlows int
 	// Strong counts the attempts since the last answer that a busy target would have answered.
-	Strong     int
+	Strong int
+	// ProbedAt is when a connection to the target was last tried to find out; zero when none was. Connected
+	// is true where it came about.
+	ProbedAt   time.Time
+	Connected  bool
 	lastMissed model.FlowHash
 }
 
@@ -251,6 +255,14 @@
 	return e
 }
 
+// Probed notes whether the target took a connection.
+func (l *LoadTable) Probed(now time.Time, id model.TargetID, connected bool) {
+	l.with(id, func(t *targetLoad) {
+		t.evidence.ProbedAt = now
+		t.evidence.Connected = connected
+	})
+}
+
 func (e *Evidence) answered(now time.Time) {
 	e.MissesInRow, e.MissedFlows, e.Strong, e.lastMissed = 0, 0, 0, 0
 	e.LastAnswer = now
