Tell a flow's story from logs; let packets wait for the first lists

Engineers on call had lines on flows but no tool.

Ruled out: a queue of our own (the socket is one).

--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -40,6 +40,8 @@
 			newMeasureCommand(),
 			newLabCommand(),
 			newCapacityCommand(),
+			newTraceCommand(),
+			newLogsCommand(),
 		},
 	}
 }
--- /dev/null
+++ b/cmd/fireflypin/trace.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/fireflypin/fireflypin/internal/flowtrace"
+)
+
+// errNoFiles is returned where no log was named.
+var errNoFiles = errors.New("name the files with the daemons' logs")
+
+func newTraceCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "trace",
+		Usage:     "tell from the daemons' logs what became of a flow",
+		ArgsUsage: "FILES...",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "flow", Usage: "`ID` of the flow: caller>service or caller>service/number", Required: true},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			l, err := readLogs(c.Args().Slice())
+			if err != nil {
+				return err
+			}
+			story := l.Trace(c.String("flow"))
+			return story.Write(c.Root().Writer)
+		},
+	}
+}
+
+func newLogsCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "logs",
+		Usage: "read the daemons' logs",
+		Commands: []*cli.Command{{
+			Name:      "summary",
+			Usage:     "count outcomes by cause",
+			ArgsUsage: "FILES...",
+			Action: func(_ context.Context, c *cli.Command) error {
+				l, err := readLogs(c.Args().Slice())
+				if err != nil {
+					return err
+				}
+				s := l.Summary()
+				return s.Write(c.Root().Writer)
+			},
+		}},
+	}
+}
+
+// readLogs reads the logs of all files together.
+func readLogs(paths []string) (*flowtrace.Log, error) {
+	if len(paths) == 0 {
+		return nil, errNoFiles
+	}
+	l := &flowtrace.Log{}
+	for _, path := range paths {
+		if err := readLog(l, path); err != nil {
+			return nil, err
+		}
+	}
+	return l, nil
+}
+
+func readLog(l *flowtrace.Log, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open a log: %w", err)
+	}
+	defer f.Close()
+	if err := l.Read(f); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -160,13 +160,15 @@
 	TagPlaced
 	// TagRepeated is a repeated first packet that goes to the flow's target again.
 	TagRepeated
+	// TagLearned is the first packet that this daemon sees of a flow which another one opened.
+	TagLearned
 	// TagMoved is a repeated first packet that goes to another target, since the first one is silent.
 	TagMoved
 )
 
 // String returns the reason's name in logs.
 func (r TagReason) String() string {
-	return [...]string{"steered", "placed", "repeated", "moved"}[r]
+	return [...]string{"steered", "placed", "repeated", "learned", "moved"}[r]
 }
 
 // TagVerdict is what a TagEngine decides on one packet: OpForward to Target with Tag, OpReset or OpDrop.
@@ -178,6 +180,8 @@
 	Tag    flowtag.Tag
 	// Route is the flow's route where the packet opens one.
 	Route *model.Route
+	// ISN is the number that the flow's SYN carried; 0 where another daemon saw that.
+	ISN uint32
 	// RetryAfter is when a refused caller should come back; 0 where asking again is useless.
 	RetryAfter time.Duration
 }
@@ -216,9 +220,15 @@
 	}
 	if f.repeated && e.givesUp(w, now, m.Dst, &f.after) {
 		e.end(now, h)
-		return refuseTagged(errkind.TargetLost, h)
+		v := refuseTagged(errkind.TargetLost, h)
+		v.Target, v.ISN = target, f.after.isn
+		return v
 	}
-	return TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag}
+	v := TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag, ISN: f.after.isn}
+	if f.added {
+		v.Reason = TagLearned
+	}
+	return v
 }
 
 // learn returns the record of a flow that this daemon did not open.
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -36,8 +36,10 @@
 type tagFlow struct {
 	target model.TargetID
 	tag    flowtag.Tag
-	// caller and service are the flow's ends.
+	// caller and service are the flow's ends, isn is the number that its SYN carried; 0 where another daemon saw
+	// that.
 	caller, service flow.Endpoint
+	isn             uint32
 	// seq and ack are the highest numbers that the caller has sent.
 	seq, ack uint32
 	// at is the time of the last packet that told something new, last that of the last packet; in
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -66,6 +66,7 @@
 		tag:     v.Tag,
 		caller:  flow.EndpointOf(m.Src),
 		service: flow.EndpointOf(m.Dst),
+		isn:     m.Seq,
 		seq:     m.Seq + m.SegmentLen(),
 		at:      ms,
 		last:    ms,
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -138,6 +138,8 @@
 // TagReset asks to reset a flow at its caller.
 type TagReset struct {
 	Caller, Service netip.AddrPort
+	// ISN is the number that the flow's SYN carried; 0 where another daemon saw that.
+	ISN uint32
 	// Ack is the last number that the caller has acknowledged.
 	Ack    uint32
 	Kind   errkind.Kind
@@ -163,6 +165,7 @@
 			out = append(out, TagReset{
 				Caller:  f.caller.AddrPort(),
 				Service: f.service.AddrPort(),
+				ISN:     f.isn,
 				Ack:     f.ack,
 				Kind:    errkind.TargetLost,
 				Target:  id,
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -138,9 +138,11 @@
 	if !c.pausedAt.IsZero() && now.Sub(c.pausedAt) >= relearnTime {
 		c.heardAgain()
 	}
-	c.reset(c.d.engine.Tick(now))
+	c.reset(now, c.d.engine.Tick(now))
 	c.handle(ctx, c.news.Tick)
-	c.d.confirmedAt.Store(now.Add(-c.news.Age(now)).UnixNano())
+	if c.news.Confirmed() {
+		c.d.confirmedAt.Store(now.Add(-c.news.Age(now)).UnixNano())
+	}
 	if next, ok := c.directory.NextChange(now); ok && !now.Before(next) {
 		c.adoptAt = now
 	}
@@ -152,7 +154,7 @@
 }
 
 // reset ends flows at their callers.
-func (c *control) reset(flows []core.TagReset) {
+func (c *control) reset(now time.Time, flows []core.TagReset) {
 	if len(flows) == 0 {
 		return
 	}
@@ -161,7 +163,7 @@
 		m := packet.Meta{Src: f.Caller, Dst: f.Service, Ack: f.Ack}
 		raw := c.d.transport.AppendReset(nil, &m)
 		out = append(out, udpio.Message{Buf: raw, N: len(raw), Addr: c.d.transport.CallerAddr(&m)})
-		c.d.noteReset(&f)
+		c.d.noteReset(now, &f, "silent")
 	}
 	if n, err := c.d.data.WriteBatch(out); err != nil {
 		c.d.metrics.sendErrors.Inc(int64(len(out) - n))
@@ -175,7 +177,7 @@
 	}
 	if n := c.d.flowsUnlogged.Swap(0); n > 0 {
 		c.lastLine = now
-		c.d.log.Warn("flows were not logged", "op", "log", "event", "left_out", "flows", n)
+		c.d.log.Warn("lines on flows were left out", "op", "log", "event", "left_out", "lines", n)
 	}
 }
 
@@ -297,7 +299,10 @@
 	for _, it := range items {
 		c.changedItem(now, it)
 	}
-	if c.adoptAt.IsZero() {
+	switch {
+	case c.d.engine.Lists() == nil:
+		c.adoptAt = now
+	case c.adoptAt.IsZero():
 		c.adoptAt = now.Add(adoptDelay)
 	}
 }
@@ -358,7 +363,11 @@
 	if s == nil {
 		return
 	}
+	first := c.d.engine.Lists() == nil
 	c.d.engine.Adopt(now, s, admission.NewTable(s))
+	if first {
+		close(c.d.adopted)
+	}
 }
 
 func (c *control) report(now time.Time) *Status {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -86,6 +86,8 @@
 	tasks   *errgroup.Group
 	seeds   chan *settings.Settings
 	probes  *probes
+	// adopted is closed when the first lists come into force.
+	adopted chan struct{}
 	control *control
 
 	// answers guards the news engine's copy for calls of other daemons.
@@ -108,6 +110,7 @@
 		events:      make(chan event, eventQueue),
 		seeds:       make(chan *settings.Settings, 1),
 		probes:      newProbes(),
+		adopted:     make(chan struct{}),
 	}
 	d.engine = core.NewTagEngine(core.TagConfig{
 		Policy:  placement.NewNearest(placement.NearestConfig{Zone: s.Zone}),
@@ -150,9 +153,16 @@
 	errNoLists  = errors.New("no current lists yet")
 )
 
+// unknownAge stands in logs for lists that were not confirmed since the start.
+const unknownAge = -time.Millisecond
+
 // newsAge returns the time since the platform confirmed the lists in force.
 func (d *Daemon) newsAge(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, d.confirmedAt.Load()))
+	at := d.confirmedAt.Load()
+	if at == 0 {
+		return unknownAge
+	}
+	return now.Sub(time.Unix(0, at))
 }
 
 // Run serves until ctx ends, then stops gracefully: it goes on passing packets until the fabric has moved on.
@@ -178,7 +188,7 @@
 	d.tasks, tasksCtx = errgroup.WithContext(tasksCtx)
 	d.peers.conn = peer
 	d.data = data
-	d.tasks.Go(d.newMover(data).run)
+	d.tasks.Go(func() error { return d.moveOnceAdopted(tasksCtx, d.newMover(data)) })
 	d.tasks.Go(func() error { return d.peers.run(d.events, tasksCtx) })
 	d.tasks.Go(func() error { return d.control.run(tasksCtx) })
 	d.tasks.Go(func() error { return d.probeSuspects(tasksCtx) })
@@ -199,6 +209,17 @@
 	return nil
 }
 
+// moveOnceAdopted moves packets from the moment when lists are in force. Until then they wait in the socket: it
+// answers the load pattern of a whole fleet that starts again, whose callers send before the first lists are read.
+func (d *Daemon) moveOnceAdopted(ctx context.Context, m *mover) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-d.adopted:
+		return m.run()
+	}
+}
+
 // limitMemory makes the collector work harder before the process reaches its limit in MiB.
 func limitMemory(limit int) {
 	if limit > 0 {
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -2,59 +2,104 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
 	"github.com/fireflypin/fireflypin/packet"
 )
 
-// flowID names a flow in logs: its ends and the number that its first packet carries.
-func flowID(m *packet.Meta) string {
-	return fmt.Sprintf("%v>%v/%08x", m.Src, m.Dst, m.Seq)
+// flowID names a flow in logs: its ends and the number that its first packet carried, or "-" where another
+// daemon saw that packet.
+func flowID(caller, service netip.AddrPort, isn uint32) string {
+	if isn == 0 {
+		return fmt.Sprintf("%v>%v/-", caller, service)
+	}
+	return fmt.Sprintf("%v>%v/%08x", caller, service, isn)
 }
 
-// notePlaced counts and logs a first packet that was sent to a target.
-func (d *Daemon) notePlaced(now time.Time, m *packet.Meta, v *core.TagVerdict) {
-	open := d.engine.Loads().Open(v.Target.ID)
+// mayLog reports whether a line on a single flow may be written now, and counts those that may not.
+func (d *Daemon) mayLog(now time.Time) bool {
+	if d.flowLines.AllowN(now, 1) {
+		return true
+	}
+	d.flowsUnlogged.Add(1)
+	return false
+}
+
+// noteSteered counts and logs what a packet decided about its flow, other than to go on.
+func (d *Daemon) noteSteered(now time.Time, m *packet.Meta, v *core.TagVerdict) {
 	switch v.Reason {
 	case core.TagPlaced:
 		d.metrics.placed.Inc(1)
-		d.metrics.placements.With(v.Target.Service).Update(int64(open))
+		d.metrics.placements.With(v.Target.Service).Update(int64(d.engine.Loads().Open(v.Target.ID)))
 	case core.TagRepeated:
 		d.metrics.repeated.Inc(1)
 	case core.TagMoved:
 		d.metrics.moved.Inc(1)
+	case core.TagLearned:
+		d.metrics.learned.Inc(1)
+	}
+	if !d.mayLog(now) {
+		return
 	}
-	if !d.flowLines.AllowN(now, 1) {
-		d.flowsUnlogged.Add(1)
+	o := d.engine.Loads().Observe(now, v.Target.ID)
+	if v.Reason == core.TagLearned {
+		d.log.Info("flow learned", "op", "flow", "event", "learned", "flow", flowID(m.Src, m.Dst, 0), "tag", tagText(v.Tag),
+			"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "leaving", v.Target.Leaving, "lapsed", v.Target.Lapsed)
 		return
 	}
-	d.log.Info("flow placed", "op", "flow", "event", v.Reason.String(), "flow", flowID(m), "route", v.Route.Name,
-		"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "open", open,
-		"plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
+	d.log.Info("flow placed", "op", "flow", "event", v.Reason.String(), "flow", flowID(m.Src, m.Dst, m.Seq), "route", v.Route.Name,
+		"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "tag", tagText(v.Tag), "open", o.Open,
+		"misses", o.MissesInRow, "lapsed", v.Target.Lapsed, "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
+}
+
+func tagText(t flowtag.Tag) string {
+	return fmt.Sprintf("%08x", uint32(t))
 }
 
-// noteRefused counts and logs a first packet that was refused.
+// noteRefused counts and logs a packet that was answered with a reset.
 func (d *Daemon) noteRefused(now time.Time, m *packet.Meta, v *core.TagVerdict) {
+	if v.Target != nil {
+		d.noteReset(now, &core.TagReset{Caller: m.Src, Service: m.Dst, ISN: v.ISN, Kind: v.Kind, Target: v.Target.ID}, "repeat")
+		return
+	}
 	d.metrics.kinds.Add(v.Kind, 1)
 	d.metrics.refused.Inc(1)
-	if !d.flowLines.AllowN(now, 1) {
-		d.flowsUnlogged.Add(1)
+	if d.mayLog(now) {
+		d.log.Info("flow refused", "op", "flow", "event", "refused", "flow", flowID(m.Src, m.Dst, m.Seq), "kind", v.Kind,
+			"retry_after_ms", v.RetryAfter.Milliseconds(), "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
+	}
+}
+
+// noteDropped counts and logs a packet that was not answered.
+func (d *Daemon) noteDropped(now time.Time, m *packet.Meta, tag flowtag.Tag, v *core.TagVerdict) {
+	d.metrics.kinds.Add(v.Kind, 1)
+	if !d.mayLog(now) {
 		return
 	}
-	d.log.Info("flow refused", "op", "flow", "event", "refused", "flow", flowID(m), "kind", v.Kind,
-		"retry_after_ms", v.RetryAfter.Milliseconds(), "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
+	isn := uint32(0)
+	if m.Flags.Has(packet.SYN) {
+		isn = m.Seq
+	}
+	d.log.Info("packet dropped", "op", "flow", "event", "dropped", "flow", flowID(m.Src, m.Dst, isn), "kind", v.Kind,
+		"tag", tagText(tag), "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
 }
 
-// noteReset counts and logs an open flow that was ended at its caller.
-func (d *Daemon) noteReset(f *core.TagReset) {
-	d.metrics.kinds.Add(f.Kind, 1)
+// noteReset counts and logs an open flow that was ended at its caller; cause says what made the daemon look.
+func (d *Daemon) noteReset(now time.Time, f *core.TagReset, cause string) {
 	d.metrics.reset.Inc(1)
+	d.metrics.kinds.Add(f.Kind, 1)
+	if !d.mayLog(now) {
+		return
+	}
 	ev := d.engine.Loads().Evidence(f.Target)
 	target := ""
 	if t := d.engine.Target(f.Target); t != nil {
 		target = t.Name
 	}
-	d.log.Info("flow reset", "op", "flow", "event", "reset", "flow", fmt.Sprintf("%v>%v", f.Caller, f.Service), "kind", f.Kind,
-		"target", target, "misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", time.Since(ev.FirstMiss).Milliseconds())
+	d.log.Info("flow reset", "op", "flow", "event", "reset", "flow", flowID(f.Caller, f.Service, f.ISN), "kind", f.Kind, "cause", cause,
+		"target", target, "misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", now.Sub(ev.FirstMiss).Milliseconds(),
+		"connected", ev.Connected, "probe_ms", now.Sub(ev.ProbedAt).Milliseconds())
 }
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -15,6 +15,7 @@
 	placed        gometrics.Counter
 	repeated      gometrics.Counter
 	moved         gometrics.Counter
+	learned       gometrics.Counter
 	refused       gometrics.Counter
 	reset         gometrics.Counter
 	probes        gometrics.Counter
@@ -45,6 +46,7 @@
 		placed:        counter("placed_flows_total", "New flows that were given a target."),
 		repeated:      counter("repeated_opens_total", "Repeated first packets sent to the same target."),
 		moved:         counter("moved_opens_total", "Repeated first packets sent to another target."),
+		learned:       counter("learned_flows_total", "Flows that another daemon opened and whose packets came here."),
 		refused:       counter("refused_flows_total", "New flows that were refused."),
 		reset:         counter("reset_flows_total", "Open flows that were ended at their callers, since their targets are silent."),
 		probes:        counter("target_probes_total", "Suspected targets to which connections were tried."),
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -87,13 +87,13 @@
 		m.out = append(m.out, udpio.Message{Buf: frame, N: len(frame), Addr: v.Target.Data})
 		m.d.metrics.forwarded.Inc(1)
 		if v.Reason != core.TagSteered {
-			m.d.notePlaced(now, &m.meta, &v)
+			m.d.noteSteered(now, &m.meta, &v)
 		}
 	case core.OpReset:
 		reset := m.d.transport.AppendReset(m.resets[i][:0], &m.meta)
 		m.out = append(m.out, udpio.Message{Buf: reset, N: len(reset), Addr: m.d.transport.CallerAddr(&m.meta)})
 		m.d.noteRefused(now, &m.meta, &v)
 	default:
-		m.d.metrics.kinds.Add(v.Kind, 1)
+		m.d.noteDropped(now, &m.meta, tag, &v)
 	}
 }
--- /dev/null
+++ b/internal/flowtrace/summary.go
@@ -0,0 +1,51 @@
+package flowtrace
+
+import (
+	"fmt"
+	"io"
+	"strings"
+)
+
+// Summary counts the lines of logs by what they tell.
+type Summary struct {
+	// Outcomes counts lines on flows by event, kind and cause, others by op and event.
+	Outcomes map[string]int
+	// LeftOut is the number of lines that daemons left out.
+	LeftOut int
+	Unread  int
+}
+
+// Summary counts outcomes by cause.
+func (l *Log) Summary() Summary {
+	s := Summary{Outcomes: make(map[string]int), Unread: l.Unread}
+	for i := range l.Lines {
+		line := &l.Lines[i]
+		s.LeftOut += line.leftOut()
+		s.Outcomes[outcome(line)]++
+	}
+	return s
+}
+
+func outcome(line *Line) string {
+	parts := []string{line.Op, line.Event}
+	for _, key := range []string{"kind", "cause", "connected", "up", "reads"} {
+		if v := line.Get(key); v != "" {
+			parts = append(parts, key+"="+v)
+		}
+	}
+	return strings.Join(parts, " ")
+}
+
+// Write prints the counts.
+func (s *Summary) Write(w io.Writer) error {
+	var b strings.Builder
+	for _, key := range sortedKeys(s.Outcomes) {
+		fmt.Fprintf(&b, "%8d  %s\n", s.Outcomes[key], key)
+	}
+	fmt.Fprintf(&b, "%8d  lines left out by the daemons\n", s.LeftOut)
+	if s.Unread > 0 {
+		fmt.Fprintf(&b, "%8d  lines of something else\n", s.Unread)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
--- /dev/null
+++ b/internal/flowtrace/trace_test.go
@@ -0,0 +1,71 @@
+package flowtrace
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const logA = `time=2026-01-01T00:00:01.000Z level=info msg="flow placed" entry=a1 op=flow event=placed flow=100.64.0.1:5>198.18.0.1:443/0000abcd target=t1 open=3
+time=2026-01-01T00:00:01.100Z level=info msg="flow placed" entry=a1 op=flow event=placed flow=100.64.0.1:5>198.18.0.1:443/0000ffff target=t9
+   12.5 a1 time=2026-01-01T00:00:03.000Z level=info msg="target probed" entry=a1 op=targets event=probed target=t1 connected=false took_ms=130
+time=2026-01-01T00:00:03.050Z level=info msg="flow reset" entry=a1 op=flow event=reset flow=100.64.0.1:5>198.18.0.1:443/0000abcd kind=target_lost cause=repeat target=t1 misses=4
+time=2026-01-01T00:00:03.500Z level=warn msg="lines on flows were left out" entry=a1 op=log event=left_out lines=17
+not a line of a daemon
+`
+
+const logB = `time=2026-01-01T00:00:02.000Z level=info msg="flow learned" entry=b1 op=flow event=learned flow=100.64.0.1:5>198.18.0.1:443/- target=t1
+time=2026-01-01T00:00:02.500Z level=info msg="target probed" entry=b1 op=targets event=probed target=t7 connected=true
+`
+
+const logC = `time=2026-01-01T01:00:00.000Z level=info msg="daemon serves" entry=c1 op=start event=started
+`
+
+func read(texts ...string) *Log {
+	l := &Log{}
+	for _, text := range texts {
+		So(l.Read(strings.NewReader(text)), ShouldBeNil)
+	}
+	return l
+}
+
+func TestTrace(t *testing.T) {
+	Convey("A flow's story is told in order across daemons, with what concerns its target and what is missing", t, func() {
+		s := read(logA, logB, logC).Trace("100.64.0.1:5>198.18.0.1:443/0000abcd")
+		var events []string
+		for _, line := range s.Lines {
+			events = append(events, line.Entry+" "+line.Event)
+		}
+		So(events, ShouldResemble, []string{"a1 placed", "b1 learned", "a1 probed", "a1 reset"})
+		So(s.Targets, ShouldResemble, []string{"t1"})
+		So(s.LeftOut["a1"], ShouldEqual, 17)
+		So(s.Silent, ShouldResemble, []string{"c1"})
+		var out strings.Builder
+		So(s.Write(&out), ShouldBeNil)
+		So(out.String(), ShouldContainSubstring, "a1 flow/reset flow=100.64.0.1:5>198.18.0.1:443/0000abcd kind=target_lost cause=repeat target=t1 misses=4")
+		So(out.String(), ShouldContainSubstring, "missing: a1 left out 17 lines")
+		So(out.String(), ShouldContainSubstring, "missing: c1 has no line")
+	})
+	Convey("Ends alone name every flow on these ports", t, func() {
+		s := read(logA).Trace("100.64.0.1:5>198.18.0.1:443")
+		So(s.Targets, ShouldResemble, []string{"t1", "t9"})
+	})
+	Convey("A flow without lines says so", t, func() {
+		s := read(logA).Trace("1.2.3.4:5>6.7.8.9:1/00000001")
+		var out strings.Builder
+		So(s.Write(&out), ShouldBeNil)
+		So(out.String(), ShouldContainSubstring, "no daemon's log has a line on it")
+	})
+}
+
+func TestSummary(t *testing.T) {
+	Convey("Outcomes are counted by cause", t, func() {
+		s := read(logA, logB).Summary()
+		So(s.Outcomes["flow placed"], ShouldEqual, 2)
+		So(s.Outcomes["flow reset kind=target_lost cause=repeat"], ShouldEqual, 1)
+		So(s.Outcomes["targets probed connected=false"], ShouldEqual, 1)
+		So(s.LeftOut, ShouldEqual, 17)
+		So(s.Unread, ShouldEqual, 1)
+	})
+}
--- a/internal/news/engine.go
+++ b/internal/news/engine.go
@@ -70,6 +70,11 @@
 	return e.step(now)
 }
 
+// Confirmed reports whether the platform has confirmed the copy since the start, here or at another daemon.
+func (e *Engine) Confirmed() bool {
+	return e.confirmed.After(e.started.Add(-e.cfg.Trust))
+}
+
 // Age returns the time since the platform confirmed what is held, here or at another daemon.
 func (e *Engine) Age(now time.Time) time.Duration {
 	return e.age(now)
