--- a/cmd/fireflypin/explain.go
+++ b/cmd/fireflypin/explain.go
@@ -15,7 +15,7 @@
 
 	"github.com/fireflypin/fireflypin/internal/explain"
 	"github.com/fireflypin/fireflypin/internal/lists"
-	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/model"
 )
 
@@ -89,7 +89,7 @@
 func platformLists(ctx context.Context, url string) (*model.Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
-	service := platform.NewHTTP(url)
+	service := listsource.NewHTTP(url)
 	defer service.Close()
 	var docs [3]lists.Document
 	for _, kind := range lists.Kinds() {
--- a/internal/bulk/bulk_test.go
+++ b/internal/bulk/bulk_test.go
@@ -17,7 +17,7 @@
 	"github.com/fireflypin/fireflypin/internal/bulk/bulkpb"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/lists"
-	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/model"
 )
@@ -31,13 +31,13 @@
 	return f[:1]
 }
 
-type fakeLists struct{ doc *platform.Document }
+type fakeLists struct{ doc *listsource.Document }
 
-func (f fakeLists) Digest() platform.Digest {
-	return platform.Digest{lists.KindPlans: f.doc.Version}
+func (f fakeLists) Digest() listsource.Digest {
+	return listsource.Digest{lists.KindPlans: f.doc.Version}
 }
 
-func (f fakeLists) Document(kind lists.Kind) *platform.Document {
+func (f fakeLists) Document(kind lists.Kind) *listsource.Document {
 	if kind != lists.KindPlans {
 		return nil
 	}
@@ -91,7 +91,7 @@
 func TestCalls(t *testing.T) {
 	logs := fakeLogs{snapshotOf(1, 3*chunkRecords+1), snapshotOf(2, 0)}
 	body := []byte("kind: plans\nrevision: 5\n")
-	holder := fakeLists{&platform.Document{Kind: lists.KindPlans, Version: platform.VersionOf(5, body), Body: body}}
+	holder := fakeLists{&listsource.Document{Kind: lists.KindPlans, Version: listsource.VersionOf(5, body), Body: body}}
 	a := newAuthority()
 	for name, configs := range map[string][2]*tls.Config{
 		"in the clear":                       {nil, nil},
--- a/internal/bulk/client.go
+++ b/internal/bulk/client.go
@@ -14,7 +14,7 @@
 	"github.com/fireflypin/fireflypin/internal/bulk/bulkpb/bulkpbconnect"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/lists"
-	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/model"
 )
 
@@ -71,24 +71,24 @@
 	return a.finish()
 }
 
-// ListDigest implements platform.Peers.
-func (c *Client) ListDigest(ctx context.Context, peer netip.AddrPort) (platform.Digest, error) {
+// ListDigest implements listsource.Peers.
+func (c *Client) ListDigest(ctx context.Context, peer netip.AddrPort) (listsource.Digest, error) {
 	r, err := c.service(peer).ListDigest(ctx, connect.NewRequest(&bulkpb.ListDigestRequest{}))
 	if err != nil {
-		return platform.Digest{}, fmt.Errorf("ask %v for its lists: %w", peer, err)
+		return listsource.Digest{}, fmt.Errorf("ask %v for its lists: %w", peer, err)
 	}
-	d, ok := platform.DecodeDigest(r.Msg.Digest)
+	d, ok := listsource.DecodeDigest(r.Msg.Digest)
 	if !ok {
-		return platform.Digest{}, fmt.Errorf("ask %v for its lists: the digest cannot be decoded", peer)
+		return listsource.Digest{}, fmt.Errorf("ask %v for its lists: the digest cannot be decoded", peer)
 	}
 	return d, nil
 }
 
-// ListBody implements platform.Peers.
-func (c *Client) ListBody(ctx context.Context, peer netip.AddrPort, kind lists.Kind) (platform.Version, []byte, error) {
+// ListBody implements listsource.Peers.
+func (c *Client) ListBody(ctx context.Context, peer netip.AddrPort, kind lists.Kind) (listsource.Version, []byte, error) {
 	r, err := c.service(peer).ListBody(ctx, connect.NewRequest(&bulkpb.ListBodyRequest{Kind: uint32(kind)}))
 	if err != nil {
-		return platform.Version{}, nil, fmt.Errorf("ask %v for the list of %v: %w", peer, kind, err)
+		return listsource.Version{}, nil, fmt.Errorf("ask %v for the list of %v: %w", peer, kind, err)
 	}
-	return platform.VersionOf(r.Msg.Revision, r.Msg.Body), r.Msg.Body, nil
+	return listsource.VersionOf(r.Msg.Revision, r.Msg.Body), r.Msg.Body, nil
 }
--- a/internal/bulk/server.go
+++ b/internal/bulk/server.go
@@ -16,7 +16,7 @@
 	"github.com/fireflypin/fireflypin/internal/bulk/bulkpb/bulkpbconnect"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/lists"
-	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 )
 
 // Logs is what a server tells of exception logs.
@@ -28,9 +28,9 @@
 // ListHolder is what a server tells of the published lists.
 type ListHolder interface {
 	// Digest returns the versions of the lists that are held.
-	Digest() platform.Digest
+	Digest() listsource.Digest
 	// Document returns a list that is held, or nil.
-	Document(kind lists.Kind) *platform.Document
+	Document(kind lists.Kind) *listsource.Document
 }
 
 const (
--- a/internal/daemon/actions.go
+++ b/internal/daemon/actions.go
@@ -6,7 +6,7 @@
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
-	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/model"
 )
@@ -64,7 +64,7 @@
 }
 
 func (d *Daemon) handleDigest(a core.PeerSection) {
-	digest, ok := platform.DecodeDigest(a.Section.Data)
+	digest, ok := listsource.DecodeDigest(a.Section.Data)
 	if !ok {
 		d.metrics.kinds.Add(errkind.PeerMalformed, 1)
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -18,9 +18,9 @@
 	"github.com/fireflypin/fireflypin/internal/admission"
 	"github.com/fireflypin/fireflypin/internal/bulk"
 	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/membership"
 	"github.com/fireflypin/fireflypin/internal/metrics"
-	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -53,11 +53,11 @@
 	// ListHolder tells peers what is held.
 	bulk.ListHolder
 	// HandleDigest takes the versions that a peer holds. The peer is named by its bulk address.
-	HandleDigest(peer netip.AddrPort, d platform.Digest)
+	HandleDigest(peer netip.AddrPort, d listsource.Digest)
 	// Reload reads local files again; without effect where the platform is used.
 	Reload(ctx context.Context) error
 	// Status returns what operators see of the lists.
-	Status() platform.Status
+	Status() listsource.Status
 }
 
 // Deps are the modules that a Daemon works with.
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -9,8 +9,8 @@
 	"github.com/samber/do/v2"
 
 	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/metrics"
-	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/model"
 )
@@ -23,24 +23,24 @@
 	}
 	o := do.MustInvoke[Options](i)
 	s := o.Settings
-	cfg := platform.ClientConfig{
+	cfg := listsource.ClientConfig{
 		Reader:      readerConfig(s, o.Now),
 		Files:       filesOf(s),
 		Peers:       peers,
 		CallTimeout: s.Platform.CallTimeout,
 		Log:         do.MustInvoke[*log.Logger](i),
-		Metrics:     platform.NewMetrics(do.MustInvoke[*metrics.Set](i)),
+		Metrics:     listsource.NewMetrics(do.MustInvoke[*metrics.Set](i)),
 	}
 	if s.UsesPlatform() {
-		cfg.Platform = platform.NewHTTP(s.Platform.URL)
+		cfg.Platform = listsource.NewHTTP(s.Platform.URL)
 	}
-	return platform.NewClient(cfg), nil
+	return listsource.NewClient(cfg), nil
 }
 
 // readerConfig returns what the settings say of reading lists.
-func readerConfig(s *settings.Settings, start time.Time) platform.Config {
+func readerConfig(s *settings.Settings, start time.Time) listsource.Config {
 	seed := uint64(model.MachineIDOf(s.Name))
-	return platform.Config{
+	return listsource.Config{
 		Self:           s.Bulk,
 		Seeds:          s.Seeds,
 		Rand:           rand.New(rand.NewPCG(seed, uint64(start.UnixNano()))),
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -81,11 +81,11 @@
 	stopping    atomic.Bool
 
 	// data is the socket of the fabric's packets.
-	data    udpio.Conn
-	events  chan event
-	tasks   *errgroup.Group
-	seeds   chan *settings.Settings
-	probes  *probes
+	data   udpio.Conn
+	events chan event
+	tasks  *errgroup.Group
+	seeds  chan *settings.Settings
+	probes *probes
 	// adopted is closed when the first lists come into force.
 	adopted chan struct{}
 	control *control
--- a/internal/platform/client_bench_test.go
+++ b/internal/listsource/client_bench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package listsource_test
 
 import (
 	"fmt"
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/fireflypin/fireflypin/internal/lists"
-	"github.com/fireflypin/fireflypin/internal/platform"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/standin"
 )
 
@@ -29,9 +29,9 @@
 	}
 	all := make(chan inForce, 64)
 	for range size {
-		caller := platform.NewHTTP(server.URL)
+		caller := listsource.NewHTTP(server.URL)
 		defer caller.Close()
-		applied, stop := run(newClient(platform.ClientConfig{Platform: caller, Reader: platform.Config{CallsPerSecond: 1000}}))
+		applied, stop := run(newClient(listsource.ClientConfig{Platform: caller, Reader: listsource.Config{CallsPerSecond: 1000}}))
 		defer stop()
 		go func() {
 			for s := range applied {
--- a/internal/platform/client_test.go
+++ b/internal/listsource/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package listsource_test
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 	"go.uber.org/goleak"
 
 	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/metrics"
-	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/standin"
 	"github.com/fireflypin/fireflypin/model"
 )
@@ -27,16 +27,16 @@
 	"kind: machines\nrevision: 1\nentries: []\nendpoints: []\n",
 }
 
-func newClient(cfg platform.ClientConfig) *platform.Client {
+func newClient(cfg listsource.ClientConfig) *listsource.Client {
 	cfg.Reader.Rand = rand.New(rand.NewPCG(1, 1))
 	cfg.Reader.BackoffMin = 10 * time.Millisecond
 	cfg.Log = log.New(io.Discard)
-	cfg.Metrics = platform.NewMetrics(metrics.NewSet())
-	return platform.NewClient(cfg)
+	cfg.Metrics = listsource.NewMetrics(metrics.NewSet())
+	return listsource.NewClient(cfg)
 }
 
 // run starts a client and returns the snapshots that come into force and a function that ends it.
-func run(c *platform.Client) (<-chan *model.Snapshot, func()) {
+func run(c *listsource.Client) (<-chan *model.Snapshot, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	applied := make(chan *model.Snapshot, 16)
 	done := make(chan struct{})
@@ -56,9 +56,9 @@
 		service := standin.NewPlatform(standin.PlatformConfig{Rand: rand.New(rand.NewPCG(1, 1))})
 		server := httptest.NewServer(service)
 		defer server.Close()
-		caller := platform.NewHTTP(server.URL)
+		caller := listsource.NewHTTP(server.URL)
 		defer caller.Close()
-		client := newClient(platform.ClientConfig{Platform: caller, Reader: platform.Config{CallsPerSecond: 100}})
+		client := newClient(listsource.ClientConfig{Platform: caller, Reader: listsource.Config{CallsPerSecond: 100}})
 		applied, stop := run(client)
 		defer stop()
 
@@ -85,7 +85,7 @@
 			files[i] = filepath.Join(dir, kind.String()+".yaml")
 			So(os.WriteFile(files[i], []byte(texts[i]), 0o600), ShouldBeNil)
 		}
-		client := newClient(platform.ClientConfig{Files: files})
+		client := newClient(listsource.ClientConfig{Files: files})
 		applied, stop := run(client)
 		defer stop()
 		So((<-applied).Revisions.Customers, ShouldEqual, 1)
@@ -95,7 +95,7 @@
 		So((<-applied).Revisions.Customers, ShouldEqual, 7)
 	})
 	Convey("A file that is missing at the start ends the client", t, func() {
-		client := newClient(platform.ClientConfig{Files: [3]string{"/nonexistent/a", "/nonexistent/b", "/nonexistent/c"}})
+		client := newClient(listsource.ClientConfig{Files: [3]string{"/nonexistent/a", "/nonexistent/b", "/nonexistent/c"}})
 		So(client.Run(context.Background(), func(*model.Snapshot) {}), ShouldNotBeNil)
 	})
 }
--- a/internal/platform/metrics.go
+++ b/internal/listsource/metrics.go
@@ -1,4 +1,4 @@
-package platform
+package listsource
 
 import (
 	gometrics "github.com/rcrowley/go-metrics"
--- a/internal/platform/reader_test.go
+++ b/internal/listsource/reader_test.go
@@ -1,4 +1,4 @@
-package platform
+package listsource
 
 import (
 	"math/rand/v2"
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -60,8 +60,6 @@
 	oldest uint64
 	waits  []func()
 	calls  int
-	// lag makes stale reads show the state before the last changes.
-	lag []Item
 }
 
 type node struct {
--- /dev/null
+++ b/internal/news/newspb/doc.go
@@ -0,0 +1,2 @@
+// Package newspb holds the generated messages of news between daemons.
+package newspb
--- a/internal/relay/forward_bench_test.go
+++ b/internal/relay/forward_bench_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/fireflypin/fireflypin/internal/daemon"
 	"github.com/fireflypin/fireflypin/internal/lists"
+	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/metrics"
-	"github.com/fireflypin/fireflypin/internal/platform"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -36,11 +36,11 @@
 // fixedLists puts one snapshot in force.
 type fixedLists struct{ snapshot *model.Snapshot }
 
-func (l fixedLists) Digest() platform.Digest                      { return platform.Digest{} }
-func (l fixedLists) Document(lists.Kind) *platform.Document       { return nil }
-func (l fixedLists) HandleDigest(netip.AddrPort, platform.Digest) {}
-func (l fixedLists) Reload(context.Context) error                 { return nil }
-func (l fixedLists) Status() platform.Status                      { return platform.Status{} }
+func (l fixedLists) Digest() listsource.Digest                      { return listsource.Digest{} }
+func (l fixedLists) Document(lists.Kind) *listsource.Document       { return nil }
+func (l fixedLists) HandleDigest(netip.AddrPort, listsource.Digest) {}
+func (l fixedLists) Reload(context.Context) error                   { return nil }
+func (l fixedLists) Status() listsource.Status                      { return listsource.Status{} }
 
 func (l fixedLists) Run(ctx context.Context, adopt func(*model.Snapshot)) error {
 	adopt(l.snapshot)
