--- /dev/null
+++ b/internal/edge/calls.go
@@ -0,0 +1,74 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/news"
+)
+
+func (c *control) logReachable(a news.Reachable) {
+	if a.Reachable {
+		c.d.log.Info("the platform answers", "op", "platform", "event", "reached")
+		return
+	}
+	c.d.log.Warn("the platform does not answer", "op", "platform", "event", "lost", "err", a.Err)
+}
+
+// call runs a call to the platform in a goroutine of its own that ends within its time.
+func (c *control) call(ctx context.Context, limit time.Duration, do func(ctx context.Context)) {
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	c.cancel = cancel
+	go func() {
+		defer cancel()
+		do(callCtx)
+	}()
+}
+
+func (c *control) abandon() {
+	if c.cancel != nil {
+		c.cancel()
+	}
+	c.d.store.Reset()
+}
+
+func (c *control) readAll(ctx, callCtx context.Context, a news.ReadAll) {
+	c.d.metrics.storeReads.Inc(1)
+	items, asOf, err := c.d.store.ReadAll(callCtx, a.Stale)
+	c.d.send(ctx, func(now time.Time) []news.Action {
+		if err != nil {
+			return c.failed(now, a.Call, err)
+		}
+		return c.news.HandleRead(now, a.Call, items, asOf)
+	})
+}
+
+func (c *control) watch(ctx, callCtx context.Context, a news.Watch) {
+	c.d.metrics.storeWatches.Inc(1)
+	items, asOf, err := c.d.store.Watch(callCtx, a.After, a.Wait)
+	c.d.send(ctx, func(now time.Time) []news.Action {
+		if err != nil {
+			return c.failed(now, a.Call, err)
+		}
+		return c.news.HandleWatch(now, a.Call, items, asOf)
+	})
+}
+
+func (c *control) failed(now time.Time, call uint64, err error) []news.Action {
+	c.d.metrics.storeFailures.Inc(1)
+	return c.news.HandleFailure(now, call, news.Failure{Err: err, Compacted: errors.Is(err, ErrCompacted)})
+}
+
+func (c *control) fetch(ctx context.Context, a news.Fetch) {
+	c.d.metrics.fetches.Inc(1)
+	go func() {
+		f := c.d.fetcher.Fetch(ctx, a.From, a.Have)
+		c.d.send(ctx, func(now time.Time) []news.Action {
+			if f.Err != nil {
+				c.d.log.Warn("items could not be fetched", "op", "peers", "event", "fetch_failed", "peer", a.From, "err", f.Err)
+			}
+			return c.news.HandleFetched(now, f)
+		})
+	}()
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
 	"github.com/fireflypin/fireflypin/core"
-	"github.com/fireflypin/fireflypin/internal/admission"
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/news"
 	"github.com/fireflypin/fireflypin/internal/udpio"
@@ -32,23 +30,6 @@
 	logLeftOutEvery = time.Second
 )
 
-// Status is what operators see of a daemon.
-type Status struct {
-	Name        string   `json:"name"`
-	Zone        string   `json:"zone"`
-	Plan        uint64   `json:"plan"`
-	Complete    uint64   `json:"complete"`
-	AgeMS       int64    `json:"age_ms"`
-	OpenFlows   int      `json:"open_flows"`
-	Services    []string `json:"services"`
-	Targets     int      `json:"targets"`
-	Former      int      `json:"former_targets"`
-	LivePeers   int      `json:"live_peers"`
-	Stopping    bool     `json:"stopping"`
-	NotCurrent  bool     `json:"not_current"`
-	LinesOmited int64    `json:"flows_not_logged_total"`
-}
-
 // control is the goroutine that owns everything but packets.
 type control struct {
 	d         *Daemon
@@ -221,71 +202,6 @@
 	}
 }
 
-func (c *control) logReachable(a news.Reachable) {
-	if a.Reachable {
-		c.d.log.Info("the platform answers", "op", "platform", "event", "reached")
-		return
-	}
-	c.d.log.Warn("the platform does not answer", "op", "platform", "event", "lost", "err", a.Err)
-}
-
-// call runs a call to the platform in a goroutine of its own that ends within its time.
-func (c *control) call(ctx context.Context, limit time.Duration, do func(ctx context.Context)) {
-	callCtx, cancel := context.WithTimeout(ctx, limit)
-	c.cancel = cancel
-	go func() {
-		defer cancel()
-		do(callCtx)
-	}()
-}
-
-func (c *control) abandon() {
-	if c.cancel != nil {
-		c.cancel()
-	}
-	c.d.store.Reset()
-}
-
-func (c *control) readAll(ctx, callCtx context.Context, a news.ReadAll) {
-	c.d.metrics.storeReads.Inc(1)
-	items, asOf, err := c.d.store.ReadAll(callCtx, a.Stale)
-	c.d.send(ctx, func(now time.Time) []news.Action {
-		if err != nil {
-			return c.failed(now, a.Call, err)
-		}
-		return c.news.HandleRead(now, a.Call, items, asOf)
-	})
-}
-
-func (c *control) watch(ctx, callCtx context.Context, a news.Watch) {
-	c.d.metrics.storeWatches.Inc(1)
-	items, asOf, err := c.d.store.Watch(callCtx, a.After, a.Wait)
-	c.d.send(ctx, func(now time.Time) []news.Action {
-		if err != nil {
-			return c.failed(now, a.Call, err)
-		}
-		return c.news.HandleWatch(now, a.Call, items, asOf)
-	})
-}
-
-func (c *control) failed(now time.Time, call uint64, err error) []news.Action {
-	c.d.metrics.storeFailures.Inc(1)
-	return c.news.HandleFailure(now, call, news.Failure{Err: err, Compacted: errors.Is(err, ErrCompacted)})
-}
-
-func (c *control) fetch(ctx context.Context, a news.Fetch) {
-	c.d.metrics.fetches.Inc(1)
-	go func() {
-		f := c.d.fetcher.Fetch(ctx, a.From, a.Have)
-		c.d.send(ctx, func(now time.Time) []news.Action {
-			if f.Err != nil {
-				c.d.log.Warn("items could not be fetched", "op", "peers", "event", "fetch_failed", "peer", a.From, "err", f.Err)
-			}
-			return c.news.HandleFetched(now, f)
-		})
-	}()
-}
-
 // send hands something to the control loop, unless ctx ends first.
 func (d *Daemon) send(ctx context.Context, handle func(now time.Time) []news.Action) {
 	select {
@@ -293,102 +209,3 @@
 	case <-ctx.Done():
 	}
 }
-
-// changed hands news to the directory.
-func (c *control) changed(now time.Time, items []news.Item) {
-	for _, it := range items {
-		c.changedItem(now, it)
-	}
-	switch {
-	case c.d.engine.Lists() == nil:
-		c.adoptAt = now
-	case c.adoptAt.IsZero():
-		c.adoptAt = now.Add(adoptDelay)
-	}
-}
-
-func (c *control) changedItem(now time.Time, it news.Item) {
-	name, isTarget := c.d.interpreter.TargetName(it.Key)
-	if it.Removed && isTarget && len(it.Value) == 0 {
-		c.endTarget(now, name, it.Revision)
-		return
-	}
-	p, err := c.d.interpreter.Interpret(it)
-	switch {
-	case err != nil:
-		c.d.metrics.unusable.Inc(1)
-		c.d.log.Warn("a published item cannot be used", "op", "lists", "event", "refused", "key", it.Key, "revision", it.Revision, "err", err)
-		if isTarget {
-			c.endTarget(now, name, it.Revision)
-		}
-	case p.Plan != nil && !it.Removed:
-		c.setPlan(p.Plan, it.Revision)
-	case p.Target != nil:
-		c.register(now, it, p.Target)
-	}
-}
-
-func (c *control) setPlan(p *directory.Plan, revision uint64) {
-	if !c.directory.SetPlan(p) {
-		return
-	}
-	c.d.planVersion.Store(p.Version)
-	c.d.log.Info("plan in force", "op", "lists", "event", "adopted", "version", p.Version, "revision", revision,
-		"routes", len(p.Routes), "services", len(p.Services))
-}
-
-func (c *control) register(now time.Time, it news.Item, r *directory.Registration) {
-	c.directory.Register(now, *r)
-	event := "registered"
-	if it.Removed {
-		event = "ended"
-		c.directory.End(now, r.Name)
-	}
-	c.d.log.Info("target changed", "op", "targets", "event", event, "target", r.Name, "service", r.Service, "zone", r.Zone,
-		"address", r.Address, "leaving", r.Leaving, "warmup_ms", r.Warmup.Milliseconds(), "revision", it.Revision)
-}
-
-func (c *control) endTarget(now time.Time, name string, revision uint64) {
-	c.directory.End(now, name)
-	c.d.log.Info("target changed", "op", "targets", "event", "ended", "target", name, "revision", revision)
-}
-
-// adopt puts gathered changes in force once they are due.
-func (c *control) adopt(now time.Time) {
-	if c.adoptAt.IsZero() || now.Before(c.adoptAt) {
-		return
-	}
-	c.adoptAt = time.Time{}
-	s := c.directory.Snapshot(now)
-	if s == nil {
-		return
-	}
-	first := c.d.engine.Lists() == nil
-	c.d.engine.Adopt(now, s, admission.NewTable(s))
-	if first {
-		close(c.d.adopted)
-	}
-}
-
-func (c *control) report(now time.Time) *Status {
-	st := &Status{
-		Name:        c.d.settings.Name,
-		Zone:        c.d.settings.Zone.String(),
-		Plan:        c.d.planVersion.Load(),
-		Complete:    c.news.Complete(),
-		AgeMS:       c.news.Age(now).Milliseconds(),
-		OpenFlows:   c.d.engine.OpenFlows(),
-		LivePeers:   len(c.news.Members(now)),
-		Stopping:    c.d.stopping.Load(),
-		NotCurrent:  !c.pausedAt.IsZero(),
-		LinesOmited: c.d.flowsUnlogged.Load(),
-	}
-	if s := c.d.engine.Lists(); s != nil {
-		for _, svc := range s.Services {
-			st.Services = append(st.Services, svc.Name)
-			st.Targets += len(svc.Targets)
-		}
-		st.Former = len(s.Former)
-	}
-	return st
-}
--- /dev/null
+++ b/internal/edge/publish.go
@@ -0,0 +1,85 @@
+package edge
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/admission"
+	"github.com/fireflypin/fireflypin/internal/directory"
+	"github.com/fireflypin/fireflypin/internal/news"
+)
+
+// changed hands news to the directory.
+func (c *control) changed(now time.Time, items []news.Item) {
+	for _, it := range items {
+		c.changedItem(now, it)
+	}
+	switch {
+	case c.d.engine.Lists() == nil:
+		c.adoptAt = now
+	case c.adoptAt.IsZero():
+		c.adoptAt = now.Add(adoptDelay)
+	}
+}
+
+func (c *control) changedItem(now time.Time, it news.Item) {
+	name, isTarget := c.d.interpreter.TargetName(it.Key)
+	if it.Removed && isTarget && len(it.Value) == 0 {
+		c.endTarget(now, name, it.Revision)
+		return
+	}
+	p, err := c.d.interpreter.Interpret(it)
+	switch {
+	case err != nil:
+		c.d.metrics.unusable.Inc(1)
+		c.d.log.Warn("a published item cannot be used", "op", "lists", "event", "refused", "key", it.Key, "revision", it.Revision, "err", err)
+		if isTarget {
+			c.endTarget(now, name, it.Revision)
+		}
+	case p.Plan != nil && !it.Removed:
+		c.setPlan(p.Plan, it.Revision)
+	case p.Target != nil:
+		c.register(now, it, p.Target)
+	}
+}
+
+func (c *control) setPlan(p *directory.Plan, revision uint64) {
+	if !c.directory.SetPlan(p) {
+		return
+	}
+	c.d.planVersion.Store(p.Version)
+	c.d.log.Info("plan in force", "op", "lists", "event", "adopted", "version", p.Version, "revision", revision,
+		"routes", len(p.Routes), "services", len(p.Services))
+}
+
+func (c *control) register(now time.Time, it news.Item, r *directory.Registration) {
+	c.directory.Register(now, *r)
+	event := "registered"
+	if it.Removed {
+		event = "ended"
+		c.directory.End(now, r.Name)
+	}
+	c.d.log.Info("target changed", "op", "targets", "event", event, "target", r.Name, "service", r.Service, "zone", r.Zone,
+		"address", r.Address, "leaving", r.Leaving, "warmup_ms", r.Warmup.Milliseconds(), "revision", it.Revision)
+}
+
+func (c *control) endTarget(now time.Time, name string, revision uint64) {
+	c.directory.End(now, name)
+	c.d.log.Info("target changed", "op", "targets", "event", "ended", "target", name, "revision", revision)
+}
+
+// adopt puts gathered changes in force once they are due.
+func (c *control) adopt(now time.Time) {
+	if c.adoptAt.IsZero() || now.Before(c.adoptAt) {
+		return
+	}
+	c.adoptAt = time.Time{}
+	s := c.directory.Snapshot(now)
+	if s == nil {
+		return
+	}
+	first := c.d.engine.Lists() == nil
+	c.d.engine.Adopt(now, s, admission.NewTable(s))
+	if first {
+		close(c.d.adopted)
+	}
+}
--- /dev/null
+++ b/internal/news/beat.go
@@ -0,0 +1,94 @@
+package news
+
+import (
+	"net/netip"
+	"time"
+)
+
+// silentEvery is the time between two heartbeats to a daemon that is silent.
+const silentEvery = time.Second
+
+func (e *Engine) small() bool {
+	return len(e.members.ordered) < e.cfg.SmallFleet
+}
+
+// audience returns the daemons that hear this one.
+func (e *Engine) audience(now time.Time, silent bool) []netip.AddrPort {
+	if e.small() {
+		return e.members.inZone(now, true, silent)
+	}
+	to := e.members.inZone(now, false, silent)
+	if e.members.position(now) < e.cfg.Voices || e.reader.reading {
+		to = append(to, e.members.first(now, e.cfg.Voices)...)
+	}
+	return to
+}
+
+// beat returns the own heartbeat.
+func (e *Engine) beat(now time.Time) *Heartbeat {
+	return &Heartbeat{
+		Zone:     e.cfg.Self.Zone,
+		Interval: e.interval(now),
+		Highest:  e.board.highest,
+		Complete: e.board.complete,
+		Digest:   e.board.digest,
+		Age:      e.age(now),
+		Reads:    e.reader.reading,
+		Failing:  now.Before(e.reader.failingUntil),
+		Leaving:  e.leaving,
+		Link:     e.cfg.Self.Link,
+	}
+}
+
+func (e *Engine) interval(now time.Time) time.Duration {
+	if e.small() || e.members.position(now) < first {
+		return e.cfg.Interval
+	}
+	return e.cfg.SlowInterval
+}
+
+// stepBeat sends the heartbeat, and asks for members.
+func (e *Engine) stepBeat(now time.Time) []Action {
+	if now.Before(e.nextBeat) {
+		return nil
+	}
+	e.nextBeat = now.Add(e.interval(now))
+	e.members.forget(now)
+	e.board.forget(now)
+	silent := !now.Before(e.nextAll)
+	if silent {
+		e.nextAll = now.Add(silentEvery)
+	}
+	actions := []Action{Send{To: e.audience(now, silent), Datagram: Datagram{Heartbeat: e.beat(now)}}}
+	if now.Before(e.nextAsk) {
+		return actions
+	}
+	e.nextAsk = now.Add(e.cfg.AskEvery)
+	if !e.members.anyLive(now) {
+		e.nextAsk = now.Add(e.interval(now))
+	}
+	if ask := e.whomToAsk(now); len(ask) > 0 {
+		actions = append(actions, Send{To: ask, Datagram: Datagram{Heartbeat: e.beat(now), Asks: true}})
+	}
+	return actions
+}
+
+// whomToAsk returns a live daemon, and the seeds while there is none in the own zone.
+func (e *Engine) whomToAsk(now time.Time) []netip.AddrPort {
+	var near []netip.AddrPort
+	for _, m := range e.members.live(now) {
+		if m.Zone == e.cfg.Self.Zone {
+			near = append(near, m.Addr)
+		}
+	}
+	if len(near) > 1 {
+		return []netip.AddrPort{near[e.cfg.Rand.IntN(len(near))]}
+	}
+	var out []netip.AddrPort
+	for _, a := range e.cfg.Seeds {
+		if a != e.cfg.Self.Addr {
+			out = append(out, a)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/news/fetch.go
@@ -0,0 +1,130 @@
+package news
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// unknownLink is the rate that a daemon's link is taken to have at least, in Mbit/s.
+	unknownLink = 10
+	// fetchRoom is the part of a link that fetches leave to packets, as a factor of their time.
+	fetchRoom = 2
+	// maxFetchDelay bounds the wait for one's turn, inside the time in which a change must be in force.
+	maxFetchDelay = 1500 * time.Millisecond
+)
+
+// fetchSoon sets when a large value is fetched. The daemons of a zone take turns by their places, each for as long
+// as the sender's link needs for one answer: it answers the load pattern of a large change that all fetch at once,
+// which would fill the link of the daemon that tells of it.
+func (e *Engine) fetchSoon(now time.Time, m *member, size int) {
+	link := max(m.beat.Link, unknownLink)
+	place, _ := e.members.place(now)
+	turn := time.Duration(float64(size*8*fetchRoom) / float64(link) * float64(time.Microsecond))
+	at := now.Add(min(time.Duration(place)*turn, maxFetchDelay))
+	if e.wantedAt.IsZero() || at.Before(e.wantedAt) {
+		e.wantedAt, e.wantedFrom = at, m.Addr
+	}
+}
+
+// stepWanted fetches a large value once it is this daemon's turn.
+func (e *Engine) stepWanted(now time.Time) []Action {
+	if e.wantedAt.IsZero() || now.Before(e.wantedAt) || e.fetching {
+		return nil
+	}
+	e.wantedAt = time.Time{}
+	m := e.members.byAddr[e.wantedFrom]
+	if m == nil {
+		return nil
+	}
+	return []Action{e.fetch(now, m)}
+}
+
+// NextTick returns when Tick has something to do before its usual time, or false.
+func (e *Engine) NextTick() (time.Time, bool) {
+	return e.wantedAt, !e.wantedAt.IsZero() && !e.fetching
+}
+
+func (e *Engine) fetch(now time.Time, m *member) Action {
+	e.fetching = true
+	m.fetched = now
+	return Fetch{From: m.Addr, Have: e.board.versions()}
+}
+
+// Fetched is the answer to a Fetch.
+type Fetched struct {
+	From     netip.AddrPort
+	Complete uint64
+	Age      time.Duration
+	Items    []Item
+	Standing []Version
+	Err      error
+}
+
+// HandleFetched takes the answer of another daemon.
+func (e *Engine) HandleFetched(now time.Time, f Fetched) []Action {
+	e.fetching = false
+	m := e.members.byAddr[f.From]
+	if f.Err != nil || m == nil {
+		return e.step(now)
+	}
+	items := f.Items[:0]
+	whole := true
+	for _, it := range f.Items {
+		opened, err := e.board.open(it)
+		if err != nil {
+			whole = false
+			continue
+		}
+		items = append(items, opened)
+	}
+	f.Items = items
+	var actions []Action
+	if f.Complete > 0 && whole {
+		actions = e.changed(now, e.board.reset(now, f.Complete, f.Items, f.Standing), m)
+		if at := now.Add(-f.Age); at.After(e.confirmed) {
+			e.confirmed = at
+		}
+	} else {
+		actions = e.changed(now, e.board.applyAll(now, f.Items), m)
+	}
+	return append(actions, e.step(now)...)
+}
+
+// stepFetch repairs a copy that goes on to differ from a newer one.
+func (e *Engine) stepFetch(now time.Time) []Action {
+	if e.fetching || !e.wantedAt.IsZero() {
+		return nil
+	}
+	var best *member
+	for _, m := range e.members.ordered {
+		if !e.wants(now, m) {
+			continue
+		}
+		if best == nil || m.beat.Complete > best.beat.Complete {
+			best = m
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return []Action{e.fetch(now, best)}
+}
+
+// oldRepairs is how many times longer a copy that does not look newer may differ before it is fetched.
+const oldRepairs = 10
+
+// wants reports whether another daemon's copy is to be fetched.
+func (e *Engine) wants(now time.Time, m *member) bool {
+	if m.differs.IsZero() || !m.live(now) || now.Sub(m.fetched) < e.cfg.FetchEvery || m.beat.Highest == 0 {
+		return false
+	}
+	if !e.board.filled {
+		return true
+	}
+	patience := e.cfg.Repair
+	if m.beat.Highest <= e.board.highest && m.beat.Complete <= e.board.complete {
+		patience *= oldRepairs
+	}
+	return now.Sub(m.differs) >= patience
+}
--- /dev/null
+++ b/internal/news/told.go
@@ -0,0 +1,109 @@
+package news
+
+import (
+	"net/netip"
+	"time"
+)
+
+// HandleDatagram takes what another daemon tells.
+func (e *Engine) HandleDatagram(now time.Time, from netip.AddrPort, d Datagram) []Action {
+	m := e.members.learn(now, Member{Addr: from})
+	if m == nil {
+		return nil
+	}
+	var actions []Action
+	if d.Heartbeat != nil {
+		actions = e.heard(now, m, d.Heartbeat)
+	}
+	for _, named := range d.Members {
+		if e.members.byAddr[named.Addr] == nil && e.members.learn(now, named) != nil {
+			actions = append(actions, Send{To: []netip.AddrPort{named.Addr}, Datagram: Datagram{Heartbeat: e.beat(now)}})
+		}
+	}
+	if d.Asks {
+		known := e.members.introduce(now, m.Zone, e.cfg.Voices, e.cfg.MaxMembers, e.cfg.Rand)
+		answer := Datagram{Heartbeat: e.beat(now), Members: known}
+		actions = append(actions, Send{To: []netip.AddrPort{from}, Datagram: answer})
+	}
+	actions = append(actions, e.told(now, m, d.Items)...)
+	return append(actions, e.step(now)...)
+}
+
+// heard notes a heartbeat.
+func (e *Engine) heard(now time.Time, m *member, beat *Heartbeat) []Action {
+	m.beat = *beat
+	m.heard = now
+	e.members.learn(now, Member{Addr: m.Addr, Zone: beat.Zone, Link: beat.Link})
+	e.compare(now, m)
+	return nil
+}
+
+// compare notes whether another daemon's copy equals the own one. An equal copy that is known to be complete
+// up to a revision makes the own one so too.
+func (e *Engine) compare(now time.Time, m *member) {
+	if m.beat.Digest != e.board.digest || !e.board.filled {
+		if m.differs.IsZero() {
+			m.differs = now
+		}
+		return
+	}
+	m.differs = time.Time{}
+	e.board.complete = max(e.board.complete, m.beat.Complete)
+	if at := now.Add(-m.beat.Age); at.After(e.confirmed) {
+		e.confirmed = at
+	}
+}
+
+// told takes items from another daemon, and fetches those that came without their value.
+func (e *Engine) told(now time.Time, m *member, items []Item) []Action {
+	var whole []Item
+	var lacking *Item
+	for _, it := range items {
+		was := e.board.items[it.Key]
+		if was != nil && was.Revision >= it.Revision {
+			continue
+		}
+		opened, err := e.board.open(it)
+		if it.Withheld || err != nil {
+			lacking = &it
+			continue
+		}
+		whole = append(whole, opened)
+	}
+	actions := e.changed(now, e.board.applyAll(now, whole), m)
+	if lacking != nil {
+		e.fetchSoon(now, m, lacking.Size)
+	}
+	return actions
+}
+
+// self returns the mark of news that this daemon has from the platform.
+func (e *Engine) self() *member {
+	return nil
+}
+
+// changed hands out news and passes it on: news of the platform to everyone who hears this daemon, news of
+// another zone to the own zone.
+func (e *Engine) changed(now time.Time, news []Item, from *member) []Action {
+	if len(news) == 0 {
+		return nil
+	}
+	for _, m := range e.members.ordered {
+		m.differs = time.Time{}
+	}
+	actions := []Action{Changed{Items: news}}
+	var to []netip.AddrPort
+	switch {
+	case from == nil:
+		to = e.audience(now, false)
+	case from.Zone != e.cfg.Self.Zone && !e.small():
+		to = e.members.inZone(now, false, false)
+	}
+	if len(to) == 0 {
+		return actions
+	}
+	for _, d := range e.pack(news) {
+		actions = append(actions, Send{To: to, Datagram: d})
+	}
+	return actions
+}
