--- a/internal/flowtrace/trace.go
+++ b/internal/flowtrace/trace.go
@@ -19,6 +19,8 @@
 	Lines []Line
 	// Targets are those that the flow was sent to, in order.
 	Targets []string
+	// Entries are the daemons that have a line on the flow.
+	Entries []string
 	// LeftOut counts, for each daemon, the lines that it left out in the time of the flow.
 	LeftOut map[string]int
 	// Silent are daemons of the logs without any line in the time of the flow.
@@ -34,6 +36,9 @@
 	for _, line := range l.Lines {
 		if matches(line.Get("flow"), id, ends) {
 			own = append(own, line)
+			if !slices.Contains(s.Entries, line.Entry) {
+				s.Entries = append(s.Entries, line.Entry)
+			}
 			if t := line.Get("target"); t != "" && !slices.Contains(s.Targets, t) {
 				s.Targets = append(s.Targets, t)
 			}
@@ -74,17 +79,15 @@
 	return flow == id || id == ends || strings.HasSuffix(flow, "/-") || strings.HasSuffix(id, "/-")
 }
 
-// concerns reports whether a line tells of one of the flow's targets, or of a change of what daemons believe.
+// concerns reports whether a line tells of one of the flow's targets, or of a change of what the flow's daemons
+// believe.
 func (s *Story) concerns(line *Line) bool {
+	here := slices.Contains(s.Entries, line.Entry)
 	switch line.Op {
 	case "targets":
-		return slices.Contains(s.Targets, line.Get("target"))
-	case "pause", "stop", "start":
-		return true
-	case "platform":
-		return line.Event == "lost" || line.Event == "reached"
-	case "lists":
-		return line.Event == "adopted"
+		return slices.Contains(s.Targets, line.Get("target")) && (here || line.Event != "registered")
+	case "pause", "stop", "start", "platform", "lists":
+		return here
 	}
 	return false
 }
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -172,7 +172,12 @@
 	if !failing {
 		patience += time.Duration(min(position, first)) * e.cfg.Gather
 	}
-	return e.age(now) > patience || !e.members.anyLive(now), position
+	heard := e.confirmed
+	if heard.Before(e.started) {
+		// All daemons that start together have heard nobody yet; the first ones of each zone go ahead.
+		heard = e.started
+	}
+	return now.Sub(heard) > patience || !e.members.anyLive(now), position
 }
 
 // checkOpen gives up an open watch that lacks changes which others tell of: its connection is silent.
