--- a/internal/news/delta.go
+++ b/internal/news/delta.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -134,11 +135,22 @@
 	return text, steps, nil
 }
 
+// writers keeps compressors, each of which holds about a megabyte.
+var writers = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
+	if err != nil {
+		panic(err) // the level is a constant that the library knows
+	}
+	return w
+}}
+
 // pack compresses a text.
 func pack(text []byte) []byte {
 	var out bytes.Buffer
-	w, _ := flate.NewWriter(&out, flate.BestSpeed) // the level is a valid one
-	_, _ = w.Write(text)                           // a bytes.Buffer takes everything
+	w := writers.Get().(*flate.Writer)
+	defer writers.Put(w)
+	w.Reset(&out)
+	_, _ = w.Write(text) // a bytes.Buffer takes everything
 	_ = w.Close()
 	return out.Bytes()
 }
--- a/internal/news/told.go
+++ b/internal/news/told.go
@@ -26,6 +26,10 @@
 		actions = append(actions, Send{To: []netip.AddrPort{from}, Datagram: answer})
 	}
 	actions = append(actions, e.told(now, m, d.Items)...)
+	if len(d.Items) == 0 && e.board.filled {
+		// A heartbeat alone leaves nothing that cannot wait for the next tick.
+		return actions
+	}
 	return append(actions, e.step(now)...)
 }
 
--- a/placement/nearest.go
+++ b/placement/nearest.go
@@ -15,7 +15,8 @@
 	// with the same view choose the same target at the same moment.
 	Samples int
 	// LocalShare is the part of its even share of a service's slots that a zone must hold to take all of its
-	// own callers' flows, 0 to 1; default 0.75. Below it, flows spill into other zones in proportion.
+	// own callers' flows, 0 to 1; default 1. Below it, flows spill into other zones in proportion, so that zones
+	// with fewer targets load them no more than others.
 	LocalShare float64
 	// LocalRecent is the number of flows that the daemon may have placed lately on each slot of its own zone;
 	// default 0.5. Beyond it flows spill into other zones in proportion: callers of other zones come here
@@ -36,7 +37,7 @@
 		c.Samples = 3
 	}
 	if c.LocalShare <= 0 {
-		c.LocalShare = 0.75
+		c.LocalShare = 1
 	}
 	if c.LocalRecent <= 0 {
 		c.LocalRecent = 0.5
