--- a/model/snapshot.go
+++ b/model/snapshot.go
@@ -22,8 +22,8 @@
 	Machines uint64
 }
 
-// Snapshot is one consistent set of published lists.
-type Snapshot struct {
+// Parts are the validated lists of a Snapshot.
+type Parts struct {
 	Revisions Revisions
 	Customers []*Customer
 	Plans     []*Plan
@@ -34,6 +34,11 @@
 	Routes []*Route
 	// Former are targets that are no longer published but may still hold open flows.
 	Former []*Target
+}
+
+// Snapshot is one consistent set of published lists.
+type Snapshot struct {
+	Parts
 
 	routeByAddress   map[netip.AddrPort]*Route
 	serviceByAddress map[netip.AddrPort]*Service
@@ -42,59 +47,45 @@
 	entryByID        map[MachineID]*EntryVM
 }
 
-// Parts are the validated lists of a Snapshot.
-type Parts struct {
-	Revisions Revisions
-	Customers []*Customer
-	Plans     []*Plan
-	Services  []*Service
-	Entries   []*EntryVM
-	Endpoints []*EndpointVM
-	Routes    []*Route
-	Former    []*Target
+// NewSnapshot indexes validated lists without routes. The caller gives up the slices: nobody may change them after.
+func NewSnapshot(rev Revisions, customers []*Customer, plans []*Plan, services []*Service, entries []*EntryVM, endpoints []*EndpointVM) *Snapshot {
+	return NewRoutedSnapshot(Parts{
+		Revisions: rev,
+		Customers: customers,
+		Plans:     plans,
+		Services:  services,
+		Entries:   entries,
+		Endpoints: endpoints,
+	})
 }
 
-// NewRoutedSnapshot indexes lists in which each address of a service has a route. The caller gives up the
-// slices: nobody may change them after.
+// NewRoutedSnapshot indexes validated lists. The caller gives up the slices: nobody may change them after.
 func NewRoutedSnapshot(p Parts) *Snapshot {
-	s := NewSnapshot(p.Revisions, p.Customers, p.Plans, p.Services, p.Entries, p.Endpoints)
-	s.Routes = p.Routes
-	s.Former = p.Former
-	s.routeByAddress = make(map[netip.AddrPort]*Route, len(p.Routes))
-	for _, r := range p.Routes {
-		s.routeByAddress[r.Address] = r
-	}
-	return s
-}
-
-// RouteAt returns the route of a destination, or nil.
-func (s *Snapshot) RouteAt(a netip.AddrPort) *Route {
-	return s.routeByAddress[a]
-}
-
-// NewSnapshot indexes validated lists without routes. The caller gives up the slices: nobody may change them after.
-func NewSnapshot(rev Revisions, customers []*Customer, plans []*Plan, services []*Service, entries []*EntryVM, endpoints []*EndpointVM) *Snapshot {
 	s := &Snapshot{
-		Revisions:        rev,
-		Customers:        customers,
-		Plans:            plans,
-		Services:         services,
-		Entries:          entries,
-		Endpoints:        endpoints,
+		Parts:            p,
+		routeByAddress:   make(map[netip.AddrPort]*Route, len(p.Routes)),
 		serviceByAddress: make(map[netip.AddrPort]*Service),
 		targetByID:       make(map[TargetID]*Target),
 		targetByData:     make(map[netip.AddrPort]*Target),
 		entryByID:        make(map[MachineID]*EntryVM),
 	}
-	for _, svc := range services {
+	for _, r := range p.Routes {
+		s.routeByAddress[r.Address] = r
+	}
+	for _, svc := range p.Services {
 		s.indexService(svc)
 	}
-	for _, e := range entries {
+	for _, e := range p.Entries {
 		s.entryByID[e.ID] = e
 	}
 	return s
 }
 
+// RouteAt returns the route of a destination, or nil.
+func (s *Snapshot) RouteAt(a netip.AddrPort) *Route {
+	return s.routeByAddress[a]
+}
+
 func (s *Snapshot) indexService(svc *Service) {
 	for _, a := range svc.Addresses {
 		s.serviceByAddress[a] = svc
