Take refused flows for misses, and ask a suspected target for its name

A machine whose target crashed refuses SYNs at their callers, who repeat nothing on that flow; the daemons saw no miss. When the address belonged to another target, probes took its connection for the dead one's.

Conclusion: what a caller does not do tells as much as what it repeats.

--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -436,6 +436,52 @@
 	})
 }
 
+func TestRefusingTarget(t *testing.T) {
+	Convey("A target that refuses new flows at their callers is suspected, probed and, once it is gone, left", t, func() {
+		s := newTagSite(4)
+		var suspected []string
+		var e *TagEngine
+		e = NewTagEngine(TagConfig{
+			Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
+			Epoch:   s.now,
+			Suspect: func(t *model.Target) { suspected = append(suspected, t.Name) },
+		})
+		s.publish(e)
+		e.SetCurrent(true)
+		var flows []*caller
+		for range 40 {
+			flows = append(flows, s.caller(unsafeAddr).open(e))
+		}
+		s.now = s.now.Add(time.Second)
+		e.Tick(s.now)
+		So(suspected, ShouldBeEmpty)
+
+		refused := s.caller(safeAddr)
+		refused.syn(e)
+		dead := refused.target
+		start := s.now
+		for _, c := range flows {
+			if c.target != dead {
+				c.ask(e)
+			}
+		}
+		s.now = start.Add(130 * time.Millisecond)
+		So(e.Tick(s.now), ShouldBeEmpty)
+		So(suspected, ShouldResemble, []string{e.Target(dead).Name})
+		e.Probed(s.now, dead, false)
+		resets := e.Tick(s.now)
+		So(len(resets), ShouldBeGreaterThan, 5)
+		for _, r := range resets {
+			So(r.Target, ShouldEqual, dead)
+		}
+		for range 50 {
+			c := s.caller(safeAddr)
+			c.syn(e)
+			So(c.target, ShouldNotEqual, dead)
+		}
+	})
+}
+
 func TestTagRecords(t *testing.T) {
 	Convey("Records end with their flows and with silence, and their counts with them", t, func() {
 		s := newTagSite(1)
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -37,9 +37,11 @@
 // TagEngine decides about packets of a transport that carries a flow tag in each packet of a flow. Packet
 // methods may be called from any number of goroutines at once; Adopt and Tick from one goroutine at a time.
 type TagEngine struct {
-	cfg    TagConfig
-	loads  *placement.LoadTable
-	flows  tagFlows
+	cfg   TagConfig
+	loads *placement.LoadTable
+	flows tagFlows
+	// opened are the flows whose callers have yet to acknowledge a target\'s answer.
+	opened openings
 	world  atomic.Pointer[tagWorld]
 	silent silentTargets
 	// current is false while the daemon's beliefs may be old, as after a pause.
@@ -136,6 +138,7 @@
 // Tick drops the records of flows that ended or went silent, and returns the flows to reset at their callers.
 func (e *TagEngine) Tick(now time.Time) []TagReset {
 	e.flows.expire(now, e.released)
+	e.judgeOpenings(now)
 	return e.resetSilent(now)
 }
 
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -53,6 +53,41 @@
 	customer *model.Customer
 }
 
+// openings are flows whose SYN was sent to a target, in the order of their times.
+type openings struct {
+	sync.Mutex
+	waiting []opening
+}
+
+type opening struct {
+	hash model.FlowHash
+	at   time.Time
+}
+
+// maxOpenings bounds the flows that are looked at again; beyond it new ones are not.
+const maxOpenings = 4096
+
+func (o *openings) add(now time.Time, h model.FlowHash) {
+	o.Lock()
+	defer o.Unlock()
+	if len(o.waiting) < maxOpenings {
+		o.waiting = append(o.waiting, opening{hash: h, at: now})
+	}
+}
+
+// due removes and returns the flows that have waited for a time.
+func (o *openings) due(now time.Time, wait time.Duration) []opening {
+	o.Lock()
+	defer o.Unlock()
+	n := 0
+	for n < len(o.waiting) && now.Sub(o.waiting[n].at) >= wait {
+		n++
+	}
+	due := append([]opening(nil), o.waiting[:n]...)
+	o.waiting = append(o.waiting[:0], o.waiting[n:]...)
+	return due
+}
+
 // tagProgress is what a packet told of its flow.
 type tagProgress struct {
 	before, after tagFlow
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -53,6 +53,7 @@
 	f.customer, f.counted = customer, true
 	if e.flows.put(h, f) {
 		e.loads.Placed(now, f.target)
+		e.opened.add(now, h)
 	} else {
 		e.cfg.Limits.Close(now, customer)
 	}
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -27,6 +27,9 @@
 	silentTime = 200 * time.Millisecond
 	// missDelay is the time from a packet to the miss that it causes: the first retransmission.
 	missDelay = 200 * time.Millisecond
+	// handshakeTime is how long a caller has to acknowledge a target's answer: many times the way to another zone
+	// and back, and less than the time after which it repeats its SYN.
+	handshakeTime = 120 * time.Millisecond
 	// probeEvery is the least time between two connections that are tried to one target.
 	probeEvery = 500 * time.Millisecond
 	// endedMisses and endedTime hold for a target whose registration has ended.
@@ -93,6 +96,17 @@
 	}
 }
 
+// judgeOpenings takes flows whose callers have not acknowledged an answer in time for misses. It answers the load
+// pattern of a target that crashed and whose machine refuses what comes: callers are told at once and repeat nothing
+// on that flow, but ask again on new ones until they have used up their tries.
+func (e *TagEngine) judgeOpenings(now time.Time) {
+	for _, o := range e.opened.due(now, handshakeTime) {
+		if f, known := e.flows.get(o.hash); known && f.state == tagOpening && f.copies == 0 {
+			e.missed(now, o.hash, f.target, true)
+		}
+	}
+}
+
 // Probed notes whether a suspected target took a connection. One that does not, while its flows miss answers and
 // those of other targets do not, is silent.
 func (e *TagEngine) Probed(now time.Time, id model.TargetID, connected bool) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -14,6 +14,8 @@
 	Name string
 	// MaxConnections bounds the open flows of each target; 0 means no bound.
 	MaxConnections uint32
+	// HealthPath answers a target's health checks; empty for none.
+	HealthPath string
 }
 
 // ShareSpec is a service's part of a route.
@@ -199,18 +201,18 @@
 	now      time.Time
 	list     []*model.Service
 	services map[string]*model.Service
-	limits   map[string]uint32
+	specs    map[string]ServiceSpec
 	routes   []*model.Route
 	former   []*model.Target
 }
 
 func (b *builder) addServices() {
-	b.limits = make(map[string]uint32)
+	b.specs = make(map[string]ServiceSpec)
 	for _, spec := range b.d.plan.Services {
 		s := &model.Service{Name: spec.Name}
 		b.list = append(b.list, s)
 		b.services[spec.Name] = s
-		b.limits[spec.Name] = spec.MaxConnections
+		b.specs[spec.Name] = spec
 	}
 }
 
@@ -234,8 +236,8 @@
 }
 
 func (b *builder) target(rec *record) *model.Target {
-	lapsed, limit := rec.lapsed(b.now, b.d.cfg), b.limits[rec.Service]
-	if t := rec.built; t != nil && t.Lapsed == lapsed && t.MaxConnections == limit {
+	lapsed, spec := rec.lapsed(b.now, b.d.cfg), b.specs[rec.Service]
+	if t := rec.built; t != nil && t.Lapsed == lapsed && t.MaxConnections == spec.MaxConnections && t.HealthPath == spec.HealthPath {
 		return t
 	}
 	rec.built = &model.Target{
@@ -246,7 +248,8 @@
 		Leaving:        rec.Leaving,
 		Data:           rec.Address,
 		Weight:         max(rec.Slots, 1),
-		MaxConnections: limit,
+		MaxConnections: spec.MaxConnections,
+		HealthPath:     spec.HealthPath,
 		Slots:          rec.Slots,
 		Guard:          rec.Guard,
 		Born:           rec.Born,
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -57,15 +57,13 @@
 type System struct {
 	// Listen serves the calls of other daemons at an address until the result is closed.
 	Listen func(addr netip.AddrPort, handler http.Handler) (io.Closer, error)
-	// Connects reports whether an address takes a connection.
-	Connects func(ctx context.Context, address string) bool
 	// SinceBoot returns the time since the machine started, suspension counted; false where it is not known.
 	SinceBoot func() (time.Duration, bool)
 }
 
 // HostSystem returns the machine's own.
 func HostSystem() System {
-	return System{Listen: listenCalls, Connects: connects, SinceBoot: sinceBoot}
+	return System{Listen: listenCalls, SinceBoot: sinceBoot}
 }
 
 // Deps are the modules that a Daemon works with.
@@ -75,6 +73,7 @@
 	Transport   Transport
 	Store       Store
 	Interpreter Interpreter
+	Prober      Prober
 	Keys        wire.KeyringProvider
 	Fetcher     Fetcher
 	System      System
@@ -91,6 +90,7 @@
 	transport   Transport
 	store       Store
 	interpreter Interpreter
+	prober      Prober
 	fetcher     Fetcher
 	system      System
 	log         *log.Logger
@@ -128,6 +128,7 @@
 		transport:   deps.Transport,
 		store:       deps.Store,
 		interpreter: deps.Interpreter,
+		prober:      deps.Prober,
 		fetcher:     deps.Fetcher,
 		system:      deps.System,
 		log:         deps.Log,
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -224,11 +224,11 @@
 		Transport:   platform.NewTransport(n.data),
 		Store:       f.store,
 		Interpreter: platform.Items{},
+		Prober:      f,
 		Keys:        wire.NewKeyStore(ring),
 		Fetcher:     f,
 		System: edge.System{
-			Listen:   func(netip.AddrPort, http.Handler) (io.Closer, error) { return io.NopCloser(nil), nil },
-			Connects: func(_ context.Context, address string) bool { return !f.isDead(address) },
+			Listen: func(netip.AddrPort, http.Handler) (io.Closer, error) { return io.NopCloser(nil), nil },
 			SinceBoot: func() (time.Duration, bool) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -253,6 +253,11 @@
 	return f.dead[address]
 }
 
+// Present implements edge.Prober.
+func (f *fleet) Present(_ context.Context, t *model.Target) bool {
+	return !f.isDead(t.Data.String())
+}
+
 // kill makes a target silent.
 func (f *fleet) kill(t *target) {
 	f.mu.Lock()
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -44,6 +44,12 @@
 	Reset()
 }
 
+// Prober finds out whether targets are there. It must be safe for concurrent use.
+type Prober interface {
+	// Present reports whether a target takes a connection and is the one that is meant.
+	Present(ctx context.Context, t *model.Target) bool
+}
+
 // Published is what an item says: one of its fields is set, or none for an item that says nothing here.
 type Published struct {
 	Plan   *directory.Plan
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -65,7 +64,7 @@
 // probe tries connections to a target and hands in whether one came about.
 func (d *Daemon) probe(ctx context.Context, t *model.Target) {
 	start := time.Now()
-	connected := d.system.Connects(ctx, t.Data.String())
+	connected := d.present(ctx, t)
 	if ctx.Err() != nil {
 		return
 	}
@@ -76,8 +75,8 @@
 		"connected", connected, "took_ms", now.Sub(start).Milliseconds())
 }
 
-// connects reports whether an address takes one of a few connections.
-func connects(ctx context.Context, address string) bool {
+// present reports whether one of a few tries finds the target.
+func (d *Daemon) present(ctx context.Context, t *model.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	results := make(chan bool, probeTries)
@@ -86,15 +85,9 @@
 			select {
 			case <-ctx.Done():
 				results <- false
-				return
 			case <-time.After(time.Duration(i) * probeSpacing):
+				results <- d.prober.Present(ctx, t)
 			}
-			var dialer net.Dialer
-			conn, err := dialer.DialContext(ctx, "tcp", address)
-			if err == nil {
-				_ = conn.Close() // nothing was sent on it
-			}
-			results <- err == nil
 		}()
 	}
 	for range probeTries {
--- a/internal/edge/wiring.go
+++ b/internal/edge/wiring.go
@@ -40,7 +40,7 @@
 	LogTo io.Writer
 	// Now is the start of the process.
 	Now time.Time
-	// Adapter adds the Transport, the Store and the Interpreter.
+	// Adapter adds the Transport, the Store, the Interpreter and the Prober.
 	Adapter func(i do.Injector)
 }
 
@@ -135,6 +135,7 @@
 		Transport:   do.MustInvoke[Transport](i),
 		Store:       do.MustInvoke[Store](i),
 		Interpreter: do.MustInvoke[Interpreter](i),
+		Prober:      do.MustInvoke[Prober](i),
 		Keys:        keys,
 		Fetcher:     fetcher,
 		System:      HostSystem(),
--- a/model/machine.go
+++ b/model/machine.go
@@ -75,6 +75,8 @@
 	// Guard precedes each packet of a transport that lets the receiver check whether it is meant; 0 where
 	// there is none.
 	Guard uint64
+	// HealthPath answers health checks over HTTP at Data; empty where none is known.
+	HealthPath string
 	// Born is the start of the target's process; zero while unknown. Of two targets that claim one flow
 	// tag, the older one holds it.
 	Born time.Time
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -46,6 +46,9 @@
 	MissesInRow int
 	// LastMiss is the time of the last attempt without an answer; zero when there was none.
 	LastMiss time.Time
+	// Absent is true where the target took no connection after its first miss; AbsentAt is when that was found.
+	Absent   bool
+	AbsentAt time.Time
 	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
 	Handshake time.Duration
 	// Since is the time at which the target joined; zero when it was there from the start.
@@ -263,6 +266,11 @@
 	})
 }
 
+// absent reports whether a probe after the first miss found no target.
+func (e *Evidence) absent() bool {
+	return e.MissesInRow > 0 && !e.ProbedAt.Before(e.FirstMiss) && !e.Connected
+}
+
 func (e *Evidence) answered(now time.Time) {
 	e.MissesInRow, e.MissedFlows, e.Strong, e.lastMissed = 0, 0, 0, 0
 	e.LastAnswer = now
@@ -365,6 +373,8 @@
 		Unanswered:  t.unansweredAt(now),
 		MissesInRow: t.evidence.MissesInRow,
 		LastMiss:    t.evidence.LastMiss,
+		Absent:      t.evidence.absent(),
+		AbsentAt:    t.evidence.ProbedAt,
 		Handshake:   t.handshake,
 		Since:       t.since,
 		Down:        t.down,
--- a/placement/nearest.go
+++ b/placement/nearest.go
@@ -168,7 +168,8 @@
 	switch {
 	case t.Lapsed:
 		s.rank = tierLapsed
-	case o.MissesInRow >= p.cfg.SuspectMisses && now.Sub(o.LastMiss) < p.cfg.suspectTime(o.MissesInRow):
+	case o.Absent && now.Sub(o.AbsentAt) < p.cfg.MaxSuspectTime,
+		o.MissesInRow >= p.cfg.SuspectMisses && now.Sub(o.LastMiss) < p.cfg.suspectTime(o.MissesInRow):
 		s.rank = tierSuspect
 	}
 	return s
