Serve calls between daemons over TLS where the settings name a certificate, also with tags

Found by reading the code.

Before: such settings could not fetch from each other. After: both sides load the same files in one place. Not measured.

--- a/internal/bulk/tls.go
+++ b/internal/bulk/tls.go
@@ -12,6 +12,14 @@
 	Cert, Key, CA string
 }
 
+// TLSConfig loads the files of calls between daemons; nil where no certificate is named.
+func TLSConfig(f TLSFiles) (*tls.Config, error) {
+	if f.Cert == "" {
+		return nil, nil
+	}
+	return LoadTLS(f)
+}
+
 // LoadTLS returns a config for both sides of a call: each side must show a certificate of the daemons'
 // authority. The name in the certificate is not compared with the address, since daemons call each other
 // by IP numbers that change.
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -57,10 +57,7 @@
 // newTLS returns the config of calls between daemons; nil where the settings name no certificate.
 func newTLS(i do.Injector) (*tls.Config, error) {
 	files := do.MustInvoke[*settings.Settings](i).TLS
-	if files.CertFile == "" {
-		return nil, nil
-	}
-	return bulk.LoadTLS(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
+	return bulk.TLSConfig(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
 }
 
 func newBulk(i do.Injector) (*bulk.Client, error) {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -61,9 +62,14 @@
 	SinceBoot func() (time.Duration, bool)
 }
 
-// HostSystem returns the machine's own.
-func HostSystem() System {
-	return System{Listen: listenCalls, SinceBoot: sinceBoot}
+// HostSystem returns the machine's own. Calls of other daemons are served over TLS where a config is given.
+func HostSystem(config *tls.Config) System {
+	return System{
+		Listen: func(addr netip.AddrPort, handler http.Handler) (io.Closer, error) {
+			return listenCalls(addr, handler, config)
+		},
+		SinceBoot: sinceBoot,
+	}
 }
 
 // Deps are the modules that a Daemon works with.
@@ -281,13 +287,16 @@
 }
 
 // listenCalls is System.Listen of the machine.
-func listenCalls(addr netip.AddrPort, handler http.Handler) (io.Closer, error) {
+func listenCalls(addr netip.AddrPort, handler http.Handler, config *tls.Config) (io.Closer, error) {
 	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen for calls of other daemons on %v: %w", addr, err)
 	}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: callTimeout, IdleTimeout: callTimeout}
-	go server.Serve(l)
+	go server.Serve(l) // ends with the server's Close
 	return server, nil
 }
 
--- a/internal/edge/wiring.go
+++ b/internal/edge/wiring.go
@@ -63,7 +63,7 @@
 	do.ProvideValue(i, newLogger(o, sink))
 	do.Provide(i, newNetwork)
 	do.Provide(i, newKeys)
-	do.Provide(i, newFetcher)
+	do.Provide(i, newTLS)
 	o.Adapter(i)
 	do.Provide(i, func(i do.Injector) (*Daemon, error) { return newDaemon(i, o.Now) })
 	do.Provide(i, newOps)
@@ -108,16 +108,10 @@
 	return wire.NewKeyStore(ring), nil
 }
 
-func newFetcher(i do.Injector) (*news.Fetcher, error) {
+// newTLS returns the config of calls between daemons; nil where the settings name no certificate.
+func newTLS(i do.Injector) (*tls.Config, error) {
 	files := do.MustInvoke[*settings.Settings](i).TLS
-	var config *tls.Config
-	if files.CertFile != "" {
-		var err error
-		if config, err = bulk.LoadTLS(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile}); err != nil {
-			return nil, err
-		}
-	}
-	return news.NewFetcher(config), nil
+	return bulk.TLSConfig(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
 }
 
 func newDaemon(i do.Injector, now time.Time) (*Daemon, error) {
@@ -125,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fetcher, err := do.Invoke[*news.Fetcher](i)
+	config, err := do.Invoke[*tls.Config](i)
 	if err != nil {
 		return nil, err
 	}
@@ -137,8 +131,8 @@
 		Interpreter: do.MustInvoke[Interpreter](i),
 		Prober:      do.MustInvoke[Prober](i),
 		Keys:        keys,
-		Fetcher:     fetcher,
-		System:      HostSystem(),
+		Fetcher:     news.NewFetcher(config),
+		System:      HostSystem(config),
 		Metrics:     do.MustInvoke[*metrics.Set](i),
 		Log:         do.MustInvoke[*log.Logger](i),
 		Now:         now,
