--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -440,8 +440,7 @@
 	Convey("A target that refuses new flows at their callers is suspected, probed and, once it is gone, left", t, func() {
 		s := newTagSite(4)
 		var suspected []string
-		var e *TagEngine
-		e = NewTagEngine(TagConfig{
+		e := NewTagEngine(TagConfig{
 			Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
 			Epoch:   s.now,
 			Suspect: func(t *model.Target) { suspected = append(suspected, t.Name) },
