Check each request's history with a linearizability checker

Change: the runs, answers and refusals of a request are operations on one sequential object, and porcupine looks for a legal order.

--- a/internal/history/check.go
+++ b/internal/history/check.go
@@ -27,11 +27,14 @@
 	RuleAnsweredUnrun
 	// RuleSplitFlow: the bytes of a flow reach one target.
 	RuleSplitFlow
+	// RuleOrder: a request's runs, answers and refusals have an order that keeps the rules above, such as an
+	// answer after its run.
+	RuleOrder
 )
 
 // String returns the rule's name in reports.
 func (r Rule) String() string {
-	names := [...]string{"", "double_run", "attempt_twice", "wrong_answer", "part_answer", "refused_ran", "answered_unrun", "split_flow"}
+	names := [...]string{"", "double_run", "attempt_twice", "wrong_answer", "part_answer", "refused_ran", "answered_unrun", "split_flow", "order"}
 	return names[r]
 }
 
@@ -69,6 +72,7 @@
 	c.checkAttempts()
 	c.checkOutcomes(h.Outcomes)
 	c.checkReceipts(h.Receipts)
+	c.checkOrders(h)
 	slices.SortFunc(c.broken, compareViolations)
 	return c.broken
 }
@@ -156,6 +160,23 @@
 	}
 }
 
+// checkOrders lets the linearizability checker look at each request. Where it finds no legal order, a rule above
+// says why, or else the order itself is what is wrong.
+func (c *checker) checkOrders(h History) {
+	explained := make(map[uint64]bool)
+	for _, v := range c.broken {
+		switch v.Rule {
+		case RuleDoubleRun, RuleAttemptTwice, RuleRefusedRan, RuleAnsweredUnrun:
+			explained[v.ID.Request] = true
+		}
+	}
+	for _, request := range disordered(h) {
+		if !explained[request] {
+			c.add(RuleOrder, AttemptID{Request: request}, packet.FlowKey{}, "its operations have no legal order")
+		}
+	}
+}
+
 // targetsOf lists the targets of runs in a stable order.
 func targetsOf(runs []Run) string {
 	names := make([]string, 0, len(runs))
--- a/internal/history/check_test.go
+++ b/internal/history/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -52,6 +53,16 @@
 		{"an answer to another request", func(h *History) { h.Outcomes[1].AnswerTo.Request = 8 }, []Rule{RuleWrongAnswer}},
 		{"an answer that is cut off", func(h *History) { h.Outcomes[1].Whole = false }, []Rule{RulePartAnswer}},
 		{"an answer that nobody gave", func(h *History) { h.Runs = nil }, []Rule{RuleAnsweredUnrun}},
+		{"an answer before its run", func(h *History) {
+			h.Outcomes[1].Sent, h.Outcomes[1].Done = time.Unix(10, 0), time.Unix(11, 0)
+			h.Runs[0].Start = time.Unix(12, 0)
+		}, []Rule{RuleOrder}},
+		{"a run that began after another attempt of it was answered", func(h *History) {
+			h.Outcomes[0].Fate = FateUnknown
+			h.Outcomes[1].Sent, h.Outcomes[1].Done = time.Unix(10, 0), time.Unix(11, 0)
+			h.Runs[0].Start = time.Unix(10, 5)
+			h.Runs = append(h.Runs, Run{ID: AttemptID{Request: 7, Attempt: 1}, Target: "b", Flow: flowOf(1), Start: time.Unix(20, 0)})
+		}, []Rule{RuleDoubleRun}},
 		{"a flow that reached two targets", func(h *History) {
 			h.Receipts = append(h.Receipts, Receipt{Flow: flowOf(2), Target: "b", Bytes: 1})
 		}, []Rule{RuleSplitFlow}},
@@ -72,6 +83,31 @@
 	})
 }
 
+func TestEveryBrokenRequestHasNoLegalOrder(t *testing.T) {
+	Convey("The linearizability checker finds each broken promise on a request by itself", t, func() {
+		first, second := AttemptID{Request: 7, Attempt: 1}, AttemptID{Request: 7, Attempt: 2}
+		for _, c := range []struct {
+			name  string
+			plant func(h *History)
+			want  []uint64
+		}{
+			{"nothing", func(*History) {}, nil},
+			{"a double run", func(h *History) { h.Runs = append(h.Runs, Run{ID: second, Target: "b"}) }, []uint64{7}},
+			{"a refused attempt that ran", func(h *History) { h.Runs = append(h.Runs, Run{ID: first, Target: "b"}) }, []uint64{7}},
+			{"an answer that nobody gave", func(h *History) { h.Runs = nil }, []uint64{7}},
+			{"an idempotent request that ran for both attempts", func(h *History) {
+				h.Outcomes[0].Idempotent, h.Outcomes[1].Idempotent = true, true
+				h.Outcomes[0].Fate = FateUnknown
+				h.Runs = append(h.Runs, Run{ID: first, Target: "b"})
+			}, nil},
+		} {
+			h := goodHistory()
+			c.plant(&h)
+			So(disordered(h), ShouldResemble, c.want)
+		}
+	})
+}
+
 func TestMisrouted(t *testing.T) {
 	Convey("A stray counts as misrouted where another target holds its flow", t, func() {
 		h := goodHistory()
--- /dev/null
+++ b/internal/history/linear.go
@@ -0,0 +1,130 @@
+package history
+
+import (
+	"slices"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// The life of one request is a sequential object: its attempts run, are answered, or are refused. A history keeps
+// the promises on it if its operations, which overlap in time, have an order in which each is legal.
+
+// opKind is the kind of an operation on a request.
+type opKind uint8
+
+const (
+	opRun opKind = iota
+	opAnswered
+	opRefused
+)
+
+// operation is the input of one operation.
+type operation struct {
+	kind    opKind
+	request uint64
+	attempt uint32
+	// repeatable is true for requests that may run once for each attempt.
+	repeatable bool
+}
+
+// life is the state of one request. It is immutable.
+type life struct {
+	ran     []uint32
+	refused []uint32
+}
+
+// step returns the life after an operation, and whether the operation is legal.
+func (l life) step(op operation) (life, bool) {
+	ran := slices.Contains(l.ran, op.attempt)
+	switch op.kind {
+	case opRun:
+		if ran || slices.Contains(l.refused, op.attempt) || !op.repeatable && len(l.ran) > 0 {
+			return l, false
+		}
+		return life{ran: append(slices.Clone(l.ran), op.attempt), refused: l.refused}, true
+	case opAnswered:
+		return l, ran
+	default:
+		return life{ran: l.ran, refused: append(slices.Clone(l.refused), op.attempt)}, !ran
+	}
+}
+
+func (l life) equal(o life) bool {
+	return slices.Equal(l.ran, o.ran) && slices.Equal(l.refused, o.refused)
+}
+
+// requestModel is the model of all requests, each on its own.
+var requestModel = porcupine.Model{
+	Partition: byRequest,
+	Init:      func() any { return life{} },
+	Step: func(state, input, _ any) (bool, any) {
+		next, legal := state.(life).step(input.(operation))
+		return legal, next
+	},
+	Equal: func(a, b any) bool { return a.(life).equal(b.(life)) },
+}
+
+// byRequest groups operations by their request, in the order of the requests.
+func byRequest(all []porcupine.Operation) [][]porcupine.Operation {
+	groups := make(map[uint64][]porcupine.Operation)
+	for _, op := range all {
+		id := op.Input.(operation).request
+		groups[id] = append(groups[id], op)
+	}
+	ids := make([]uint64, 0, len(groups))
+	for id := range groups {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	out := make([][]porcupine.Operation, 0, len(ids))
+	for _, id := range ids {
+		out = append(out, groups[id])
+	}
+	return out
+}
+
+// searchTime bounds the search for an order of one request's operations, of which there are a few.
+const searchTime = 10 * time.Second
+
+// disordered returns the requests whose operations have no legal order, in ascending order.
+func disordered(h History) []uint64 {
+	var bad []uint64
+	for _, group := range byRequest(operations(h)) {
+		if porcupine.CheckOperationsTimeout(requestModel, group, searchTime) != porcupine.Ok {
+			bad = append(bad, group[0].Input.(operation).request)
+		}
+	}
+	return bad
+}
+
+// operations returns a history's operations with the times between which each took effect.
+func operations(h History) []porcupine.Operation {
+	repeatable := make(map[uint64]bool)
+	known := make(map[uint64]bool)
+	for _, o := range h.Outcomes {
+		repeatable[o.ID.Request] = o.Idempotent
+		known[o.ID.Request] = true
+	}
+	var out []porcupine.Operation
+	add := func(op operation, from, to time.Time) {
+		out = append(out, porcupine.Operation{ClientId: len(out), Input: op, Call: from.UnixNano(), Return: max(to.UnixNano(), from.UnixNano())})
+	}
+	for _, o := range h.Outcomes {
+		op := operation{request: o.ID.Request, attempt: o.ID.Attempt, repeatable: o.Idempotent}
+		switch o.Fate {
+		case FateAnswered:
+			op.kind = opAnswered
+			add(op, o.Sent, o.Done)
+		case FateNotRun:
+			op.kind = opRefused
+			add(op, o.Sent, o.Done)
+		}
+	}
+	for _, r := range h.Runs {
+		// A request without an outcome may have been of either kind; it is held to the weaker promise.
+		once := known[r.ID.Request] && !repeatable[r.ID.Request]
+		add(operation{kind: opRun, request: r.ID.Request, attempt: r.ID.Attempt, repeatable: !once}, r.Start, r.Start)
+	}
+	return out
+}
