Tell the zone of a target that a probe did not find

Ruled out: taking the word of another daemon alone (its own link may be the cause): each probes for itself.

--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -481,6 +481,36 @@
 	})
 }
 
+func TestTargetThatOthersDidNotFind(t *testing.T) {
+	Convey("A target that another daemon and a probe of this one did not find takes no new flow, and its idle flows are reset", t, func() {
+		s := newSilence(safeAddr, 40)
+		idle := len(s.ofDead())
+		start := s.now
+		s.others()
+		s.now = start.Add(500 * time.Millisecond)
+		s.others()
+		s.engine.NotFound(s.now, s.dead)
+		So(len(s.engine.Tick(s.now)), ShouldEqual, idle)
+		for range 50 {
+			So(s.caller(safeAddr).syn(s.engine).Target.ID, ShouldNotEqual, s.dead)
+		}
+		Convey("until it answers", func() {
+			s.engine.Loads().Alive(s.now, s.dead)
+			used := false
+			for range 50 {
+				used = used || s.caller(safeAddr).syn(s.engine).Target.ID == s.dead
+			}
+			So(used, ShouldBeTrue)
+		})
+	})
+	Convey("Without answers of other targets since, nothing is reset: the cause may be here", t, func() {
+		s := newSilence(safeAddr, 40)
+		s.now = s.now.Add(time.Second)
+		s.engine.NotFound(s.now, s.dead)
+		So(s.engine.Tick(s.now), ShouldBeEmpty)
+	})
+}
+
 func TestTagRecords(t *testing.T) {
 	Convey("Records end with their flows and with silence, and their counts with them", t, func() {
 		s := newTagSite(1)
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -9,6 +9,7 @@
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/news"
 	"github.com/fireflypin/fireflypin/internal/udpio"
+	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 )
 
@@ -91,6 +92,19 @@
 	}
 }
 
+// suspected asks for probes of targets that another daemon did not find.
+func (c *control) suspected(names []string) {
+	lists := c.d.engine.Lists()
+	if lists == nil {
+		return
+	}
+	for _, name := range names {
+		if t := lists.Target(model.TargetIDOf(name)); t != nil {
+			c.d.probes.put(suspect{target: t, told: true})
+		}
+	}
+}
+
 func (c *control) take(ctx context.Context, e event) {
 	if e.datagram == nil {
 		c.handle(ctx, e.handle)
@@ -188,6 +202,8 @@
 		}
 	case news.Changed:
 		c.changed(now, a.Items)
+	case news.Suspected:
+		c.suspected(a.Targets)
 	case news.ReadAll:
 		c.call(ctx, readLimit, func(callCtx context.Context) { c.readAll(ctx, callCtx, a) })
 	case news.Watch:
--- a/internal/news/action.go
+++ b/internal/news/action.go
@@ -13,6 +13,8 @@
 	Members   []Member
 	// Asks is true where the sender wants to know members.
 	Asks bool
+	// Absent names targets that the sender probed and did not find.
+	Absent []string
 }
 
 // Action is an effect that the caller of the engine carries out: one of the types of this file.
@@ -54,6 +56,11 @@
 	Items []Item
 }
 
+// Suspected tells that another daemon probed targets and did not find them.
+type Suspected struct {
+	Targets []string
+}
+
 // Reachable tells that the platform began or ceased to answer.
 type Reachable struct {
 	Reachable bool
@@ -81,6 +88,7 @@
 func (Watch) isAction()       {}
 func (Abandon) isAction()     {}
 func (Changed) isAction()     {}
+func (Suspected) isAction()   {}
 func (Reachable) isAction()   {}
 func (Reading) isAction()     {}
 func (PeerChanged) isAction() {}
--- a/internal/news/codec.go
+++ b/internal/news/codec.go
@@ -14,7 +14,7 @@
 
 // Encode returns the bytes of a datagram.
 func (d Datagram) Encode() ([]byte, error) {
-	msg := &newspb.Datagram{Asks: d.Asks}
+	msg := &newspb.Datagram{Asks: d.Asks, Absent: d.Absent}
 	if plainBytes(d.Items) > maxDatagramBytes {
 		msg.PackedItems = packItems(d.Items)
 	} else {
@@ -63,6 +63,7 @@
 		Items:   lo.Map(msg.Items, func(it *newspb.Item, _ int) Item { return decodeItem(it) }),
 		Members: lo.Map(msg.Members, func(m *newspb.Member, _ int) Member { return decodeMember(m) }),
 		Asks:    msg.Asks,
+		Absent:  msg.Absent,
 	}
 	if h := msg.Heartbeat; h != nil {
 		d.Heartbeat = &Heartbeat{
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -26,6 +26,8 @@
 	loss   float64
 	// cut reports whether nothing passes between two nodes.
 	cut func(a, b *node) bool
+	// onSuspected is told of targets that a node hears to be absent; nil ignores them.
+	onSuspected func(n *node, targets []string)
 	// denied reports whether the platform turns a node away; silent whether it never answers it.
 	denied, silent func(n *node) bool
 }
@@ -200,6 +202,10 @@
 			n.reading = a.Reading
 		case Changed:
 			n.note(a.Items)
+		case Suspected:
+			if n.site.onSuspected != nil {
+				n.site.onSuspected(n, a.Targets)
+			}
 		}
 	}
 	// The daemon hands in due work between ticks.
@@ -580,6 +586,23 @@
 	})
 }
 
+func TestAbsentTargets(t *testing.T) {
+	Convey("Word of an absent target reaches the daemons of the zone, and no others in a large fleet", t, func() {
+		s := newSite(1, 41, "a", "b")
+		heard := make(map[string]int)
+		s.onSuspected = func(n *node, targets []string) {
+			So(targets, ShouldResemble, []string{"t1"})
+			heard[n.zone]++
+		}
+		s.startAll()
+		s.run(6 * time.Second)
+		n := s.nodes[0]
+		n.do(n.engine.TellAbsent(s.now, "t1"))
+		s.run(100 * time.Millisecond)
+		So(heard, ShouldResemble, map[string]int{"a": 20})
+	})
+}
+
 // fleetSize is the size of the largest fleet; by hand it is run with 600.
 var fleetSize = flag.Int("fleet", 120, "daemons in TestControlTraffic")
 
--- a/internal/news/told.go
+++ b/internal/news/told.go
@@ -25,6 +25,9 @@
 		answer := Datagram{Heartbeat: e.beat(now), Members: known}
 		actions = append(actions, Send{To: []netip.AddrPort{from}, Datagram: answer})
 	}
+	if len(d.Absent) > 0 {
+		actions = append(actions, Suspected{Targets: d.Absent})
+	}
 	actions = append(actions, e.told(now, m, d.Items)...)
 	if len(d.Items) == 0 && e.board.filled {
 		// A heartbeat alone leaves nothing that cannot wait for the next tick.
@@ -33,6 +36,11 @@
 	return append(actions, e.step(now)...)
 }
 
+// TellAbsent tells the daemons of the zone that a target was probed and not found. Each probes it for itself.
+func (e *Engine) TellAbsent(now time.Time, target string) []Action {
+	return []Action{Send{To: e.members.inZone(now, false, false), Datagram: Datagram{Absent: []string{target}}}}
+}
+
 // heard notes a heartbeat.
 func (e *Engine) heard(now time.Time, m *member, beat *Heartbeat) []Action {
 	m.beat = *beat
