--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -127,12 +127,12 @@
 // a miss. It answers the load pattern of many daemons with few flows each, of which every one would have to lose some
 // to a dead target before it knows.
 func (e *TagEngine) NotFound(now time.Time, id model.TargetID) {
-	e.loads.Missed(now, id, hearsay, true)
+	e.loads.Missed(now, id, elsewhere, true)
 	e.Probed(now, id, false)
 }
 
-// hearsay stands for the flows of other daemons among misses.
-const hearsay model.FlowHash = 1
+// elsewhere stands for the flows of other daemons among misses.
+const elsewhere model.FlowHash = 1
 
 // ended reports whether a target's registration has ended.
 func (w *tagWorld) ended(id model.TargetID) bool {
--- a/internal/news/beat.go
+++ b/internal/news/beat.go
@@ -18,8 +18,8 @@
 		return e.members.inZone(now, true, silent)
 	}
 	to := e.members.inZone(now, false, silent)
-	if e.members.position(now) < e.cfg.Voices || e.reader.reading {
-		to = append(to, e.members.first(now, e.cfg.Voices)...)
+	if e.members.position(now) < e.cfg.Relays || e.reader.reading {
+		to = append(to, e.members.first(now, e.cfg.Relays)...)
 	}
 	return to
 }
@@ -29,9 +29,9 @@
 	return &Heartbeat{
 		Zone:     e.cfg.Self.Zone,
 		Interval: e.interval(now),
-		Highest:  e.board.highest,
-		Complete: e.board.complete,
-		Digest:   e.board.digest,
+		Highest:  e.replica.highest,
+		Complete: e.replica.complete,
+		Digest:   e.replica.digest,
 		Age:      e.age(now),
 		Reads:    e.reader.reading,
 		Failing:  now.Before(e.reader.failingUntil),
@@ -41,7 +41,7 @@
 }
 
 func (e *Engine) interval(now time.Time) time.Duration {
-	if e.small() || e.members.position(now) < first {
+	if e.small() || e.members.position(now) < frontRank {
 		return e.cfg.Interval
 	}
 	return e.cfg.SlowInterval
@@ -54,7 +54,7 @@
 	}
 	e.nextBeat = now.Add(e.interval(now))
 	e.members.forget(now)
-	e.board.forget(now)
+	e.replica.forget(now)
 	silent := !now.Before(e.nextAll)
 	if silent {
 		e.nextAll = now.Add(silentEvery)
--- a/internal/news/config.go
+++ b/internal/news/config.go
@@ -38,8 +38,8 @@
 	Interval, SlowInterval time.Duration
 	// SmallFleet is the number of daemons up to which all send to all; default 32.
 	SmallFleet int
-	// Voices is the number of daemons of a zone that speak with other zones in a large fleet; default 2.
-	Voices int
+	// Relays is the number of daemons of a zone that speak with other zones in a large fleet; default 2.
+	Relays int
 	// Repair is how long a copy may differ from another before its items are fetched; default 300 ms.
 	Repair time.Duration
 	// FetchEvery is the least time between two fetches from one daemon; default 1 s.
@@ -64,7 +64,7 @@
 	c.Interval = cmp.Or(c.Interval, 300*time.Millisecond)
 	c.SlowInterval = cmp.Or(c.SlowInterval, time.Second)
 	c.SmallFleet = cmp.Or(c.SmallFleet, 32)
-	c.Voices = cmp.Or(c.Voices, 2)
+	c.Relays = cmp.Or(c.Relays, 2)
 	c.Repair = cmp.Or(c.Repair, 300*time.Millisecond)
 	c.FetchEvery = cmp.Or(c.FetchEvery, time.Second)
 	c.AskEvery = cmp.Or(c.AskEvery, 2*time.Second)
--- a/internal/news/engine.go
+++ b/internal/news/engine.go
@@ -9,7 +9,7 @@
 // which must not go back; it is not safe for concurrent use.
 type Engine struct {
 	cfg     Config
-	board   *board
+	replica *replica
 	members *members
 	reader  reader
 
@@ -30,7 +30,7 @@
 // New returns an engine with an empty copy.
 func New(cfg Config) *Engine {
 	cfg = cfg.withDefaults()
-	return &Engine{cfg: cfg, board: newBoard(), members: newMembers(cfg.Self)}
+	return &Engine{cfg: cfg, replica: newReplica(), members: newMembers(cfg.Self)}
 }
 
 // Start begins to read and to look for other daemons. It is called once, before any other event.
@@ -88,18 +88,18 @@
 
 // Complete returns the revision up to which every change is held.
 func (e *Engine) Complete() uint64 {
-	return e.board.complete
+	return e.replica.complete
 }
 
 // Digest sums up the items that stand.
 func (e *Engine) Digest() uint64 {
-	return e.board.digest
+	return e.replica.digest
 }
 
 // Answer returns what a daemon with the given versions lacks: the revision up to which the answer knows of
 // every change, its age, the lacking items, and the names of all that stand.
 func (e *Engine) Answer(now time.Time, have []Version) (complete uint64, age time.Duration, items []Item, standing []Version) {
-	return e.board.complete, e.age(now), e.board.lacking(have), e.board.standing()
+	return e.replica.complete, e.age(now), e.replica.lacking(have), e.replica.standing()
 }
 
 // step does whatever the state asks for.
--- a/internal/news/fetch.go
+++ b/internal/news/fetch.go
@@ -48,7 +48,7 @@
 func (e *Engine) fetch(now time.Time, m *member) Action {
 	e.fetching = true
 	m.fetched = now
-	return Fetch{From: m.Addr, Have: e.board.versions()}
+	return Fetch{From: m.Addr, Have: e.replica.versions()}
 }
 
 // Fetched is the answer to a Fetch.
@@ -71,7 +71,7 @@
 	items := f.Items[:0]
 	whole := true
 	for _, it := range f.Items {
-		opened, err := e.board.open(it)
+		opened, err := e.replica.open(it)
 		if err != nil {
 			whole = false
 			continue
@@ -81,12 +81,12 @@
 	f.Items = items
 	var actions []Action
 	if f.Complete > 0 && whole {
-		actions = e.changed(now, e.board.reset(now, f.Complete, f.Items, f.Standing), m)
+		actions = e.changed(now, e.replica.reset(now, f.Complete, f.Items, f.Standing), m)
 		if at := now.Add(-f.Age); at.After(e.confirmed) {
 			e.confirmed = at
 		}
 	} else {
-		actions = e.changed(now, e.board.applyAll(now, f.Items), m)
+		actions = e.changed(now, e.replica.applyAll(now, f.Items), m)
 	}
 	return append(actions, e.step(now)...)
 }
@@ -119,11 +119,11 @@
 	if m.differs.IsZero() || !m.live(now) || now.Sub(m.fetched) < e.cfg.FetchEvery || m.beat.Highest == 0 {
 		return false
 	}
-	if !e.board.filled {
+	if !e.replica.filled {
 		return true
 	}
 	patience := e.cfg.Repair
-	if m.beat.Highest <= e.board.highest && m.beat.Complete <= e.board.complete {
+	if m.beat.Highest <= e.replica.highest && m.beat.Complete <= e.replica.complete {
 		patience *= oldRepairs
 	}
 	return now.Sub(m.differs) >= patience
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -360,7 +360,7 @@
 func (s *site) holding(key string) int {
 	count := 0
 	for _, n := range s.nodes {
-		h := n.engine.board.items[key]
+		h := n.engine.replica.items[key]
 		want, stands := s.shared.items[key]
 		if n.up && (stands && h != nil && h.Revision == want.Revision || !stands && (h == nil || h.Removed)) {
 			count++
@@ -389,7 +389,7 @@
 		for key, it := range s.shared.items {
 			So(n.seen[key], ShouldEqual, it.Revision)
 		}
-		So(len(n.engine.board.standing()), ShouldEqual, len(s.shared.items))
+		So(len(n.engine.replica.standing()), ShouldEqual, len(s.shared.items))
 	}
 }
 
@@ -537,7 +537,7 @@
 			n.start()
 			s.run(1500 * time.Millisecond)
 			s.soWhole()
-			h := n.engine.board.items["targets/05"]
+			h := n.engine.replica.items["targets/05"]
 			So(h.Removed, ShouldBeTrue)
 			So(h.Value, ShouldNotBeEmpty)
 		})
--- a/internal/news/members.go
+++ b/internal/news/members.go
@@ -226,7 +226,7 @@
 
 // introduce returns the members that a daemon of a zone should know: the first ones of each zone, and of its
 // own zone as many as the limit allows, from a random one on.
-func (ms *members) introduce(now time.Time, zone string, voices, limit int, random *rand.Rand) []Member {
+func (ms *members) introduce(now time.Time, zone string, relays, limit int, random *rand.Rand) []Member {
 	var out, own []Member
 	count := make(map[string]int)
 	for _, m := range ms.ordered {
@@ -235,7 +235,7 @@
 		}
 		count[m.Zone]++
 		switch {
-		case count[m.Zone] <= voices:
+		case count[m.Zone] <= relays:
 			out = append(out, m.Member)
 		case m.Zone == zone:
 			own = append(own, m.Member)
--- a/internal/news/pack.go
+++ b/internal/news/pack.go
@@ -50,7 +50,7 @@
 	if it.Removed {
 		it.Value = nil
 	}
-	h := e.board.items[it.Key]
+	h := e.replica.items[it.Key]
 	if len(it.Value) <= e.cfg.MaxItemBytes || h == nil {
 		return it
 	}
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -34,8 +34,9 @@
 // the spread of one change's arrival at two watches.
 const unseenFor = 700 * time.Millisecond
 
-// first is the number of daemons of a zone that ask again soon while the platform answers nobody.
-const first = 3
+// frontRank is the number of daemons of a zone that ask again soon while the platform answers nobody, and that send
+// heartbeats often.
+const frontRank = 3
 
 // laterWait is how many times longer the other daemons of the zone wait: the first ones tell them once the
 // platform answers again.
@@ -49,12 +50,12 @@
 	stale := e.reader.stale
 	e.reader.open = callNone
 	var actions []Action
-	if !stale || !e.board.filled {
+	if !stale || !e.replica.filled {
 		standing := make([]Version, 0, len(items))
 		for _, it := range items {
 			standing = append(standing, it.Version())
 		}
-		actions = e.changed(now, e.board.reset(now, asOf, items, standing), e.self())
+		actions = e.changed(now, e.replica.reset(now, asOf, items, standing), nil)
 	}
 	if !stale {
 		e.reader.mustRead = false
@@ -74,8 +75,8 @@
 	}
 	e.reader.open = callNone
 	e.reader.unseen = time.Time{}
-	actions := e.changed(now, e.board.applyAll(now, items), e.self())
-	e.board.completeTo(max(asOf, e.board.complete))
+	actions := e.changed(now, e.replica.applyAll(now, items), nil)
+	e.replica.completeTo(max(asOf, e.replica.complete))
 	e.confirmed = now
 	e.reader.next = now
 	if len(items) > 0 {
@@ -103,7 +104,7 @@
 		return append(e.reachedPlatform(nil), e.step(now)...)
 	}
 	wait := min(e.cfg.BackoffMin<<min(e.reader.failures, 8), e.cfg.BackoffMax)
-	if place, _ := e.members.place(now); place >= first {
+	if place, _ := e.members.place(now); place >= frontRank {
 		wait *= laterWait
 	}
 	e.reader.failures++
@@ -134,7 +135,7 @@
 	if e.reader.open != callNone || now.Before(e.reader.next) {
 		return actions
 	}
-	if !e.board.filled {
+	if !e.replica.filled {
 		return append(actions, e.read(true))
 	}
 	reading, position := e.mustRead(now)
@@ -150,7 +151,7 @@
 	}
 	e.reader.open = callWatch
 	e.reader.number++
-	return append(actions, Watch{Call: e.reader.number, After: e.board.complete, Wait: e.cfg.WatchWait})
+	return append(actions, Watch{Call: e.reader.number, After: e.replica.complete, Wait: e.cfg.WatchWait})
 }
 
 func (e *Engine) read(stale bool) Action {
@@ -170,7 +171,7 @@
 	}
 	patience := e.cfg.Trust
 	if !failing {
-		patience += time.Duration(min(position, first)) * e.cfg.Gather
+		patience += time.Duration(min(position, frontRank)) * e.cfg.Gather
 	}
 	heard := e.confirmed
 	if heard.Before(e.started) {
@@ -182,7 +183,7 @@
 
 // checkOpen gives up an open watch that lacks changes which others tell of: its connection is silent.
 func (e *Engine) checkOpen(now time.Time) []Action {
-	if e.reader.open != callWatch || e.board.highest <= e.board.complete {
+	if e.reader.open != callWatch || e.replica.highest <= e.replica.complete {
 		e.reader.unseen = time.Time{}
 		return nil
 	}
--- a/internal/news/board.go
+++ b/internal/news/replica.go
@@ -62,8 +62,8 @@
 	return h.delta
 }
 
-// board is the daemon's copy of the published items.
-type board struct {
+// replica is the daemon's copy of the published items.
+type replica struct {
 	items map[string]*held
 	// digest sums up the items that stand.
 	digest uint64
@@ -75,14 +75,14 @@
 	filled bool
 }
 
-func newBoard() *board {
-	return &board{items: make(map[string]*held)}
+func newReplica() *replica {
+	return &replica{items: make(map[string]*held)}
 }
 
 // apply takes an item and reports whether it is news.
-func (b *board) apply(now time.Time, it Item) bool {
-	was := b.items[it.Key]
-	if was == nil && b.filled && it.Revision <= b.complete && !it.Removed {
+func (r *replica) apply(now time.Time, it Item) bool {
+	was := r.items[it.Key]
+	if was == nil && r.filled && it.Revision <= r.complete && !it.Removed {
 		return false
 	}
 	if was != nil && it.Revision <= was.Revision {
@@ -99,13 +99,13 @@
 		}
 	}
 	if was != nil && !was.Removed {
-		b.digest ^= digestOf(was.Version())
+		r.digest ^= digestOf(was.Version())
 	}
 	if !it.Removed {
-		b.digest ^= digestOf(next.Version())
+		r.digest ^= digestOf(next.Version())
 	}
-	b.items[it.Key] = next
-	b.highest = max(b.highest, it.Revision)
+	r.items[it.Key] = next
+	r.highest = max(r.highest, it.Revision)
 	return true
 }
 
@@ -127,16 +127,16 @@
 
 // reset takes a whole view of the platform that knows of every change up to complete, and returns the news.
 // Items that it does not name and that are not newer have ended.
-func (b *board) reset(now time.Time, complete uint64, items []Item, standing []Version) []Item {
-	if b.filled && complete < b.complete {
-		return b.applyAll(now, items)
+func (r *replica) reset(now time.Time, complete uint64, items []Item, standing []Version) []Item {
+	if r.filled && complete < r.complete {
+		return r.applyAll(now, items)
 	}
-	news := b.applyAll(now, items)
+	news := r.applyAll(now, items)
 	stands := make(map[string]bool, len(standing))
 	for _, v := range standing {
 		stands[v.Key] = true
 	}
-	for key, h := range b.items {
+	for key, h := range r.items {
 		if h.Removed || stands[key] || h.Revision > complete {
 			continue
 		}
@@ -144,34 +144,34 @@
 		if h.Revision == complete {
 			gone.Revision++
 		}
-		if b.apply(now, gone) {
-			news = append(news, b.items[key].Item)
+		if r.apply(now, gone) {
+			news = append(news, r.items[key].Item)
 		}
 	}
-	b.completeTo(complete)
+	r.completeTo(complete)
 	return news
 }
 
-func (b *board) applyAll(now time.Time, items []Item) []Item {
+func (r *replica) applyAll(now time.Time, items []Item) []Item {
 	var news []Item
 	for _, it := range items {
-		if b.apply(now, it) {
-			news = append(news, b.items[it.Key].Item)
+		if r.apply(now, it) {
+			news = append(news, r.items[it.Key].Item)
 		}
 	}
 	return news
 }
 
 // completeTo notes that every change up to a revision is in the copy.
-func (b *board) completeTo(revision uint64) {
-	b.filled = true
-	b.complete = max(b.complete, revision)
+func (r *replica) completeTo(revision uint64) {
+	r.filled = true
+	r.complete = max(r.complete, revision)
 }
 
 // standing names the items that stand.
-func (b *board) standing() []Version {
-	out := make([]Version, 0, len(b.items))
-	for _, h := range b.items {
+func (r *replica) standing() []Version {
+	out := make([]Version, 0, len(r.items))
+	for _, h := range r.items {
 		if !h.Removed {
 			out = append(out, h.Version())
 		}
@@ -180,9 +180,9 @@
 }
 
 // versions names all items, ended ones among them.
-func (b *board) versions() []Version {
-	out := make([]Version, 0, len(b.items))
-	for _, h := range b.items {
+func (r *replica) versions() []Version {
+	out := make([]Version, 0, len(r.items))
+	for _, h := range r.items {
 		out = append(out, h.Version())
 	}
 	return out
@@ -192,7 +192,7 @@
 const largeBytes = 1000
 
 // open turns a packed item into one with its value. It returns false where the base is not held.
-func (b *board) open(it Item) (Item, error) {
+func (r *replica) open(it Item) (Item, error) {
 	if len(it.Packed) == 0 {
 		return it, nil
 	}
@@ -201,7 +201,7 @@
 	if it.Base == 0 {
 		value, err = unpack(it.Packed)
 	} else {
-		was := b.items[it.Key]
+		was := r.items[it.Key]
 		if was == nil || was.Revision != it.Base {
 			return it, errDelta
 		}
@@ -227,13 +227,13 @@
 }
 
 // lacking returns the items that a copy with the given versions lacks.
-func (b *board) lacking(have []Version) []Item {
+func (r *replica) lacking(have []Version) []Item {
 	known := make(map[string]uint64, len(have))
 	for _, v := range have {
 		known[v.Key] = v.Revision
 	}
 	var out []Item
-	for key, h := range b.items {
+	for key, h := range r.items {
 		if known[key] < h.Revision {
 			out = append(out, h.brief(known[key]))
 		}
@@ -242,10 +242,10 @@
 }
 
 // forget drops ended items that are over.
-func (b *board) forget(now time.Time) {
-	for key, h := range b.items {
+func (r *replica) forget(now time.Time) {
+	for key, h := range r.items {
 		if h.Removed && now.Sub(h.ended) > endedFor {
-			delete(b.items, key)
+			delete(r.items, key)
 		}
 	}
 }
--- a/internal/news/board_test.go
+++ b/internal/news/replica_test.go
@@ -22,9 +22,9 @@
 	return Item{Key: key, Revision: revision, Removed: true}
 }
 
-func TestBoard(t *testing.T) {
+func TestReplica(t *testing.T) {
 	Convey("Items come and end by revision, in any order", t, func() {
-		b := newBoard()
+		b := newReplica()
 		So(b.apply(t0, item("a", 5)), ShouldBeTrue)
 		So(b.apply(t0, item("a", 5)), ShouldBeFalse)
 		So(b.apply(t0, item("a", 4)), ShouldBeFalse)
@@ -44,7 +44,7 @@
 		})
 	})
 	Convey("A whole view ends what it does not name, unless that is newer", t, func() {
-		b := newBoard()
+		b := newReplica()
 		b.applyAll(t0, []Item{item("a", 1), item("b", 2), item("c", 9)})
 		news := b.reset(t0, 5, []Item{item("b", 2), item("d", 4)}, []Version{{"b", 2}, {"d", 4}})
 		So(news, ShouldHaveLength, 2)
@@ -57,7 +57,7 @@
 		})
 	})
 	Convey("Copies that hold the same items have the same digest, whatever the order", t, func() {
-		a, b := newBoard(), newBoard()
+		a, b := newReplica(), newReplica()
 		a.applyAll(t0, []Item{item("a", 1), item("b", 2), gone("a", 3)})
 		b.applyAll(t0, []Item{gone("a", 3), item("b", 2), item("a", 1)})
 		So(a.digest, ShouldEqual, b.digest)
@@ -66,7 +66,7 @@
 	})
 }
 
-func TestBoardProperties(t *testing.T) {
+func TestReplicaProperties(t *testing.T) {
 	proptest.Check(t, func(t *rapid.T) {
 		keys := []string{"a", "b", "c"}
 		var all []Item
@@ -78,7 +78,7 @@
 				all = append(all, item(key, revision))
 			}
 		}
-		inOrder, shuffled := newBoard(), newBoard()
+		inOrder, shuffled := newReplica(), newReplica()
 		inOrder.applyAll(t0, all)
 		last := make(map[string]uint64)
 		for _, it := range rapid.Permutation(all).Draw(t, "order") {
--- a/internal/news/told.go
+++ b/internal/news/told.go
@@ -21,7 +21,7 @@
 		}
 	}
 	if d.Asks {
-		known := e.members.introduce(now, m.Zone, e.cfg.Voices, e.cfg.MaxMembers, e.cfg.Rand)
+		known := e.members.introduce(now, m.Zone, e.cfg.Relays, e.cfg.MaxMembers, e.cfg.Rand)
 		answer := Datagram{Heartbeat: e.beat(now), Members: known}
 		actions = append(actions, Send{To: []netip.AddrPort{from}, Datagram: answer})
 	}
@@ -29,7 +29,7 @@
 		actions = append(actions, Suspected{Targets: d.Absent})
 	}
 	actions = append(actions, e.told(now, m, d.Items)...)
-	if len(d.Items) == 0 && e.board.filled {
+	if len(d.Items) == 0 && e.replica.filled {
 		// A heartbeat alone leaves nothing that cannot wait for the next tick.
 		return actions
 	}
@@ -53,14 +53,14 @@
 // compare notes whether another daemon's copy equals the own one. An equal copy that is known to be complete
 // up to a revision makes the own one so too.
 func (e *Engine) compare(now time.Time, m *member) {
-	if m.beat.Digest != e.board.digest || !e.board.filled {
+	if m.beat.Digest != e.replica.digest || !e.replica.filled {
 		if m.differs.IsZero() {
 			m.differs = now
 		}
 		return
 	}
 	m.differs = time.Time{}
-	e.board.complete = max(e.board.complete, m.beat.Complete)
+	e.replica.complete = max(e.replica.complete, m.beat.Complete)
 	if at := now.Add(-m.beat.Age); at.After(e.confirmed) {
 		e.confirmed = at
 	}
@@ -71,32 +71,27 @@
 	var whole []Item
 	var lacking *Item
 	for _, it := range items {
-		was := e.board.items[it.Key]
+		was := e.replica.items[it.Key]
 		if was != nil && was.Revision >= it.Revision {
 			continue
 		}
-		opened, err := e.board.open(it)
+		opened, err := e.replica.open(it)
 		if it.Withheld || err != nil {
 			lacking = &it
 			continue
 		}
 		whole = append(whole, opened)
 	}
-	actions := e.changed(now, e.board.applyAll(now, whole), m)
+	actions := e.changed(now, e.replica.applyAll(now, whole), m)
 	if lacking != nil {
 		e.fetchSoon(now, m, lacking.Size)
 	}
 	return actions
 }
 
-// self returns the mark of news that this daemon has from the platform.
-func (e *Engine) self() *member {
-	return nil
-}
-
 // changed hands out news and passes it on to the own zone, in a small fleet to all. Each zone of a large fleet
 // hears the platform itself; where it does not, its first daemons see from other zones' heartbeats that they lack
-// something, and fetch it.
+// something, and fetch it. from is nil for news of the platform.
 func (e *Engine) changed(now time.Time, news []Item, from *member) []Action {
 	if len(news) == 0 {
 		return nil
