Probe less for the word of others

Change: a target is probed for others at most each 4 s and with one connection, and others are told as seldom.

--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -15,10 +16,15 @@
 	probeTimeout = 130 * time.Millisecond
 	// probeTries connections are tried one after the other's start, so that one lost packet tells nothing.
 	probeTries = 2
-	// probeSpacing is the time between their starts.
-	probeSpacing = 20 * time.Millisecond
-	// probeEvery is the least time between two probes of one target.
+	// toldTries are enough where another daemon has tried in vain.
+	toldTries = 1
+	// probeSpacing is the time between their starts: most targets have answered by then, and one connection does.
+	probeSpacing = 60 * time.Millisecond
+	// probeEvery is the least time between two probes of one target for flows that miss answers here.
 	probeEvery = 400 * time.Millisecond
+	// probeToldEvery is the least time from a probe of a target to one for the word of others, and between two words
+	// of it to others: about the time in which a dead target's registration ends.
+	probeToldEvery = 4 * time.Second
 	// maxProbes bounds the targets that are probed at once; others that are suspected meanwhile are left out.
 	maxProbes = 32
 )
@@ -33,10 +39,25 @@
 // probes are the targets whose flows miss answers, here or at other daemons.
 type probes struct {
 	suspects chan suspect
+
+	mu sync.Mutex
+	// told is when others were last told of a target.
+	told map[model.TargetID]time.Time
 }
 
 func newProbes() *probes {
-	return &probes{suspects: make(chan suspect, maxProbes)}
+	return &probes{suspects: make(chan suspect, maxProbes), told: make(map[model.TargetID]time.Time)}
+}
+
+// mayTell reports whether others are to be told of a target now, and notes that they are.
+func (p *probes) mayTell(now time.Time, id model.TargetID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if before, told := p.told[id]; told && now.Sub(before) < probeToldEvery {
+		return false
+	}
+	p.told[id] = now
+	return true
 }
 
 // add asks for a probe of a target whose flows miss answers here; it does not block.
@@ -56,17 +77,21 @@
 func (d *Daemon) probeSuspects(ctx context.Context) error {
 	var running errgroup.Group
 	running.SetLimit(maxProbes)
-	next := make(map[model.TargetID]time.Time)
+	last := make(map[model.TargetID]time.Time)
 	for {
 		select {
 		case <-ctx.Done():
 			return running.Wait()
 		case s := <-d.probes.suspects:
 			now := time.Now()
-			if now.Before(next[s.target.ID]) {
+			least := probeEvery
+			if s.told {
+				least = probeToldEvery
+			}
+			if before, probed := last[s.target.ID]; probed && now.Sub(before) < least {
 				continue
 			}
-			next[s.target.ID] = now.Add(probeEvery)
+			last[s.target.ID] = now
 			running.Go(func() error {
 				d.probe(ctx, s)
 				return nil
@@ -79,7 +104,11 @@
 func (d *Daemon) probe(ctx context.Context, s suspect) {
 	start := time.Now()
 	t := s.target
-	connected := d.present(ctx, t)
+	tries := probeTries
+	if s.told {
+		tries = toldTries
+	}
+	connected := d.present(ctx, t, tries)
 	if ctx.Err() != nil {
 		return
 	}
@@ -93,17 +122,17 @@
 	case !s.told:
 		d.engine.Probed(now, t.ID, connected)
 	}
-	if !s.told && !connected {
+	if !s.told && !connected && d.probes.mayTell(now, t.ID) {
 		d.send(ctx, func(now time.Time) []news.Action { return d.control.news.TellAbsent(now, t.Name) })
 	}
 }
 
 // present reports whether one of a few tries finds the target.
-func (d *Daemon) present(ctx context.Context, t *model.Target) bool {
+func (d *Daemon) present(ctx context.Context, t *model.Target, tries int) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	results := make(chan bool, probeTries)
-	for i := range probeTries {
+	results := make(chan bool, tries)
+	for i := range tries {
 		go func() {
 			select {
 			case <-ctx.Done():
@@ -113,7 +142,7 @@
 			}
 		}()
 	}
-	for range probeTries {
+	for range tries {
 		if <-results {
 			return true
 		}
