Let both forwarding benchmarks share one exchanger; sort keys with the standard library

Cause: the benchmark of the daemon with tags had copied the sockets, the relay and the measuring loop of the one with owners, and keys of maps were collected and sorted by hand in two places. No code of the daemon changes; tests keep their assertions.

--- a/internal/flowtrace/summary.go
+++ b/internal/flowtrace/summary.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strings"
 )
 
@@ -39,7 +41,7 @@
 // Write prints the counts.
 func (s *Summary) Write(w io.Writer) error {
 	var b strings.Builder
-	for _, key := range sortedKeys(s.Outcomes) {
+	for _, key := range slices.Sorted(maps.Keys(s.Outcomes)) {
 		fmt.Fprintf(&b, "%8d  %s\n", s.Outcomes[key], key)
 	}
 	fmt.Fprintf(&b, "%8d  lines left out by the daemons\n", s.LeftOut)
--- a/internal/flowtrace/trace.go
+++ b/internal/flowtrace/trace.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -107,7 +108,7 @@
 		}
 		fmt.Fprintf(&b, "%s %s %s %s/%s %s\n", mark, line.Time.Format("15:04:05.000"), line.Entry, line.Op, line.Event, line.text())
 	}
-	for _, entry := range sortedKeys(s.LeftOut) {
+	for _, entry := range slices.Sorted(maps.Keys(s.LeftOut)) {
 		if n := s.LeftOut[entry]; n > 0 {
 			fmt.Fprintf(&b, "missing: %s left out %d lines in this time\n", entry, n)
 		}
@@ -118,12 +119,3 @@
 	_, err := io.WriteString(w, b.String())
 	return err
 }
-
-func sortedKeys(m map[string]int) []string {
-	keys := make([]string, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	slices.Sort(keys)
-	return keys
-}
--- a/internal/history/linear.go
+++ b/internal/history/linear.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -72,13 +73,8 @@
 		id := op.Input.(operation).request
 		groups[id] = append(groups[id], op)
 	}
-	ids := make([]uint64, 0, len(groups))
-	for id := range groups {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	out := make([][]porcupine.Operation, 0, len(ids))
-	for _, id := range ids {
+	out := make([][]porcupine.Operation, 0, len(groups))
+	for _, id := range slices.Sorted(maps.Keys(groups)) {
 		out = append(out, groups[id])
 	}
 	return out
--- a/internal/relay/forward_bench_test.go
+++ b/internal/relay/forward_bench_test.go
@@ -1,11 +1,10 @@
-package relay
+package relay_test
 
 import (
 	"context"
 	"encoding/binary"
 	"io"
 	"net/netip"
-	"runtime"
 	"testing"
 	"time"
 
@@ -15,6 +14,7 @@
 	"github.com/fireflypin/fireflypin/internal/lists"
 	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/internal/relay/relaybench"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -22,16 +22,7 @@
 	"github.com/fireflypin/fireflypin/packet"
 )
 
-const (
-	benchFlows   = 4096
-	benchBatch   = 64
-	benchPayload = 100
-)
-
-var (
-	loopback     = netip.MustParseAddrPort("127.0.0.1:0")
-	benchService = netip.MustParseAddrPort("192.0.2.10:443")
-)
+var benchService = netip.MustParseAddrPort("192.0.2.10:443")
 
 // fixedLists puts one snapshot in force.
 type fixedLists struct{ snapshot *model.Snapshot }
@@ -48,16 +39,6 @@
 	return nil
 }
 
-// freeAddr returns an address that nothing listens on.
-func freeAddr(b *testing.B) netip.AddrPort {
-	c, err := udpio.System(udpio.Config{}).Listen(loopback)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer c.Close()
-	return c.LocalAddr()
-}
-
 // benchLists names one entry VM and one target, which receives at sink.
 func benchLists(b *testing.B, data, peer, sink netip.AddrPort) *model.Snapshot {
 	doc := func(name, text string) lists.Document { return lists.Document{Name: name, Data: []byte(text)} }
@@ -88,7 +69,7 @@
 
 // startDaemon runs the daemon's forwarding path in this process and returns its data address.
 func startDaemon(b *testing.B, sink netip.AddrPort) netip.AddrPort {
-	data, peer := freeAddr(b), freeAddr(b)
+	data, peer := relaybench.FreeAddr(b), relaybench.FreeAddr(b)
 	ring, err := wire.NewKeyring(1, wire.Key{ID: 1, Secret: make([]byte, wire.MinSecretBytes)})
 	if err != nil {
 		b.Fatal(err)
@@ -120,21 +101,10 @@
 	return data
 }
 
-// startRelay runs the bare relay and returns its address.
-func startRelay(b *testing.B, sink netip.AddrPort) netip.AddrPort {
-	r, err := New(Config{Network: udpio.System(udpio.Config{}), Listen: loopback, To: sink})
-	if err != nil {
-		b.Fatal(err)
-	}
-	go r.Run()
-	b.Cleanup(func() { r.Close() })
-	return r.Addr()
-}
-
 // flowPackets returns one packet for each flow.
 func flowPackets(flags packet.Flags) [][]byte {
-	packets := make([][]byte, benchFlows)
-	payload := make([]byte, benchPayload)
+	packets := make([][]byte, relaybench.Flows)
+	payload := make([]byte, relaybench.Payload)
 	for i := range packets {
 		var ip [4]byte
 		binary.BigEndian.PutUint32(ip[:], 10<<24|uint32(i))
@@ -144,69 +114,15 @@
 	return packets
 }
 
-// exchanger sends batches through a forwarder and reads them from the sink.
-type exchanger struct {
-	b            *testing.B
-	source, sink udpio.Conn
-	out, in      []udpio.Message
-	next         int
-}
-
-func newExchanger(b *testing.B) *exchanger {
-	network := udpio.System(udpio.Config{})
-	x := &exchanger{b: b, out: make([]udpio.Message, benchBatch), in: make([]udpio.Message, benchBatch)}
-	for _, conn := range []*udpio.Conn{&x.source, &x.sink} {
-		c, err := network.Listen(loopback)
-		if err != nil {
-			b.Fatal(err)
-		}
-		b.Cleanup(func() { c.Close() })
-		*conn = c
-	}
-	for i := range x.in {
-		x.in[i].Buf = make([]byte, 2048)
-	}
-	return x
-}
-
-// exchange sends the next batch of packets and waits until all have come through.
-func (x *exchanger) exchange(via netip.AddrPort, packets [][]byte) {
-	for i := range x.out {
-		p := packets[x.next%len(packets)]
-		x.next++
-		x.out[i] = udpio.Message{Buf: p, N: len(p), Addr: via}
-	}
-	if _, err := x.source.WriteBatch(x.out); err != nil {
-		x.b.Fatal(err)
-	}
-	for rest := benchBatch; rest > 0; {
-		n, err := x.sink.ReadBatch(x.in[:rest])
-		if err != nil {
-			x.b.Fatal(err)
-		}
-		rest -= n
-	}
-}
-
 func benchmarkThrough(b *testing.B, start func(*testing.B, netip.AddrPort) netip.AddrPort) {
-	x := newExchanger(b)
-	via := start(b, x.sink.LocalAddr())
-	for range benchFlows / benchBatch {
-		x.exchange(via, flowPackets(packet.SYN))
-	}
-	packets := flowPackets(packet.ACK)
-	runtime.GC()
-	b.ReportAllocs()
-	b.ResetTimer()
-	for range (b.N + benchBatch - 1) / benchBatch {
-		x.exchange(via, packets)
-	}
-	b.StopTimer()
-	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "packets/s")
+	x := relaybench.NewExchanger(b)
+	via := start(b, x.Sink())
+	x.ExchangeAll(via, flowPackets(packet.SYN))
+	x.Measure(via, flowPackets(packet.ACK))
 }
 
 // BenchmarkRelay passes packets through the bare relay; one operation is one packet.
-func BenchmarkRelay(b *testing.B) { benchmarkThrough(b, startRelay) }
+func BenchmarkRelay(b *testing.B) { benchmarkThrough(b, relaybench.StartRelay) }
 
 // BenchmarkForward passes packets of open flows through the daemon that owns them.
 func BenchmarkForward(b *testing.B) { benchmarkThrough(b, startDaemon) }
--- /dev/null
+++ b/internal/relay/relaybench/exchange.go
@@ -0,0 +1,121 @@
+// Package relaybench measures forwarders of datagrams against each other: packets go through one in batches and are
+// read at a sink.
+//
+// Invariant: an Exchanger sends the next batch only when the last one has come through whole.
+package relaybench
+
+import (
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"github.com/fireflypin/fireflypin/internal/relay"
+	"github.com/fireflypin/fireflypin/internal/udpio"
+)
+
+const (
+	// Flows is the number of flows that a benchmark has open.
+	Flows = 4096
+	// Batch is the number of packets that are under way at once.
+	Batch = 64
+	// Payload is the data of a packet in bytes.
+	Payload = 100
+
+	bufferBytes = 2048
+)
+
+// Loopback picks a free port.
+var Loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// FreeAddr returns an address that nothing listens on.
+func FreeAddr(b *testing.B) netip.AddrPort {
+	c, err := udpio.System(udpio.Config{}).Listen(Loopback)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer c.Close()
+	return c.LocalAddr()
+}
+
+// StartRelay runs the bare relay and returns its address.
+func StartRelay(b *testing.B, sink netip.AddrPort) netip.AddrPort {
+	r, err := relay.New(relay.Config{Network: udpio.System(udpio.Config{}), Listen: Loopback, To: sink})
+	if err != nil {
+		b.Fatal(err)
+	}
+	go r.Run()
+	b.Cleanup(func() { r.Close() })
+	return r.Addr()
+}
+
+// Exchanger sends batches through a forwarder and reads them from the sink.
+type Exchanger struct {
+	b            *testing.B
+	source, sink udpio.Conn
+	out, in      []udpio.Message
+	next         int
+}
+
+// NewExchanger opens the sockets of both ends.
+func NewExchanger(b *testing.B) *Exchanger {
+	network := udpio.System(udpio.Config{})
+	x := &Exchanger{b: b, out: make([]udpio.Message, Batch), in: make([]udpio.Message, Batch)}
+	for _, conn := range []*udpio.Conn{&x.source, &x.sink} {
+		c, err := network.Listen(Loopback)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { c.Close() })
+		*conn = c
+	}
+	for i := range x.in {
+		x.in[i].Buf = make([]byte, bufferBytes)
+	}
+	return x
+}
+
+// Sink returns the address that packets must come to.
+func (x *Exchanger) Sink() netip.AddrPort {
+	return x.sink.LocalAddr()
+}
+
+// Exchange sends the next batch of packets, waits until all have come through and returns one of them.
+func (x *Exchanger) Exchange(via netip.AddrPort, packets [][]byte) []byte {
+	for i := range x.out {
+		p := packets[x.next%len(packets)]
+		x.next++
+		x.out[i] = udpio.Message{Buf: p, N: len(p), Addr: via}
+	}
+	if _, err := x.source.WriteBatch(x.out); err != nil {
+		x.b.Fatal(err)
+	}
+	for rest := Batch; rest > 0; {
+		n, err := x.sink.ReadBatch(x.in[:rest])
+		if err != nil {
+			x.b.Fatal(err)
+		}
+		rest -= n
+	}
+	return x.in[0].Buf[:x.in[0].N]
+}
+
+// ExchangeAll sends a packet of each flow and returns one that came through.
+func (x *Exchanger) ExchangeAll(via netip.AddrPort, packets [][]byte) []byte {
+	var last []byte
+	for range Flows / Batch {
+		last = x.Exchange(via, packets)
+	}
+	return last
+}
+
+// Measure sends b.N packets and reports their rate.
+func (x *Exchanger) Measure(via netip.AddrPort, packets [][]byte) {
+	runtime.GC()
+	x.b.ReportAllocs()
+	x.b.ResetTimer()
+	for range (x.b.N + Batch - 1) / Batch {
+		x.Exchange(via, packets)
+	}
+	x.b.StopTimer()
+	x.b.ReportMetric(float64(x.b.N)/x.b.Elapsed().Seconds(), "packets/s")
+}
