Do not probe targets while answers are late everywhere

Cause: after all VMs had power again, handshakes took more than 0.12 s everywhere. Each daemon took that for a sign of its few targets' deaths and probed them: 498 probes in one second of targets that were there, whose connections counted against the targets' caps.

Ruled out: a bound on the number of targets that miss answers at a daemon, against those that answer. What it does see is the share of its own openings that are late.

--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -111,6 +111,11 @@
 // open opens the flow: the target answers at once.
 func (c *caller) open(e *TagEngine) *caller {
 	c.syn(e)
+	return c.answered(e)
+}
+
+// answered acknowledges a target's answer to the SYN.
+func (c *caller) answered(e *TagEngine) *caller {
 	c.seq++
 	c.ack = 5000
 	c.site.now = c.site.now.Add(2 * time.Millisecond)
@@ -481,6 +486,72 @@
 	})
 }
 
+func TestAnswersLateEverywhere(t *testing.T) {
+	newEngine := func() (*tagSite, *TagEngine, *[]string) {
+		s := newTagSite(14)
+		suspected := new([]string)
+		e := NewTagEngine(TagConfig{
+			Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
+			Epoch:   s.now,
+			Suspect: func(t *model.Target) { *suspected = append(*suspected, t.Name) },
+		})
+		s.publish(e)
+		e.SetCurrent(true)
+		return s, e, suspected
+	}
+	calm := func(s *tagSite, e *TagEngine) {
+		for range 30 {
+			s.caller(safeAddr).open(e)
+		}
+		s.now = s.now.Add(time.Second)
+		e.Tick(s.now)
+	}
+	Convey("When a third of the answers is late after power is back, no target is probed", t, func() {
+		s, e, suspected := newEngine()
+		for range 20 {
+			for i := range 3 {
+				c := s.caller(safeAddr)
+				c.syn(e)
+				if i > 0 {
+					c.answered(e)
+				}
+			}
+			s.now = s.now.Add(100 * time.Millisecond)
+			e.Tick(s.now)
+		}
+		So(*suspected, ShouldBeEmpty)
+		Convey("until answers come in time again", func() {
+			calm(s, e)
+			*suspected = nil
+			c := s.caller(safeAddr)
+			c.syn(e)
+			s.now = s.now.Add(130 * time.Millisecond)
+			e.Tick(s.now)
+			So(*suspected, ShouldResemble, []string{e.Target(c.target).Name})
+		})
+	})
+	Convey("When a tenth of the targets dies at once, all dead ones that flows went to are probed", t, func() {
+		s, e, suspected := newEngine()
+		calm(s, e)
+		dead := map[model.TargetID]bool{model.TargetIDOf("booking-00"): true, model.TargetIDOf("booking-01"): true}
+		met := make(map[string]bool)
+		for range 40 {
+			c := s.caller(safeAddr)
+			c.syn(e)
+			if dead[c.target] {
+				met[e.Target(c.target).Name] = true
+			} else {
+				c.answered(e)
+			}
+			s.now = s.now.Add(10 * time.Millisecond)
+		}
+		s.now = s.now.Add(130 * time.Millisecond)
+		e.Tick(s.now)
+		So(met, ShouldNotBeEmpty)
+		So(len(*suspected), ShouldEqual, len(met))
+	})
+}
+
 func TestTargetThatOthersDidNotFind(t *testing.T) {
 	Convey("A target that another daemon and a probe of this one did not find takes no new flow, and its idle flows are reset", t, func() {
 		s := newSilence(safeAddr, 40)
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -40,7 +40,7 @@
 	cfg   TagConfig
 	loads *placement.LoadTable
 	flows tagFlows
-	// opened are the flows whose callers have yet to acknowledge a target\'s answer.
+	// opened are the flows whose callers have yet to acknowledge a target's answer.
 	opened openings
 	world  atomic.Pointer[tagWorld]
 	silent silentTargets
@@ -70,6 +70,7 @@
 	}
 	e := &TagEngine{cfg: cfg, loads: placement.NewLoadTable()}
 	e.flows.init(cfg)
+	e.opened.late = 1 // nothing has been answered yet
 	return e
 }
 
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -57,6 +57,8 @@
 type openings struct {
 	sync.Mutex
 	waiting []opening
+	// late is the share, 0 to 1, of the openings lately that were not answered in time.
+	late float64
 }
 
 type opening struct {
@@ -88,6 +90,23 @@
 	return due
 }
 
+// judged notes whether an opening was answered too late.
+func (o *openings) judged(late bool) {
+	o.Lock()
+	defer o.Unlock()
+	o.late *= 1 - lateWeight
+	if late {
+		o.late += lateWeight
+	}
+}
+
+// oftenLate reports whether so many openings are answered too late that it tells nothing of one target.
+func (o *openings) oftenLate() bool {
+	o.Lock()
+	defer o.Unlock()
+	return o.late >= lateShare
+}
+
 // tagProgress is what a packet told of its flow.
 type tagProgress struct {
 	before, after tagFlow
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/placement"
@@ -32,6 +34,10 @@
 	handshakeTime = 120 * time.Millisecond
 	// probeEvery is the least time between two connections that are tried to one target.
 	probeEvery = 500 * time.Millisecond
+	// lateWeight is the weight of one opening in the share of those that were not answered in time; from lateShare on
+	// the cause is here or everywhere: a rack is less of a service than that.
+	lateWeight = 0.1
+	lateShare  = 0.25
 	// endedMisses and endedTime hold for a target whose registration has ended.
 	endedMisses = 2
 	endedTime   = 150 * time.Millisecond
@@ -84,14 +90,24 @@
 
 // missed notes a packet of a flow that its target did not answer in time.
 func (e *TagEngine) missed(now time.Time, h model.FlowHash, id model.TargetID, strong bool) {
+	e.suspect(now, id, e.noteMiss(now, h, id, strong))
+}
+
+func (e *TagEngine) noteMiss(now time.Time, h model.FlowHash, id model.TargetID, strong bool) placement.Evidence {
 	ev := e.loads.Missed(now, id, h, strong)
 	if isSilent(now, ev, false) {
 		e.silent.add(id)
 	}
-	if now.Sub(ev.ProbedAt) < probeEvery {
+	return ev
+}
+
+// suspect asks for a probe of a target that missed an answer; not while many answers are late. It answers the load
+// pattern of a mass return of power, when probes would add connections to targets that are full already.
+func (e *TagEngine) suspect(now time.Time, id model.TargetID, ev placement.Evidence) {
+	if e.cfg.Suspect == nil || e.opened.oftenLate() || now.Sub(ev.ProbedAt) < probeEvery {
 		return
 	}
-	if t := e.world.Load().snapshot.Target(id); t != nil && e.cfg.Suspect != nil {
+	if t := e.world.Load().snapshot.Target(id); t != nil {
 		e.cfg.Suspect(t)
 	}
 }
@@ -100,11 +116,19 @@
 // pattern of a target that crashed and whose machine refuses what comes: callers are told at once and repeat nothing
 // on that flow, but ask again on new ones until they have used up their tries.
 func (e *TagEngine) judgeOpenings(now time.Time) {
+	var late []model.TargetID
 	for _, o := range e.opened.due(now, handshakeTime) {
-		if f, known := e.flows.get(o.hash); known && f.state == tagOpening && f.copies == 0 {
-			e.missed(now, o.hash, f.target, true)
+		f, known := e.flows.get(o.hash)
+		isLate := known && f.state == tagOpening
+		e.opened.judged(isLate)
+		if isLate && f.copies == 0 {
+			e.noteMiss(now, o.hash, f.target, true)
+			late = append(late, f.target)
 		}
 	}
+	for _, id := range lo.Uniq(late) {
+		e.suspect(now, id, e.loads.Evidence(id))
+	}
 }
 
 // Probed notes whether a suspected target took a connection. One that does not, while its flows miss answers and
