Drop what the daemon computed and nobody read

Ruled out: nothing; no behaviour is meant to change, but that an older packed item which cannot be opened no longer makes a fetched answer count as partial.

Before and after: the tests of core, news and edge pass unchanged.

--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -148,7 +148,7 @@
 	if f.state != tagClosing {
 		e.loads.Closed(f.target)
 	}
-	if f.counted && f.customer != nil {
+	if f.customer != nil {
 		e.cfg.Limits.Close(now, f.customer)
 	}
 }
@@ -184,7 +184,7 @@
 	Tag    flowtag.Tag
 	// Route is the flow's route where the packet opens one.
 	Route *model.Route
-	// ISN is the number that the flow's SYN carried; 0 where another daemon saw that.
+	// ISN is, of a reset in a target's place, the number that the flow's SYN carried; 0 where another daemon saw that.
 	ISN uint32
 	// RetryAfter is when a refused caller should come back; 0 where asking again is useless.
 	RetryAfter time.Duration
@@ -228,7 +228,7 @@
 		v.Target, v.ISN = target, f.after.isn
 		return v
 	}
-	v := TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag, ISN: f.after.isn}
+	v := TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag}
 	if f.added {
 		v.Reason = TagLearned
 	}
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -48,8 +48,7 @@
 	state    tagState
 	// copies counts the repetitions of the SYN, repeats those of the data that the caller sent last.
 	copies, repeats uint8
-	counted         bool
-	// customer is set for flows that were admitted here.
+	// customer is set for flows that were admitted here, and counted by the limits.
 	customer *model.Customer
 }
 
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -50,7 +50,7 @@
 		return v
 	}
 	f := e.newFlow(now, m, v)
-	f.customer, f.counted = customer, true
+	f.customer = customer
 	if e.flows.put(h, f) {
 		e.loads.Placed(now, f.target)
 		e.opened.add(now, h)
--- a/internal/news/fetch.go
+++ b/internal/news/fetch.go
@@ -19,7 +19,7 @@
 // which would fill the link of the daemon that tells of it.
 func (e *Engine) fetchSoon(now time.Time, m *member, size int) {
 	link := max(m.beat.Link, unknownLink)
-	place, _ := e.members.place(now)
+	place := e.members.place(now)
 	turn := time.Duration(float64(size*8*fetchRoom) / float64(link) * float64(time.Microsecond))
 	at := now.Add(min(time.Duration(place)*turn, maxFetchDelay))
 	if e.wantedAt.IsZero() || at.Before(e.wantedAt) {
@@ -68,25 +68,13 @@
 	if f.Err != nil || m == nil {
 		return e.step(now)
 	}
-	items := f.Items[:0]
-	whole := true
-	for _, it := range f.Items {
-		opened, err := e.replica.open(it)
-		if err != nil {
-			whole = false
-			continue
-		}
-		items = append(items, opened)
-	}
-	f.Items = items
+	items, lacking := e.replica.openAll(f.Items)
 	var actions []Action
-	if f.Complete > 0 && whole {
-		actions = e.changed(now, e.replica.reset(now, f.Complete, f.Items, f.Standing), m)
-		if at := now.Add(-f.Age); at.After(e.confirmed) {
-			e.confirmed = at
-		}
+	if f.Complete > 0 && lacking == nil {
+		actions = e.changed(now, e.replica.reset(now, f.Complete, items, f.Standing), m)
+		e.confirmedAt(now.Add(-f.Age))
 	} else {
-		actions = e.changed(now, e.replica.applyAll(now, f.Items), m)
+		actions = e.changed(now, e.replica.applyAll(now, items), m)
 	}
 	return append(actions, e.step(now)...)
 }
--- a/internal/news/members.go
+++ b/internal/news/members.go
@@ -155,18 +155,18 @@
 	})
 }
 
-// place returns how many live daemons of the own zone come before this one in the order, and how many there are.
-func (ms *members) place(now time.Time) (before, all int) {
+// place returns how many live daemons of the own zone come before this one in the order.
+func (ms *members) place(now time.Time) int {
+	n := 0
 	for _, m := range ms.ordered {
-		if m.Zone != ms.self.Zone || !m.live(now) {
-			continue
+		if !m.before(ms.self) {
+			return n
 		}
-		all++
-		if m.before(ms.self) {
-			before++
+		if m.Zone == ms.self.Zone && m.live(now) {
+			n++
 		}
 	}
-	return before, all
+	return n
 }
 
 // position returns how many live daemons of the own zone come before this one in the order and hear the
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -104,7 +104,7 @@
 		return append(e.reachedPlatform(nil), e.step(now)...)
 	}
 	wait := min(e.cfg.BackoffMin<<min(e.reader.failures, 8), e.cfg.BackoffMax)
-	if place, _ := e.members.place(now); place >= frontRank {
+	if e.members.place(now) >= frontRank {
 		wait *= laterWait
 	}
 	e.reader.failures++
--- a/internal/news/replica.go
+++ b/internal/news/replica.go
@@ -211,6 +211,23 @@
 	return it, err
 }
 
+// openAll returns those of the items that are newer than what is held, with their values, and one of those whose
+// value is still lacking; nil where there is none.
+func (r *replica) openAll(items []Item) (opened []Item, lacking *Item) {
+	for _, it := range items {
+		if was := r.items[it.Key]; was != nil && was.Revision >= it.Revision {
+			continue
+		}
+		it, err := r.open(it)
+		if it.Withheld || err != nil {
+			lacking = &it
+			continue
+		}
+		opened = append(opened, it)
+	}
+	return opened, lacking
+}
+
 // brief returns an item as it is sent to a copy that holds a revision of it; 0 for none.
 func (h *held) brief(have uint64) Item {
 	it := h.Item
--- a/internal/news/told.go
+++ b/internal/news/told.go
@@ -13,7 +13,7 @@
 	}
 	var actions []Action
 	if d.Heartbeat != nil {
-		actions = e.heard(now, m, d.Heartbeat)
+		e.heard(now, m, d.Heartbeat)
 	}
 	for _, named := range d.Members {
 		if e.members.byAddr[named.Addr] == nil && e.members.learn(now, named) != nil {
@@ -42,12 +42,11 @@
 }
 
 // heard notes a heartbeat.
-func (e *Engine) heard(now time.Time, m *member, beat *Heartbeat) []Action {
+func (e *Engine) heard(now time.Time, m *member, beat *Heartbeat) {
 	m.beat = *beat
 	m.heard = now
 	e.members.learn(now, Member{Addr: m.Addr, Zone: beat.Zone, Link: beat.Link})
 	e.compare(now, m)
-	return nil
 }
 
 // compare notes whether another daemon's copy equals the own one. An equal copy that is known to be complete
@@ -61,28 +60,20 @@
 	}
 	m.differs = time.Time{}
 	e.replica.complete = max(e.replica.complete, m.beat.Complete)
-	if at := now.Add(-m.beat.Age); at.After(e.confirmed) {
+	e.confirmedAt(now.Add(-m.beat.Age))
+}
+
+// confirmedAt notes that the platform confirmed the copy at a time.
+func (e *Engine) confirmedAt(at time.Time) {
+	if at.After(e.confirmed) {
 		e.confirmed = at
 	}
 }
 
 // told takes items from another daemon, and fetches those that came without their value.
 func (e *Engine) told(now time.Time, m *member, items []Item) []Action {
-	var whole []Item
-	var lacking *Item
-	for _, it := range items {
-		was := e.replica.items[it.Key]
-		if was != nil && was.Revision >= it.Revision {
-			continue
-		}
-		opened, err := e.replica.open(it)
-		if it.Withheld || err != nil {
-			lacking = &it
-			continue
-		}
-		whole = append(whole, opened)
-	}
-	actions := e.changed(now, e.replica.applyAll(now, whole), m)
+	opened, lacking := e.replica.openAll(items)
+	actions := e.changed(now, e.replica.applyAll(now, opened), m)
 	if lacking != nil {
 		e.fetchSoon(now, m, lacking.Size)
 	}
