Tell callers of flows across a zone's cut in time

Cause: a daemon took silence for a fault of its own link unless more targets answered than did not, over all zones.

Resets of requests that must run once: left alone, since they may have run.

Change: one zone with two targets or more of which most answer shows that this daemon's link is sound.

The evidence moved to a file of its own.

--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -441,6 +441,85 @@
 	})
 }
 
+// cutSite is a daemon in zone a that has flows to targets of zones a and b.
+type cutSite struct {
+	*tagSite
+	engine *TagEngine
+	// near and far are flows to targets of the own and of the other zone.
+	near, far []*caller
+}
+
+func newCutSite(dst netip.AddrPort) *cutSite {
+	s := &cutSite{tagSite: newTagSite(6)}
+	for i := 20; i < 32; i++ {
+		r := s.registration("booking", i)
+		r.Zone = "b"
+		s.directory.Register(s.now, r)
+	}
+	there := NewTagEngine(TagConfig{Policy: placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "b"}}), Epoch: s.now})
+	s.publish(there)
+	there.SetCurrent(true)
+	s.engine = s.tagSite.engine()
+	for range 40 {
+		if c := s.caller(dst).open(s.engine); s.engine.Target(c.target).Zone.Name == "a" {
+			s.near = append(s.near, c)
+		}
+		if c := s.caller(dst).open(there); there.Target(c.target).Zone.Name == "b" {
+			c.ask(s.engine)
+			s.far = append(s.far, c)
+		}
+	}
+	return s
+}
+
+// cut lets the far flows send data and repeat it until they are reset, and probes fail; it returns the last verdict of
+// each.
+func (s *cutSite) cut(nearAnswers bool) []TagVerdict {
+	s.now = s.now.Add(time.Second)
+	out := make([]TagVerdict, len(s.far))
+	for _, wait := range []time.Duration{0, 200, 400, 800} {
+		s.now = s.now.Add(wait * time.Millisecond)
+		for _, c := range s.near {
+			if nearAnswers {
+				c.ask(s.engine)
+			} else {
+				c.send(s.engine, 100)
+			}
+		}
+		for i, c := range s.far {
+			if out[i].Op != OpReset {
+				out[i] = c.send(s.engine, 100)
+				s.engine.Probed(s.now, c.target, false)
+			}
+		}
+	}
+	return out
+}
+
+func TestZoneCutOff(t *testing.T) {
+	Convey("While a zone is cut off, callers of flows across the cut are told in time", t, func() {
+		Convey("where their requests may run again", func() {
+			s := newCutSite(safeAddr)
+			So(len(s.far), ShouldBeGreaterThan, 12)
+			for _, v := range s.cut(true) {
+				So(v.Op, ShouldEqual, OpReset)
+			}
+		})
+		Convey("and not where a request may have run", func() {
+			s := newCutSite(unsafeAddr)
+			for _, v := range s.cut(true) {
+				So(v.Op, ShouldEqual, OpForward)
+			}
+		})
+		Convey("nor while the own zone's targets do not answer either", func() {
+			s := newCutSite(safeAddr)
+			for _, v := range s.cut(false) {
+				So(v.Op, ShouldEqual, OpForward)
+			}
+		})
+	})
+}
+
 func TestRefusingTarget(t *testing.T) {
 	Convey("A target that refuses new flows at their callers is suspected, probed and, once it is gone, left", t, func() {
 		s := newTagSite(4)
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -38,6 +38,8 @@
 	// the cause is here or everywhere: a rack is less of a service than that.
 	lateWeight = 0.1
 	lateShare  = 0.25
+	// zoneAnswers targets of a zone must have answered to show that it is reached; one may be this VM's neighbour.
+	zoneAnswers = 2
 	// endedMisses and endedTime hold for a target whose registration has ended.
 	endedMisses = 2
 	endedTime   = 150 * time.Millisecond
@@ -140,11 +142,20 @@
 	}
 }
 
-// hampered reports whether the cause of silence is more likely here than at the target: since the first packet
-// that it did not answer, no more targets have answered than have not.
+// hampered reports whether the cause of silence is more likely here than at the target or on the way to it: since the
+// first packet that it did not answer, no more targets have answered than have not, in all and in each zone. A zone
+// that answers while others do not answers the load pattern of a zone that is cut off: flows across the cut would hang
+// until their callers give up.
 func (e *TagEngine) hampered(ev placement.Evidence) bool {
-	answering, missing := e.loads.Answering(ev.FirstMiss.Add(-missDelay))
-	return answering <= missing
+	var all placement.Heard
+	for _, h := range e.loads.Heard(ev.FirstMiss.Add(-missDelay)) {
+		if h.Mostly() && h.Answering >= zoneAnswers {
+			return false
+		}
+		all.Answering += h.Answering
+		all.Missing += h.Missing
+	}
+	return !all.Mostly()
 }
 
 // NotFound notes that another daemon and a probe of this one did not find a target: the word of the other stands for
--- /dev/null
+++ b/placement/evidence.go
@@ -0,0 +1,85 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Evidence is what this daemon's own connection attempts to a target met.
+type Evidence struct {
+	// MissesInRow is the number of attempts without an answer since the last answer.
+	MissesInRow int
+	// LastAnswer and LastMiss are the times of the last attempts with and without an answer; zero when
+	// there was none.
+	LastAnswer, LastMiss time.Time
+	// FirstMiss is the time of the first attempt without an answer since the last answer.
+	FirstMiss time.Time
+	// MissedFlows is how often the flow of an attempt without an answer was another one than the flow before,
+	// since the last answer.
+	MissedFlows int
+	// Strong counts the attempts since the last answer that a busy target would have answered.
+	Strong int
+	// ProbedAt is when a connection to the target was last tried to find out; zero when none was. Connected
+	// is true where it came about.
+	ProbedAt   time.Time
+	Connected  bool
+	lastMissed model.FlowHash
+}
+
+// absent reports whether a probe after the first miss found no target.
+func (e *Evidence) absent() bool {
+	return e.MissesInRow > 0 && !e.ProbedAt.Before(e.FirstMiss) && !e.Connected
+}
+
+func (e *Evidence) answered(now time.Time) {
+	e.MissesInRow, e.MissedFlows, e.Strong, e.lastMissed = 0, 0, 0, 0
+	e.LastAnswer = now
+}
+
+func (e *Evidence) missed(now time.Time, h model.FlowHash, strong bool) {
+	if strong {
+		e.Strong++
+	}
+	if e.MissesInRow == 0 {
+		e.FirstMiss = now
+	}
+	if h != e.lastMissed {
+		e.MissedFlows++
+		e.lastMissed = h
+	}
+	e.MissesInRow++
+	e.LastMiss = now
+}
+
+// Heard is how many targets of a zone answered lately.
+type Heard struct {
+	// Answering is the number of targets whose last attempt was answered, Missing that of the others.
+	Answering, Missing int
+}
+
+// Mostly reports whether more of them answered than did not.
+func (h Heard) Mostly() bool {
+	return h.Answering > h.Missing
+}
+
+// Heard returns, for each zone, how many targets answered or left attempts unanswered since a time.
+func (l *LoadTable) Heard(since time.Time) map[model.Zone]Heard {
+	out := make(map[model.Zone]Heard)
+	for _, t := range *l.targets.Load() {
+		t.mu.Lock()
+		e := t.evidence
+		t.mu.Unlock()
+		h := out[t.zone]
+		switch {
+		case e.MissesInRow > 0 && e.LastMiss.After(since):
+			h.Missing++
+		case e.MissesInRow == 0 && e.LastAnswer.After(since):
+			h.Answering++
+		default:
+			continue
+		}
+		out[t.zone] = h
+	}
+	return out
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -84,28 +84,8 @@
 	update  sync.Mutex
 }
 
-// Evidence is what this daemon's own connection attempts to a target met.
-type Evidence struct {
-	// MissesInRow is the number of attempts without an answer since the last answer.
-	MissesInRow int
-	// LastAnswer and LastMiss are the times of the last attempts with and without an answer; zero when
-	// there was none.
-	LastAnswer, LastMiss time.Time
-	// FirstMiss is the time of the first attempt without an answer since the last answer.
-	FirstMiss time.Time
-	// MissedFlows is how often the flow of an attempt without an answer was another one than the flow before,
-	// since the last answer.
-	MissedFlows int
-	// Strong counts the attempts since the last answer that a busy target would have answered.
-	Strong int
-	// ProbedAt is when a connection to the target was last tried to find out; zero when none was. Connected
-	// is true where it came about.
-	ProbedAt   time.Time
-	Connected  bool
-	lastMissed model.FlowHash
-}
-
 type targetLoad struct {
+	zone       model.Zone
 	mu         sync.Mutex
 	open       int
 	recent     float64
@@ -143,17 +123,17 @@
 	}
 	t.Services(func(st *ServiceTable) {
 		for _, target := range st.targets {
-			next[target.ID] = joined(old, target.ID, now)
+			next[target.ID] = joined(old, target, now)
 		}
 	})
 	l.targets.Store(&next)
 }
 
-func joined(old map[model.TargetID]*targetLoad, id model.TargetID, now time.Time) *targetLoad {
-	if load := old[id]; load != nil {
+func joined(old map[model.TargetID]*targetLoad, t *model.Target, now time.Time) *targetLoad {
+	if load := old[t.ID]; load != nil {
 		return load
 	}
-	load := &targetLoad{}
+	load := &targetLoad{zone: t.Zone}
 	if len(old) > 0 {
 		load.since = now
 	}
@@ -266,48 +246,6 @@
 	})
 }
 
-// absent reports whether a probe after the first miss found no target.
-func (e *Evidence) absent() bool {
-	return e.MissesInRow > 0 && !e.ProbedAt.Before(e.FirstMiss) && !e.Connected
-}
-
-func (e *Evidence) answered(now time.Time) {
-	e.MissesInRow, e.MissedFlows, e.Strong, e.lastMissed = 0, 0, 0, 0
-	e.LastAnswer = now
-}
-
-func (e *Evidence) missed(now time.Time, h model.FlowHash, strong bool) {
-	if strong {
-		e.Strong++
-	}
-	if e.MissesInRow == 0 {
-		e.FirstMiss = now
-	}
-	if h != e.lastMissed {
-		e.MissedFlows++
-		e.lastMissed = h
-	}
-	e.MissesInRow++
-	e.LastMiss = now
-}
-
-// Answering counts the targets that answered or left attempts unanswered since a time: those whose last attempt
-// was answered, and the others.
-func (l *LoadTable) Answering(since time.Time) (answering, missing int) {
-	for _, t := range *l.targets.Load() {
-		t.mu.Lock()
-		e := t.evidence
-		t.mu.Unlock()
-		switch {
-		case e.MissesInRow > 0 && e.LastMiss.After(since):
-			missing++
-		case e.MissesInRow == 0 && e.LastAnswer.After(since):
-			answering++
-		}
-	}
-	return answering, missing
-}
-
 // Evidence returns what own connection attempts to the target met.
 func (l *LoadTable) Evidence(id model.TargetID) Evidence {
 	var e Evidence
