Serve metrics at a fixed address, share log lines fairly, trace a target

Cause: ports for readiness are new on each start of the users' platform, so its collector had no address to name; one limiter for all lines on flows let a burst of one event (learned flows after a restart) push out the others; an operator often knows a target and a time, and no flow.

Ruled out: that the collector could use the readiness address, whose port the deploy file cannot name.

Before and after: the tests of the budget, the listener, the settings and the trace fail without the change.

--- a/cmd/fireflypin/trace.go
+++ b/cmd/fireflypin/trace.go
@@ -11,23 +11,34 @@
 	"github.com/fireflypin/fireflypin/internal/flowtrace"
 )
 
-// errNoFiles is returned where no log was named.
-var errNoFiles = errors.New("name the files with the daemons' logs")
+var (
+	errNoFiles    = errors.New("name the files with the daemons' logs")
+	errOneSubject = errors.New("give one of --flow and --target")
+)
 
 func newTraceCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "trace",
-		Usage:     "tell from the daemons' logs what became of a flow",
+		Usage:     "tell from the daemons' logs what became of a flow, or of a target",
 		ArgsUsage: "FILES...",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "flow", Usage: "`ID` of the flow: caller>service or caller>service/number", Required: true},
+			&cli.StringFlag{Name: "flow", Usage: "`ID` of the flow: caller>service or caller>service/number"},
+			&cli.StringFlag{Name: "target", Usage: "`NAME` of a target: what daemons believed of it and which flows they ended for it"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			l, err := readLogs(c.Args().Slice())
 			if err != nil {
 				return err
 			}
-			story := l.Trace(c.String("flow"))
+			var story flowtrace.Story
+			switch flow, target := c.String("flow"), c.String("target"); {
+			case flow != "" && target == "":
+				story = l.Trace(flow)
+			case target != "" && flow == "":
+				story = l.TraceTarget(target)
+			default:
+				return errOneSubject
+			}
 			return story.Write(c.Root().Writer)
 		},
 	}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -53,7 +53,7 @@
 		return err
 	}
 	defer p.bulk.Close()
-	if err := p.Ops.Listen(); err != nil {
+	if err := errors.Join(p.Ops.Listen(), p.Ops.ListenSecond()); err != nil {
 		return err
 	}
 	err := p.Daemon.Run(ctx)
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -126,6 +126,7 @@
 	set.RegisterProcess()
 	return ops.NewServer(ops.Config{
 		Addr:    d.settings.Ops,
+		Second:  d.settings.Metrics,
 		Metrics: set,
 		Ready:   d,
 		Status:  d,
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -174,9 +174,9 @@
 	if now.Sub(c.lastLine) < logLeftOutEvery {
 		return
 	}
-	if n := c.d.flowsUnlogged.Swap(0); n > 0 {
+	if n, byEvent := c.d.flowLines.take(); n > 0 {
 		c.lastLine = now
-		c.d.log.Warn("lines on flows were left out", "op", "log", "event", "left_out", "lines", n)
+		c.d.log.Warn("lines on flows were left out", "op", "log", "event", "left_out", "lines", n, "by_event", byEvent)
 	}
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -18,7 +18,6 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/time/rate"
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/internal/directory"
@@ -41,9 +40,6 @@
 	stopMargin = time.Second
 	// stopCheck is the time between two looks at whether a stopping daemon is done.
 	stopCheck = 50 * time.Millisecond
-	// flowLinesPerSecond bounds the log lines on single flows, flowLineBurst those at once.
-	flowLinesPerSecond = 100
-	flowLineBurst      = 200
 	// memoryShare is the part of the memory limit that the runtime's heap may use before it collects harder.
 	memoryShare = 0.7
 )
@@ -104,9 +100,8 @@
 	engine      *core.TagEngine
 	peers       *peerLink
 
-	flowLines     *rate.Limiter
-	flowsUnlogged atomic.Int64
-	planVersion   atomic.Uint64
+	flowLines   *lineBudget
+	planVersion atomic.Uint64
 	// confirmedAt is when the platform last confirmed the lists in force, in nanoseconds since 1970.
 	confirmedAt atomic.Int64
 	stopping    atomic.Bool
@@ -139,7 +134,7 @@
 		system:      deps.System,
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
-		flowLines:   rate.NewLimiter(flowLinesPerSecond, flowLineBurst),
+		flowLines:   newLineBudget(),
 		events:      make(chan event, eventQueue),
 		seeds:       make(chan *settings.Settings, 1),
 		probes:      newProbes(),
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -19,13 +19,17 @@
 	return fmt.Sprintf("%v>%v/%08x", caller, service, isn)
 }
 
-// mayLog reports whether a line on a single flow may be written now, and counts those that may not.
-func (d *Daemon) mayLog(now time.Time) bool {
-	if d.flowLines.AllowN(now, 1) {
-		return true
+// eventOf returns the event of a packet that was steered for a reason.
+func eventOf(r core.TagReason) flowEvent {
+	switch r {
+	case core.TagRepeated:
+		return flowRepeated
+	case core.TagMoved:
+		return flowMoved
+	case core.TagLearned:
+		return flowLearned
 	}
-	d.flowsUnlogged.Add(1)
-	return false
+	return flowPlaced
 }
 
 // noteSteered counts and logs what a packet decided about its flow, other than to go on.
@@ -41,16 +45,17 @@
 	case core.TagLearned:
 		d.metrics.learned.Inc(1)
 	}
-	if !d.mayLog(now) {
+	event := eventOf(v.Reason)
+	if !d.flowLines.allow(now, event) {
 		return
 	}
 	o := d.engine.Loads().Observe(now, v.Target.ID)
 	if v.Reason == core.TagLearned {
-		d.log.Info("flow learned", "op", "flow", "event", "learned", "flow", flowID(m.Src, m.Dst, 0), "tag", tagText(v.Tag),
+		d.log.Info("flow learned", "op", "flow", "event", event, "flow", flowID(m.Src, m.Dst, 0), "tag", tagText(v.Tag),
 			"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "leaving", v.Target.Leaving, "lapsed", v.Target.Lapsed)
 		return
 	}
-	d.log.Info("flow placed", "op", "flow", "event", v.Reason.String(), "flow", flowID(m.Src, m.Dst, m.Seq), "route", v.Route.Name,
+	d.log.Info("flow placed", "op", "flow", "event", event, "flow", flowID(m.Src, m.Dst, m.Seq), "route", v.Route.Name,
 		"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "tag", tagText(v.Tag), "open", o.Open,
 		"misses", o.MissesInRow, "lapsed", v.Target.Lapsed, "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
 }
@@ -67,8 +72,8 @@
 	}
 	d.metrics.kinds.Add(v.Kind, 1)
 	d.metrics.refused.Inc(1)
-	if d.mayLog(now) {
-		d.log.Info("flow refused", "op", "flow", "event", "refused", "flow", flowID(m.Src, m.Dst, m.Seq), "kind", v.Kind,
+	if d.flowLines.allow(now, flowRefused) {
+		d.log.Info("flow refused", "op", "flow", "event", flowRefused, "flow", flowID(m.Src, m.Dst, m.Seq), "kind", v.Kind,
 			"retry_after_ms", v.RetryAfter.Milliseconds(), "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
 	}
 }
@@ -76,14 +81,14 @@
 // noteDropped counts and logs a packet that was not answered.
 func (d *Daemon) noteDropped(now time.Time, m *packet.Meta, tag flowtag.Tag, v *core.TagVerdict) {
 	d.metrics.kinds.Add(v.Kind, 1)
-	if !d.mayLog(now) {
+	if !d.flowLines.allow(now, flowDropped) {
 		return
 	}
 	isn := uint32(0)
 	if m.Flags.Has(packet.SYN) {
 		isn = m.Seq
 	}
-	d.log.Info("packet dropped", "op", "flow", "event", "dropped", "flow", flowID(m.Src, m.Dst, isn), "kind", v.Kind,
+	d.log.Info("packet dropped", "op", "flow", "event", flowDropped, "flow", flowID(m.Src, m.Dst, isn), "kind", v.Kind,
 		"tag", tagText(tag), "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
 }
 
@@ -91,7 +96,7 @@
 func (d *Daemon) noteReset(now time.Time, f *core.TagReset, cause string) {
 	d.metrics.reset.Inc(1)
 	d.metrics.kinds.Add(f.Kind, 1)
-	if !d.mayLog(now) {
+	if !d.flowLines.allow(now, flowReset) {
 		return
 	}
 	ev := d.engine.Loads().Evidence(f.Target)
@@ -99,7 +104,7 @@
 	if t := d.engine.Target(f.Target); t != nil {
 		target = t.Name
 	}
-	d.log.Info("flow reset", "op", "flow", "event", "reset", "flow", flowID(f.Caller, f.Service, f.ISN), "kind", f.Kind, "cause", cause,
+	d.log.Info("flow reset", "op", "flow", "event", flowReset, "flow", flowID(f.Caller, f.Service, f.ISN), "kind", f.Kind, "cause", cause,
 		"target", target, "misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", now.Sub(ev.FirstMiss).Milliseconds(),
 		"connected", ev.Connected, "probe_ms", now.Sub(ev.ProbedAt).Milliseconds())
 }
--- /dev/null
+++ b/internal/edge/lines_test.go
@@ -0,0 +1,43 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/core"
+)
+
+func TestLineBudget(t *testing.T) {
+	Convey("A flood of one event leaves lines for the others, and is itself bounded", t, func() {
+		b, now := newLineBudget(), time.Unix(100, 0)
+		learned, resets := 0, 0
+		for range 100 {
+			for range 100 {
+				if b.allow(now, flowLearned) {
+					learned++
+				}
+			}
+			if b.allow(now, flowReset) {
+				resets++
+			}
+			now = now.Add(100 * time.Millisecond)
+		}
+		So(resets, ShouldEqual, 100)
+		So(learned, ShouldBeLessThanOrEqualTo, ownLineBurst+sharedLineBurst+10*(ownLinesPerSecond+sharedLinesPerSecond))
+		So(learned, ShouldBeGreaterThan, 10*sharedLinesPerSecond)
+		n, text := b.take()
+		So(n, ShouldEqual, 100*100-learned)
+		So(b.total.Load(), ShouldEqual, n)
+		So(text, ShouldStartWith, "learned:")
+		n, text = b.take()
+		So(n, ShouldEqual, 0)
+		So(text, ShouldBeEmpty)
+	})
+	Convey("Every reason of a steered packet has its event", t, func() {
+		for r := core.TagPlaced; r <= core.TagMoved; r++ {
+			So(eventOf(r).String(), ShouldEqual, r.String())
+		}
+	})
+}
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -6,33 +6,33 @@
 
 // Status is what operators see of a daemon.
 type Status struct {
-	Name        string   `json:"name"`
-	Zone        string   `json:"zone"`
-	Plan        uint64   `json:"plan"`
-	Complete    uint64   `json:"complete"`
-	AgeMS       int64    `json:"age_ms"`
-	OpenFlows   int      `json:"open_flows"`
-	Services    []string `json:"services"`
-	Targets     int      `json:"targets"`
-	Former      int      `json:"former_targets"`
-	LivePeers   int      `json:"live_peers"`
-	Stopping    bool     `json:"stopping"`
-	NotCurrent  bool     `json:"not_current"`
-	LinesOmited int64    `json:"flows_not_logged_total"`
+	Name         string   `json:"name"`
+	Zone         string   `json:"zone"`
+	Plan         uint64   `json:"plan"`
+	Complete     uint64   `json:"complete"`
+	AgeMS        int64    `json:"age_ms"`
+	OpenFlows    int      `json:"open_flows"`
+	Services     []string `json:"services"`
+	Targets      int      `json:"targets"`
+	Former       int      `json:"former_targets"`
+	LivePeers    int      `json:"live_peers"`
+	Stopping     bool     `json:"stopping"`
+	NotCurrent   bool     `json:"not_current"`
+	LinesOmitted int64    `json:"flows_not_logged_total"`
 }
 
 func (c *control) report(now time.Time) *Status {
 	st := &Status{
-		Name:        c.d.settings.Name,
-		Zone:        c.d.settings.Zone.String(),
-		Plan:        c.d.planVersion.Load(),
-		Complete:    c.news.Complete(),
-		AgeMS:       c.news.Age(now).Milliseconds(),
-		OpenFlows:   c.d.engine.OpenFlows(),
-		LivePeers:   len(c.news.Members(now)),
-		Stopping:    c.d.stopping.Load(),
-		NotCurrent:  !c.pausedAt.IsZero(),
-		LinesOmited: c.d.flowsUnlogged.Load(),
+		Name:         c.d.settings.Name,
+		Zone:         c.d.settings.Zone.String(),
+		Plan:         c.d.planVersion.Load(),
+		Complete:     c.news.Complete(),
+		AgeMS:        c.news.Age(now).Milliseconds(),
+		OpenFlows:    c.d.engine.OpenFlows(),
+		LivePeers:    len(c.news.Members(now)),
+		Stopping:     c.d.stopping.Load(),
+		NotCurrent:   !c.pausedAt.IsZero(),
+		LinesOmitted: c.d.flowLines.total.Load(),
 	}
 	if s := c.d.engine.Lists(); s != nil {
 		for _, svc := range s.Services {
--- a/internal/edge/wiring.go
+++ b/internal/edge/wiring.go
@@ -143,7 +143,7 @@
 	d := do.MustInvoke[*Daemon](i)
 	set := do.MustInvoke[*metrics.Set](i)
 	set.RegisterProcess()
-	return ops.NewServer(ops.Config{Addr: d.settings.Ops, Metrics: set, Ready: d, Status: d}), nil
+	return ops.NewServer(ops.Config{Addr: d.settings.Ops, Second: d.settings.Metrics, Metrics: set, Ready: d, Status: d}), nil
 }
 
 // Run serves until ctx ends and returns after the graceful stop.
@@ -152,6 +152,9 @@
 	if err := p.ops.Listen(); err != nil {
 		return err
 	}
+	if err := p.ops.ListenSecond(); err != nil {
+		p.log.Warn("metrics are served at the ops address only", "op", "start", "event", "no_metrics_address", "err", err)
+	}
 	watchCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	go p.followSettings(watchCtx)
--- a/internal/flowtrace/trace.go
+++ b/internal/flowtrace/trace.go
@@ -13,11 +13,11 @@
 // than a registration takes to end after a target's death.
 const around = 5 * time.Second
 
-// Story is what the logs tell of one flow.
+// Story is what the logs tell of one flow, or of one target.
 type Story struct {
-	// Flow is the id that was asked for.
-	Flow  string
-	Lines []Line
+	// Subject is the flow's id or the target's name that was asked for.
+	Subject string
+	Lines   []Line
 	// Targets are those that the flow was sent to, in order.
 	Targets []string
 	// Entries are the daemons that have a line on the flow.
@@ -32,43 +32,70 @@
 // flow that went on at another daemon has no number there and is found by its ends.
 func (l *Log) Trace(id string) Story {
 	ends, _, _ := strings.Cut(id, "/")
-	s := Story{Flow: id, LeftOut: make(map[string]int)}
-	var own []Line
-	for _, line := range l.Lines {
-		if matches(line.Get("flow"), id, ends) {
-			own = append(own, line)
-			if !slices.Contains(s.Entries, line.Entry) {
-				s.Entries = append(s.Entries, line.Entry)
-			}
-			if t := line.Get("target"); t != "" && !slices.Contains(s.Targets, t) {
-				s.Targets = append(s.Targets, t)
-			}
+	s := Story{Subject: id}
+	isOwn := func(line *Line) bool { return matches(line.Get("flow"), id, ends) }
+	for i := range l.Lines {
+		line := &l.Lines[i]
+		if !isOwn(line) {
+			continue
+		}
+		s.Entries = addOnce(s.Entries, line.Entry)
+		if t := line.Get("target"); t != "" {
+			s.Targets = addOnce(s.Targets, t)
 		}
 	}
-	if len(own) == 0 {
-		return s
+	s.tell(l, isOwn, func(line *Line) bool { return isOwn(line) || s.concerns(line) })
+	return s
+}
+
+// TraceTarget tells the story of a target: what daemons believed of it, and which flows they ended or moved for it.
+func (l *Log) TraceTarget(name string) Story {
+	s := Story{Subject: name, Targets: []string{name}}
+	isOwn := func(line *Line) bool { return line.Get("target") == name }
+	s.tell(l, isOwn, func(line *Line) bool { return isOwn(line) && line.Event != "placed" && line.Event != "learned" })
+	return s
+}
+
+// tell fills in the lines that are to be told around the story's own ones, and what is missing there.
+func (s *Story) tell(l *Log, isOwn, told func(line *Line) bool) {
+	s.LeftOut = make(map[string]int)
+	first := slices.IndexFunc(l.Lines, func(line Line) bool { return isOwn(&line) })
+	if first < 0 {
+		return
+	}
+	last := first
+	for i := range l.Lines[first:] {
+		if isOwn(&l.Lines[first+i]) {
+			last = first + i
+		}
 	}
-	from, to := own[0].Time.Add(-around), own[len(own)-1].Time.Add(around)
+	from, to := l.Lines[first].Time.Add(-around), l.Lines[last].Time.Add(around)
 	heard := make(map[string]bool)
-	all := make(map[string]bool)
-	for _, line := range l.Lines {
-		all[line.Entry] = true
-		if line.Time.Before(from) || line.Time.After(to) {
+	for i := range l.Lines {
+		line := &l.Lines[i]
+		inTime := !line.Time.Before(from) && !line.Time.After(to)
+		heard[line.Entry] = heard[line.Entry] || inTime
+		if !inTime {
 			continue
 		}
-		heard[line.Entry] = true
 		s.LeftOut[line.Entry] += line.leftOut()
-		if matches(line.Get("flow"), id, ends) || s.concerns(&line) {
-			s.Lines = append(s.Lines, line)
+		if told(line) {
+			s.Lines = append(s.Lines, *line)
 		}
 	}
-	for entry := range all {
-		if !heard[entry] {
+	for entry, inTime := range heard {
+		if !inTime {
 			s.Silent = append(s.Silent, entry)
 		}
 	}
 	slices.Sort(s.Silent)
-	return s
+}
+
+func addOnce(list []string, v string) []string {
+	if slices.Contains(list, v) {
+		return list
+	}
+	return append(list, v)
 }
 
 // matches reports whether a line's flow is the one that is asked for. Ids with different numbers are different
@@ -96,7 +123,7 @@
 // Write prints the story.
 func (s *Story) Write(w io.Writer) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "flow %s\n", s.Flow)
+	fmt.Fprintf(&b, "%s\n", s.Subject)
 	if len(s.Lines) == 0 {
 		b.WriteString("no daemon's log has a line on it\n")
 	}
--- a/internal/flowtrace/trace_test.go
+++ b/internal/flowtrace/trace_test.go
@@ -51,6 +51,16 @@
 		s := read(logA).Trace("100.64.0.1:5>198.18.0.1:443")
 		So(s.Targets, ShouldResemble, []string{"t1", "t9"})
 	})
+	Convey("A target's story has what daemons believed of it and the flows that they ended for it", t, func() {
+		s := read(logA, logB, logC).TraceTarget("t1")
+		var events []string
+		for _, line := range s.Lines {
+			events = append(events, line.Entry+" "+line.Event)
+		}
+		So(events, ShouldResemble, []string{"a1 probed", "a1 reset"})
+		So(s.LeftOut["a1"], ShouldEqual, 17)
+		So(s.Silent, ShouldResemble, []string{"c1"})
+	})
 	Convey("A flow without lines says so", t, func() {
 		s := read(logA).Trace("1.2.3.4:5>6.7.8.9:1/00000001")
 		var out strings.Builder
--- a/internal/ops/server.go
+++ b/internal/ops/server.go
@@ -38,6 +38,8 @@
 type Config struct {
 	// Addr is the address to listen on. The zero value means DefaultAddr; port 0 picks a free port.
 	Addr netip.AddrPort
+	// Second is another address with the same routes. The zero value means none.
+	Second netip.AddrPort
 	// Metrics are served at /metrics and /metrics.json.
 	Metrics *metrics.Set
 	// Ready decides /readyz.
@@ -53,6 +55,7 @@
 	cfg    Config
 	server *http.Server
 	local  netip.AddrPort
+	second netip.AddrPort
 }
 
 // NewServer returns a server that does not listen yet.
@@ -88,13 +91,28 @@
 
 // Listen opens the address and serves in the background until Shutdown.
 func (s *Server) Listen() error {
-	l, err := net.Listen("tcp", s.cfg.Addr.String())
+	var err error
+	s.local, err = s.listen(s.cfg.Addr)
+	return err
+}
+
+// ListenSecond opens the second address, where there is one. The server does without it after an error.
+func (s *Server) ListenSecond() error {
+	if !s.cfg.Second.IsValid() {
+		return nil
+	}
+	var err error
+	s.second, err = s.listen(s.cfg.Second)
+	return err
+}
+
+func (s *Server) listen(addr netip.AddrPort) (netip.AddrPort, error) {
+	l, err := net.Listen("tcp", addr.String())
 	if err != nil {
-		return fmt.Errorf("listen for operators on %v: %w", s.cfg.Addr, err)
+		return addr, fmt.Errorf("listen for operators on %v: %w", addr, err)
 	}
-	s.local = l.Addr().(*net.TCPAddr).AddrPort()
-	go s.server.Serve(l)
-	return nil
+	go s.server.Serve(l) // ends with Shutdown
+	return l.Addr().(*net.TCPAddr).AddrPort(), nil
 }
 
 // Addr returns the address that the server listens on.
@@ -102,6 +120,11 @@
 	return s.local
 }
 
+// SecondAddr returns the second address that the server listens on.
+func (s *Server) SecondAddr() netip.AddrPort {
+	return s.second
+}
+
 // Shutdown stops listening and waits for requests under way until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if err := s.server.Shutdown(ctx); err != nil {
--- a/internal/ops/server_test.go
+++ b/internal/ops/server_test.go
@@ -79,6 +79,23 @@
 		_, err = http.Get("http://" + s.Addr().String() + "/healthz")
 		So(err, ShouldNotBeNil)
 	})
+	Convey("A second address has the same routes", t, func() {
+		s := newFixture(&fakeDaemon{}, false)
+		So(s.ListenSecond(), ShouldBeNil)
+		So(s.SecondAddr().IsValid(), ShouldBeFalse)
+		s.cfg.Second = netip.MustParseAddrPort("127.0.0.1:0")
+		So(s.Listen(), ShouldBeNil)
+		So(s.ListenSecond(), ShouldBeNil)
+		for _, a := range []netip.AddrPort{s.Addr(), s.SecondAddr()} {
+			res, err := http.Get("http://" + a.String() + "/metrics")
+			So(err, ShouldBeNil)
+			So(res.StatusCode, ShouldEqual, http.StatusOK)
+			So(res.Body.Close(), ShouldBeNil)
+		}
+		So(s.Shutdown(context.Background()), ShouldBeNil)
+		_, err := http.Get("http://" + s.SecondAddr().String() + "/metrics")
+		So(err, ShouldNotBeNil)
+	})
 	Convey("An address in use is an error that names it", t, func() {
 		s := newFixture(&fakeDaemon{}, false)
 		So(s.Listen(), ShouldBeNil)
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -28,6 +28,7 @@
 		{"memory_limit", "MiB, 0 to 1048576", "0", false, "size that the process's memory must stay under; 0 means none"},
 		{"link", "Mbit/s, 0 to 1048576", "0", false, "rate of the VM's network link; daemons with faster ones read the platform for the others; 0 means unknown"},
 		{"ops", "address:port", "127.0.0.1:9650", false, "TCP socket for metrics, health and status over HTTP"},
+		{"metrics", "address:port", "none", false, "second TCP socket that serves the same as ops, for collectors that reach the VM by a fixed port"},
 		{"platform.url", "URL", "required without lists", false, "the platform's service that publishes the lists"},
 		{"platform.watch_wait", "duration, 1s to 10m", "30s", false, "how long one watch call waits for a change"},
 		{"platform.call_timeout", "duration, 100ms to 1m", "5s", false, "how long a call may take; a watch gets it on top of its wait"},
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -81,6 +81,9 @@
 	if r.m.Has("ops") {
 		s.Ops = r.m.Address("ops")
 	}
+	if r.m.Has("metrics") {
+		s.Metrics = r.m.Address("metrics")
+	}
 }
 
 func (r *reader) readZones(s *Settings) {
@@ -191,6 +194,9 @@
 	if s.Bulk.IsValid() && s.Bulk == s.Ops {
 		r.m.Fault("ops", "%s is the bulk address too", s.Ops)
 	}
+	if s.Metrics.IsValid() && (s.Metrics == s.Ops || s.Metrics == s.Bulk) {
+		r.m.Fault("metrics", "%s is the ops or bulk address too", s.Metrics)
+	}
 	if s.TrustedPeers || loopback(s.Data) && loopback(s.Peer) && loopback(s.Bulk) {
 		return
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,8 @@
 	Bulk netip.AddrPort
 	// Ops serves metrics, health and status over HTTP. Key ops; default 127.0.0.1:9650.
 	Ops netip.AddrPort
+	// Metrics serves the same for collectors that reach the VM by a port of their own. Key metrics; default none.
+	Metrics netip.AddrPort
 	// Egress receives the IP-in-UDP packets of answers that go to callers. Key egress; required with
 	// SteerOwners, unused else.
 	Egress netip.AddrPort
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -27,6 +27,7 @@
   calls_per_second: 2.5
   call_burst: 9
 ops: 127.0.0.1:7004
+metrics: 127.0.0.1:7005
 key_files: [new.key, /etc/old.key]
 tls: {cert_file: a.pem, key_file: a.key, ca_file: ca.pem}
 seeds: ["127.0.0.1:7013", "127.0.0.1:7023"]
@@ -65,6 +66,7 @@
 		So(s.TLS.CAFile, ShouldEqual, "/etc/fireflypin/ca.pem")
 		So(s.Platform.CallsPerSecond, ShouldEqual, 2.5)
 		So(len(s.Seeds), ShouldEqual, 2)
+		So(s.Metrics.String(), ShouldEqual, "127.0.0.1:7005")
 		So(s.LogBatchInterval, ShouldEqual, 20*time.Millisecond)
 		So(s.LogLevel, ShouldEqual, log.DebugLevel)
 		So(s.Secure(), ShouldBeTrue)
@@ -88,6 +90,7 @@
 		{"both sources", "workers: 2", "lists: {customers: a, plans: b, machines: c}", "lists: cannot be used together with platform"},
 		{"no source", "platform:\n  url: http://127.0.0.1:8500\n  watch_wait: 20s\n  call_timeout: 2s\n  calls_per_second: 2.5\n  call_burst: 9\n", "", "platform: missing; give platform or lists"},
 		{"same socket", "peer: 127.0.0.1:7002", "peer: 127.0.0.1:7001", "peer: 127.0.0.1:7001 is the data address too"},
+		{"same metrics socket", "metrics: 127.0.0.1:7005", "metrics: 127.0.0.1:7004", "metrics: 127.0.0.1:7004 is the ops or bulk address too"},
 		{"no key beyond loopback", "key_files: [new.key, /etc/old.key]\n", "", "key_files: missing"},
 		{"no TLS beyond loopback", "tls: {cert_file: a.pem, key_file: a.key, ca_file: ca.pem}\n", "", "tls: missing"},
 		{"half TLS", ", ca_file: ca.pem", "", "tls.ca_file: missing"},
