Find targets that refuse new flows in half the time

Cause: after a target's crash its machine refuses connections at once; callers use up their tries within a quarter of a second, and a daemon knew after up to 0.28 s: 0.12 s until an opening counted as late, up to 0.1 s to the next look, 0.06 s between two probes although the first was refused in 2 ms.

Change: an opening is late after 0.06 s, where the target's handshakes lately took under a quarter of that, else after 0.12 s; flows are looked at every 0.05 s apart from the daemon's other work, with the check for a pause before it; the second probe starts when the first has failed.

Ruled out: 0.06 s for all targets, which would suspect busy ones and those of another region with each opening.

--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -631,6 +631,45 @@
 	})
 }
 
+func TestFarTargetIsNotLate(t *testing.T) {
+	Convey("A target whose handshakes take long has as much more time to answer; a near one has not", t, func() {
+		for _, c := range []struct {
+			handshake, waited time.Duration
+			suspected         int
+		}{
+			{2 * time.Millisecond, 70 * time.Millisecond, 1},
+			{20 * time.Millisecond, 70 * time.Millisecond, 0},
+			{20 * time.Millisecond, 130 * time.Millisecond, 1},
+			{40 * time.Millisecond, 130 * time.Millisecond, 0},
+		} {
+			s := newTagSite(1)
+			suspected := 0
+			e := NewTagEngine(TagConfig{
+				Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
+				Epoch:   s.now,
+				Suspect: func(*model.Target) { suspected++ },
+			})
+			s.publish(e)
+			e.SetCurrent(true)
+			for range 30 {
+				flow := s.caller(safeAddr)
+				flow.syn(e)
+				s.now = s.now.Add(c.handshake - 2*time.Millisecond)
+				flow.answered(e)
+				e.Tick(s.now)
+			}
+			s.now = s.now.Add(time.Second)
+			e.Tick(s.now)
+			s.caller(safeAddr).syn(e)
+			for range 3 {
+				s.now = s.now.Add(c.waited / 3)
+				e.Tick(s.now)
+			}
+			So(suspected, ShouldEqual, c.suspected)
+		}
+	})
+}
+
 func TestTargetThatOthersDidNotFind(t *testing.T) {
 	Convey("A target that another daemon and a probe of this one did not find takes no new flow, and its idle flows are reset", t, func() {
 		s := newSilence(safeAddr, 40)
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -42,8 +42,10 @@
 	flows tagFlows
 	// opened are the flows whose callers have yet to acknowledge a target's answer.
 	opened openings
-	world  atomic.Pointer[tagWorld]
-	silent silentTargets
+	// openedFar are those of them whose targets need longer.
+	openedFar openings
+	world     atomic.Pointer[tagWorld]
+	silent    silentTargets
 	// current is false while the daemon's beliefs may be old, as after a pause.
 	current atomic.Bool
 }
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -29,9 +29,12 @@
 	silentTime = 200 * time.Millisecond
 	// missDelay is the time from a packet to the miss that it causes: the first retransmission.
 	missDelay = 200 * time.Millisecond
-	// handshakeTime is how long a caller has to acknowledge a target's answer: many times the way to another zone
-	// and back, and less than the time after which it repeats its SYN.
-	handshakeTime = 120 * time.Millisecond
+	// handshakeTime is how long a caller has to acknowledge a target's answer: several times the way to another zone
+	// and back, and less than the time after which it repeats its SYN. Of a target whose handshakes lately took more than
+	// a handshakeFactor-th of it, in another region or busy, callers have handshakeTimeFar.
+	handshakeTime    = 60 * time.Millisecond
+	handshakeTimeFar = 120 * time.Millisecond
+	handshakeFactor  = 4
 	// probeEvery is the least time between two connections that are tried to one target.
 	probeEvery = 500 * time.Millisecond
 	// lateWeight is the weight of one opening in the share of those that were not answered in time; from lateShare on
@@ -118,19 +121,33 @@
 // pattern of a target that crashed and whose machine refuses what comes: callers are told at once and repeat nothing
 // on that flow, but ask again on new ones until they have used up their tries.
 func (e *TagEngine) judgeOpenings(now time.Time) {
+	late := e.judgeDue(now, &e.opened, handshakeTime, &e.openedFar)
+	late = append(late, e.judgeDue(now, &e.openedFar, handshakeTimeFar, nil)...)
+	for _, id := range lo.Uniq(late) {
+		e.suspect(now, id, e.loads.Evidence(id))
+	}
+}
+
+// judgeDue judges the openings that have waited for a time, and returns the targets of those that are late. Those
+// whose targets need longer go to next, if there is one.
+func (e *TagEngine) judgeDue(now time.Time, waiting *openings, wait time.Duration, next *openings) []model.TargetID {
 	var late []model.TargetID
-	for _, o := range e.opened.due(now, handshakeTime) {
+	for _, o := range waiting.due(now, wait) {
 		f, known := e.flows.get(o.hash)
 		isLate := known && f.state == tagOpening
+		if isLate && handshakeFactor*e.loads.Handshake(f.target) > wait {
+			if next != nil {
+				next.add(o.at, o.hash)
+			}
+			continue
+		}
 		e.opened.judged(isLate)
 		if isLate && f.copies == 0 {
 			e.noteMiss(now, o.hash, f.target, true)
 			late = append(late, f.target)
 		}
 	}
-	for _, id := range lo.Uniq(late) {
-		e.suspect(now, id, e.loads.Evidence(id))
-	}
+	return late
 }
 
 // Probed notes whether a suspected target took a connection. One that does not, while its flows miss answers and
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -14,8 +14,11 @@
 )
 
 const (
-	// tickInterval is the time between two ticks of the decision makers.
+	// tickInterval is the time between two looks at the copy of the published items and the other daemons.
 	tickInterval = 100 * time.Millisecond
+	// flowInterval is the time between two looks at what flows tell of their targets: of the order in which callers that
+	// a dead target's machine refuses ask again.
+	flowInterval = 50 * time.Millisecond
 	// adoptDelay gathers changes that come together into one set of lists.
 	adoptDelay = 20 * time.Millisecond
 	// adoptPerTarget is added for each target: about ten times what a set of lists costs to build.
@@ -60,6 +63,8 @@
 	c.handle(ctx, c.news.Start)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	flows := time.NewTicker(flowInterval)
+	defer flows.Stop()
 	soon := time.NewTimer(0)
 	defer soon.Stop()
 	for {
@@ -72,6 +77,8 @@
 			c.handle(ctx, func(now time.Time) []news.Action { return c.news.SetSeeds(now, s.Seeds) })
 		case <-ticker.C:
 			c.tick(ctx)
+		case <-flows.C:
+			c.tickFlows()
 		case <-soon.C:
 			c.handle(ctx, c.news.Tick)
 		}
@@ -126,8 +133,15 @@
 	c.d.log.Info("lists are current again", "op", "pause", "event", "ended")
 }
 
-func (c *control) tick(ctx context.Context) {
+// tickFlows judges targets by their flows.
+func (c *control) tickFlows() {
 	now := time.Now()
+	c.noticePause(now)
+	c.reset(now, c.d.engine.Tick(now))
+}
+
+// noticePause stops new flows after a pause, until the lists are known to be current or long enough has passed.
+func (c *control) noticePause(now time.Time) {
 	if gap := c.clock.gap(); gap >= pauseLimit {
 		c.pausedAt = now
 		c.d.engine.SetCurrent(false)
@@ -137,7 +151,11 @@
 	if !c.pausedAt.IsZero() && now.Sub(c.pausedAt) >= relearnTime {
 		c.heardAgain()
 	}
-	c.reset(now, c.d.engine.Tick(now))
+}
+
+func (c *control) tick(ctx context.Context) {
+	now := time.Now()
+	c.noticePause(now)
 	c.handle(ctx, c.news.Tick)
 	if c.news.Confirmed() {
 		c.d.confirmedAt.Store(now.Add(-c.news.Age(now)).UnixNano())
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -14,11 +14,12 @@
 const (
 	// probeTimeout is how long a target has to take a connection: many times the way to another zone and back.
 	probeTimeout = 130 * time.Millisecond
-	// probeTries connections are tried one after the other's start, so that one lost packet tells nothing.
+	// probeTries connections are tried one after the other, so that one lost packet tells nothing.
 	probeTries = 2
 	// toldTries are enough where another daemon has tried in vain.
 	toldTries = 1
-	// probeSpacing is the time between their starts: most targets have answered by then, and one connection does.
+	// probeSpacing is the time between their starts where the first is not refused: most targets have answered by then,
+	// and one connection does.
 	probeSpacing = 60 * time.Millisecond
 	// probeEvery is the least time between two probes of one target for flows that miss answers here.
 	probeEvery = 400 * time.Millisecond
@@ -127,22 +128,28 @@
 	}
 }
 
-// present reports whether one of a few tries finds the target.
+// present reports whether one of a few tries finds the target. The next try starts when the one before has failed,
+// or while it may still be on its way.
 func (d *Daemon) present(ctx context.Context, t *model.Target, tries int) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	results := make(chan bool, tries)
+	failed := 0
 	for i := range tries {
-		go func() {
-			select {
-			case <-ctx.Done():
-				results <- false
-			case <-time.After(time.Duration(i) * probeSpacing):
-				results <- d.prober.Present(ctx, t)
+		go func() { results <- d.prober.Present(ctx, t) }()
+		if i == tries-1 {
+			break
+		}
+		select {
+		case found := <-results:
+			if found {
+				return true
 			}
-		}()
+			failed++
+		case <-time.After(probeSpacing):
+		}
 	}
-	for range tries {
+	for ; failed < tries; failed++ {
 		if <-results {
 			return true
 		}
--- a/internal/edge/probes_test.go
+++ b/internal/edge/probes_test.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"context"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -27,3 +30,53 @@
 		So(p.suspects, ShouldHaveLength, maxProbes)
 	})
 }
+
+// prober answers tries in turn, each after a time.
+type prober struct {
+	after []time.Duration
+	found []bool
+	mu    sync.Mutex
+	n     int
+}
+
+func (p *prober) Present(ctx context.Context, _ *model.Target) bool {
+	p.mu.Lock()
+	i := p.n
+	p.n++
+	p.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(p.after[i]):
+		return p.found[i]
+	}
+}
+
+func TestPresent(t *testing.T) {
+	const ms = time.Millisecond
+	cases := []struct {
+		name  string
+		after []time.Duration
+		found []bool
+		want  bool
+		took  time.Duration
+	}{
+		{"found at once", []time.Duration{2 * ms, 0}, []bool{true, false}, true, 2 * ms},
+		{"refused twice", []time.Duration{2 * ms, 3 * ms}, []bool{false, false}, false, 5 * ms},
+		{"one packet lost", []time.Duration{time.Second, 2 * ms}, []bool{false, true}, true, probeSpacing + 2*ms},
+		{"slow", []time.Duration{100 * ms, time.Second}, []bool{true, false}, true, 100 * ms},
+		{"silent", []time.Duration{time.Second, time.Second}, []bool{false, false}, false, probeTimeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				Convey(c.name, t, func() {
+					d := &Daemon{prober: &prober{after: c.after, found: c.found}}
+					start := time.Now()
+					So(d.present(t.Context(), nil, probeTries), ShouldEqual, c.want)
+					So(time.Since(start), ShouldEqual, c.took)
+				})
+			})
+		})
+	}
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -262,6 +262,13 @@
 	return t.openFlows()
 }
 
+// Handshake returns the mean time from SYN to SYN-ACK of the target lately; 0 while unknown.
+func (l *LoadTable) Handshake(id model.TargetID) time.Duration {
+	var d time.Duration
+	l.with(id, func(t *targetLoad) { d = t.handshake })
+	return d
+}
+
 // Observe implements Loads.
 func (l *LoadTable) Observe(now time.Time, id model.TargetID) Observation {
 	t := (*l.targets.Load())[id]
