Drop first packets that waited through a pause; soak with faults of the project's own

The check of the lists' age did not help: word from other daemons waits in a socket too, so lists count as current again within 3 ms.

Ruled out: the targets' own resets (they come from another address), and the routers (the daemon had left their rotation). A longer wait after a pause: it would not tell old packets from new ones.

Change: the goroutine that moves packets asks the clock that counts suspension; after a pause it drops SYNs until its socket is empty.

fireflypin soak runs the daemons as processes with stand-ins for store, routers, targets and callers, and injects faults: signals, a TCP proxy to the store, links that are cut or lossy, targets that die or leave, configurations, settings. Checked: at most one run and true refusals (porcupine), open flows, routes, revisions, stops, service after the last fault.

--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -42,6 +42,8 @@
 			newCapacityCommand(),
 			newTraceCommand(),
 			newLogsCommand(),
+			newSoakCommand(),
+			newReportCommand(),
 		},
 	}
 }
--- a/internal/edge/clock.go
+++ b/internal/edge/clock.go
@@ -1,16 +1,24 @@
 package edge
 
 import (
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
 )
 
-// suspendClock finds gaps between ticks by a clock that goes on while the machine is suspended, which the
-// runtime's steady clock does not.
-type suspendClock struct {
+// pauseLimit is the gap between two looks at the clock from which the process was paused and what it believes may be
+// old.
+const pauseLimit = time.Second
+
+// pauseClock finds pauses of the process by a clock that goes on while the machine is suspended, which the runtime's
+// steady clock does not. One goroutine looks at regular times; others may ask it at any time.
+type pauseClock struct {
+	// sinceBoot returns the time since the machine started, suspension counted; false where it is not known.
 	sinceBoot func() (time.Duration, bool)
-	last      time.Duration
+	// lookedAt is when the last look was, in nanoseconds since the machine's start.
+	lookedAt atomic.Int64
+	pauses   atomic.Int64
 }
 
 // sinceBoot returns the time since the machine started, suspension counted.
@@ -22,17 +30,39 @@
 	return time.Duration(ts.Nano()), true
 }
 
-func (c *suspendClock) start() {
-	c.last, _ = c.sinceBoot() // gap finds out whether there is such a clock
+func (c *pauseClock) start() {
+	c.look()
+	c.pauses.Store(0)
 }
 
-// gap returns the time since the last call or start; 0 where the system has no such clock.
-func (c *suspendClock) gap() time.Duration {
-	boot, ok := c.sinceBoot()
-	if !ok {
+// look returns how long the process was paused since the last look; 0 where it was not.
+func (c *pauseClock) look() time.Duration {
+	gap, boot := c.gap()
+	if gap >= pauseLimit {
+		c.pauses.Add(1)
+	}
+	c.lookedAt.Store(int64(boot))
+	if gap < pauseLimit {
 		return 0
 	}
-	gap := boot - c.last
-	c.last = boot
 	return gap
 }
+
+// gap returns the time since the last look, and the time of this one.
+func (c *pauseClock) gap() (gap, boot time.Duration) {
+	boot, ok := c.sinceBoot()
+	if !ok {
+		return 0, 0
+	}
+	return boot - time.Duration(c.lookedAt.Load()), boot
+}
+
+// pausedSince reports whether the process was paused since the caller last asked, noticed by a look or not yet. seen
+// is the caller's own.
+func (c *pauseClock) pausedSince(seen *int64) bool {
+	pauses := c.pauses.Load()
+	paused := pauses != *seen
+	*seen = pauses
+	gap, _ := c.gap()
+	return paused || gap >= pauseLimit
+}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -25,9 +25,6 @@
 	adoptPerTarget = 50 * time.Microsecond
 	// readLimit bounds the reading of all items, of which a large site has tens of pages.
 	readLimit = 10 * time.Second
-	// pauseLimit is the gap between two ticks, by a clock that counts suspension, from which the process was
-	// paused and what it believes may be old.
-	pauseLimit = time.Second
 	// relearnTime is how long a daemon that was paused waits at most for word from others.
 	relearnTime = 600 * time.Millisecond
 	// answerSlack is the time that a call to the platform gets on top of its wait.
@@ -49,7 +46,6 @@
 	adoptAt time.Time
 	// cancel ends the open call to the platform.
 	cancel context.CancelFunc
-	clock  suspendClock
 	// pausedAt is when a pause was noticed; zero while the lists are current.
 	pausedAt time.Time
 	lastLine time.Time
@@ -57,7 +53,7 @@
 }
 
 func (c *control) run(ctx context.Context) error {
-	c.clock.start()
+	c.d.pauses.start()
 	c.status.Store(c.report(time.Now()))
 	c.d.engine.SetCurrent(true)
 	c.handle(ctx, c.news.Start)
@@ -142,7 +138,7 @@
 
 // noticePause stops new flows after a pause, until the lists are known to be current or long enough has passed.
 func (c *control) noticePause(now time.Time) {
-	if gap := c.clock.gap(); gap >= pauseLimit {
+	if gap := c.d.pauses.look(); gap > 0 {
 		c.pausedAt = now
 		c.d.engine.SetCurrent(false)
 		c.d.store.Reset()
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -105,6 +105,7 @@
 	// confirmedAt is when the platform last confirmed the lists in force, in nanoseconds since 1970.
 	confirmedAt atomic.Int64
 	stopping    atomic.Bool
+	pauses      pauseClock
 
 	// data is the socket of the fabric's packets.
 	data   udpio.Conn
@@ -139,6 +140,7 @@
 		seeds:       make(chan *settings.Settings, 1),
 		probes:      newProbes(),
 		adopted:     make(chan struct{}),
+		pauses:      pauseClock{sinceBoot: deps.System.SinceBoot},
 	}
 	d.engine = core.NewTagEngine(core.TagConfig{
 		Policy:  placement.NewNearest(placement.NearestConfig{Zone: s.Zone}),
@@ -151,8 +153,7 @@
 	d.peers = newPeerLink(s, deps.Keys, incarnation, d.metrics)
 	seed := uint64(model.MachineIDOf(s.Name))
 	d.control = &control{
-		d:     d,
-		clock: suspendClock{sinceBoot: deps.System.SinceBoot},
+		d: d,
 		news: news.New(news.Config{
 			Self:      news.Member{Addr: s.Peer, Zone: s.Zone.Name, Link: uint32(s.Link)},
 			Seeds:     s.Seeds,
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -463,11 +463,15 @@
 		c := f.client()
 		defer c.conn.Close()
 		a := f.start(ctx, 1)
-		time.Sleep(3 * time.Second)
+		time.Sleep(3*time.Second + 20*time.Millisecond) // between two looks at the clock
 		f.store.set(false, true)
 		f.mu.Lock()
 		a.suspended = 5 * time.Second
 		f.mu.Unlock()
+		// What waited in the socket meanwhile is stale: its caller has gone on elsewhere.
+		c.send(a, c.packetOf(2999, 1, wireSYN, 100, 0, 0, 0))
+		time.Sleep(5 * time.Millisecond)
+		So(one.take(), ShouldBeEmpty)
 		time.Sleep(150 * time.Millisecond)
 		So(a.daemon.Ready(), ShouldNotBeNil)
 		c.send(a, c.packetOf(3000, 1, wireSYN, 100, 0, 0, 0))
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -30,6 +30,11 @@
 	out    []udpio.Message
 	resets [][]byte
 	meta   packet.Meta
+
+	// pauses is the mover's own count for the clock of pauses; stale is true while packets are read that may have
+	// waited through a pause.
+	pauses int64
+	stale  bool
 }
 
 func (d *Daemon) newMover(conn udpio.Conn) *mover {
@@ -55,10 +60,14 @@
 		}
 		now := time.Now()
 		m.d.metrics.lastPacket.Store(now.UnixNano())
+		m.stale = m.d.pauses.pausedSince(&m.pauses) || m.stale
 		for i := range m.in[:n] {
 			m.handle(now, i)
 		}
 		m.flush()
+		if n < len(m.in) {
+			m.stale = false // nothing waits any longer
+		}
 	}
 }
 
@@ -72,6 +81,8 @@
 	m.out = m.out[:0]
 }
 
+// handle decides on one packet. First packets of flows that waited through a pause are dropped: their callers have gone
+// on elsewhere since, and a second target that refuses such a packet would end the flow at the first.
 func (m *mover) handle(now time.Time, i int) {
 	raw := m.in[i].Buf[:m.in[i].N]
 	tag, kind := m.d.transport.Decode(raw, &m.meta)
@@ -79,6 +90,10 @@
 		m.d.metrics.kinds.Add(kind, 1)
 		return
 	}
+	if m.stale && m.meta.Flags.Has(packet.SYN) {
+		m.d.noteDropped(now, &m.meta, tag, &core.TagVerdict{Op: core.OpDrop, Kind: errkind.NotReady})
+		return
+	}
 	v := m.d.engine.FromCaller(now, &m.meta, tag)
 	switch v.Op {
 	case core.OpForward:
--- /dev/null
+++ b/internal/soak/caller.go
@@ -0,0 +1,237 @@
+package soak
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+const (
+	// openTime is how long a caller waits for the answer to its SYN.
+	openTime = 1400 * time.Millisecond
+	// requestTime is how long a caller waits for an answer, retries how often it asks again.
+	requestTime = 3 * time.Second
+	retries     = 2
+	// maxRequests bounds the requests of a flow, pauseTime is the mean time between two of them.
+	maxRequests = 12
+	pauseTime   = 400 * time.Millisecond
+)
+
+// synCopies are the times of the copies of a SYN.
+var synCopies = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
+
+// caller is one client address.
+type caller struct {
+	w     *world
+	zone  string
+	addr  netip.AddrPort
+	conn  *net.UDPConn
+	flows map[uint16]*flow
+	port  uint16
+	next  time.Time
+}
+
+// request is what a caller wants; it goes on over several attempts.
+type request struct {
+	id         uint64
+	attempt    uint32
+	repeatable bool
+	// done hears whether it was answered in the end; nil for ordinary traffic.
+	done func(answered bool)
+}
+
+// flow is a flow at its caller.
+type flow struct {
+	c     *caller
+	key   packet.FlowKey
+	route Route
+	began time.Time
+	// first is the caller's opening number, next the one that it sends next, expected the target's next.
+	first, next, expected uint32
+	tag                   uint32
+	open                  bool
+	// holder is the target that the flow opened at.
+	holder *target
+	copies int
+	left   int
+	// wanted is under way, sent at sent and again at repeatAt; nil between two.
+	wanted   *request
+	sent     time.Time
+	repeatAt time.Time
+	repeat   time.Duration
+	askAt    time.Time
+}
+
+func (w *world) newCaller(zone string, addr netip.AddrPort) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		w.fail(err)
+		return
+	}
+	c := &caller{w: w, zone: zone, addr: addr, conn: conn, flows: make(map[uint16]*flow), port: 1024, next: time.Now()}
+	w.callers = append(w.callers, c)
+	go w.read(conn, func(now time.Time, from netip.AddrPort, raw []byte) { c.receive(now, from, raw) })
+}
+
+// newRequest returns a request to a route.
+func (w *world) newRequest(r Route, done func(bool)) *request {
+	w.requestsMade++
+	return &request{id: w.requestsMade, repeatable: r.Repeatable, done: done}
+}
+
+// ask opens a flow for a request and, where left allows, further ones.
+func (c *caller) ask(now time.Time, r Route, q *request, left int) {
+	c.port++
+	if c.port < 1024 {
+		c.port = 1024
+	}
+	f := &flow{
+		c: c, route: r, began: now, wanted: q, left: left, first: c.w.rand.Uint32(),
+		key: packet.FlowKey{Caller: netip.AddrPortFrom(c.addr.Addr(), c.port), Service: r.Address},
+	}
+	f.next = f.first + 1
+	f.sent = now
+	c.flows[c.port] = f
+	f.send(Packet{Seq: f.first, Flags: packet.SYN})
+}
+
+func (f *flow) send(p Packet) {
+	p.Src, p.Dst = f.key.Caller, f.key.Service
+	if e := f.c.w.route(f.c.zone, f.key); e != nil && !f.c.w.links.drops(f.c.w.rand, f.c.zone, e.zone, false) {
+		f.c.w.write(f.c.conn, e.at(dataPort), f.c.w.dialect.AppendPacket(nil, p))
+	}
+}
+
+func (f *flow) sendRequest() {
+	id := history.AttemptID{Request: f.wanted.id, Attempt: f.wanted.attempt}
+	f.send(Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag, Data: appendRequest(id, f.wanted.repeatable)})
+}
+
+func (c *caller) tick(now time.Time) {
+	if c.w.traffic && !now.Before(c.next) {
+		c.next = now.Add(c.w.wait(c.w.shape.every))
+		r := c.w.wanted()
+		c.ask(now, r, c.w.newRequest(r, nil), c.w.rand.IntN(maxRequests))
+	}
+	for _, f := range c.flows {
+		f.tick(now)
+	}
+}
+
+func (f *flow) tick(now time.Time) {
+	switch {
+	case !f.open:
+		f.tickOpening(now)
+	case f.wanted == nil:
+		if !now.Before(f.askAt) {
+			f.left--
+			f.begin(now, f.c.w.newRequest(f.route, nil))
+		}
+	case now.Sub(f.sent) >= requestTime:
+		f.end(now, history.FateUnknown, history.CauseTimedOut)
+	case !now.Before(f.repeatAt):
+		f.repeat = min(2*f.repeat, maxRepeat)
+		f.repeatAt = now.Add(f.repeat)
+		f.sendRequest()
+	}
+}
+
+func (f *flow) tickOpening(now time.Time) {
+	waited := now.Sub(f.began)
+	if waited >= openTime {
+		f.end(now, history.FateNotRun, history.CauseSilent)
+		return
+	}
+	if f.copies < len(synCopies) && waited >= synCopies[f.copies] {
+		f.copies++
+		f.send(Packet{Seq: f.first, Ack: uint32(f.copies), Flags: packet.SYN})
+	}
+}
+
+// begin sends a request on an open flow.
+func (f *flow) begin(now time.Time, q *request) {
+	f.wanted, f.sent = q, now
+	f.repeat = firstRepeat
+	f.repeatAt = now.Add(f.repeat)
+	f.sendRequest()
+}
+
+// receive takes a packet of a target or of a daemon.
+func (c *caller) receive(now time.Time, from netip.AddrPort, raw []byte) {
+	p, ok := c.w.dialect.ReadPacket(raw)
+	if !ok {
+		return
+	}
+	f := c.flows[p.Dst.Port()]
+	if f == nil || p.Src != f.key.Service {
+		return
+	}
+	switch {
+	case p.Flags.Has(packet.RST):
+		f.wasReset(now, from)
+	case !f.open && p.Flags.Has(packet.SYN|packet.ACK) && p.Ack == f.next:
+		f.open, f.expected, f.tag = true, p.Seq+1, p.Tag
+		f.holder = c.w.targetAt(from)
+		f.begin(now, f.wanted)
+	case f.open && !p.Flags.Has(packet.SYN):
+		f.advance(now, p)
+	}
+}
+
+func (f *flow) advance(now time.Time, p Packet) {
+	f.tag = p.Tag
+	if p.Ack == f.next+requestBytes {
+		f.next = p.Ack
+		f.repeatAt = now.Add(requestTime) // it was taken; the answer follows
+	}
+	if len(p.Data) != requestBytes || p.Seq != f.expected {
+		return
+	}
+	f.expected += requestBytes
+	f.send(Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag})
+	if f.wanted == nil {
+		return
+	}
+	answer, _ := readRequest(p.Data)
+	f.c.w.outcome(now, f, history.FateAnswered, history.CauseNone, answer)
+	if f.wanted.done != nil {
+		f.wanted.done(true)
+	}
+	f.wanted = nil
+	f.askAt = now.Add(f.c.w.wait(pauseTime))
+	if f.left <= 0 || !f.c.w.traffic {
+		f.send(Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK | packet.FIN, Tag: f.tag})
+		delete(f.c.flows, f.key.Caller.Port())
+	}
+}
+
+// wasReset ends the flow, and checks a reset of an open one.
+func (f *flow) wasReset(now time.Time, from netip.AddrPort) {
+	if !f.open {
+		f.end(now, history.FateNotRun, history.CauseReset)
+		return
+	}
+	f.c.w.checkReset(now, f, from)
+	f.end(now, history.FateUnknown, history.CauseReset)
+}
+
+// end ends the flow with its request's fate, and asks again where that is safe.
+func (f *flow) end(now time.Time, fate history.Fate, cause history.Cause) {
+	delete(f.c.flows, f.key.Caller.Port())
+	q := f.wanted
+	if q == nil {
+		return
+	}
+	f.c.w.outcome(now, f, fate, cause, history.AttemptID{})
+	if q.attempt < retries && (fate == history.FateNotRun || q.repeatable) {
+		q.attempt++
+		f.c.ask(now, f.route, q, f.left)
+		return
+	}
+	if q.done != nil {
+		q.done(false)
+	}
+}
--- /dev/null
+++ b/internal/soak/links.go
@@ -0,0 +1,24 @@
+package soak
+
+import "math/rand/v2"
+
+// lossShare is the part of packets that is lost while there is loss.
+const lossShare = 0.03
+
+// links are the ways between the zones. A cut may be made several times at once.
+type links struct {
+	// cut counts the cuts around a zone, half those of the way from its daemons to the targets of other zones.
+	cut, half map[string]int
+	lossy     int
+}
+
+// drops reports whether a packet between two zones is lost; toTarget is true on the way from a daemon to a target.
+func (l *links) drops(r *rand.Rand, from, to string, toTarget bool) bool {
+	if l.lossy > 0 && r.Float64() < lossShare {
+		return true
+	}
+	if from == to {
+		return false
+	}
+	return l.cut[from] > 0 || l.cut[to] > 0 || toTarget && l.half[from] > 0
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+// proxyMode is what a proxy does to the calls that pass through it.
+type proxyMode uint8
+
+const (
+	proxyPass proxyMode = iota
+	proxySlow
+	proxyReset
+	proxySilent
+	// proxyLost lets calls through and swallows their answers.
+	proxyLost
+)
+
+// proxyDelay is added to each piece of data by a slow proxy.
+const proxyDelay = 300 * time.Millisecond
+
+// proxy passes TCP connections on to one address and spoils them on request. It is safe for concurrent use.
+type proxy struct {
+	listener net.Listener
+	to       string
+
+	mu sync.Mutex
+	// modes are the ones in force, each by its token; the last one counts.
+	modes []proxyToken
+	conns map[net.Conn]bool
+}
+
+type proxyToken struct {
+	token int
+	mode  proxyMode
+}
+
+func newProxy(to string) (*proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("open a proxy: %w", err)
+	}
+	p := &proxy{listener: l, to: to, conns: make(map[net.Conn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+func (p *proxy) addr() string { return p.listener.Addr().String() }
+
+// begin puts a mode in force until end is called with the same token.
+func (p *proxy) begin(token int, mode proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.modes = append(p.modes, proxyToken{token, mode})
+	if mode == proxyReset {
+		for c := range p.conns {
+			abort(c)
+		}
+	}
+}
+
+func (p *proxy) end(token int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.modes = slices.DeleteFunc(p.modes, func(t proxyToken) bool { return t.token == token })
+}
+
+func (p *proxy) mode() proxyMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.modes) == 0 {
+		return proxyPass
+	}
+	return p.modes[len(p.modes)-1].mode
+}
+
+func (p *proxy) close() {
+	_ = p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		_ = c.Close()
+	}
+}
+
+// abort closes a connection with a reset.
+func abort(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+func (p *proxy) keep(c net.Conn, open bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if open {
+		p.conns[c] = true
+	} else {
+		delete(p.conns, c)
+	}
+}
+
+func (p *proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.mode() == proxyReset {
+			abort(c)
+			continue
+		}
+		go p.pass(c)
+	}
+}
+
+func (p *proxy) pass(in net.Conn) {
+	out, err := net.Dial("tcp", p.to)
+	if err != nil {
+		abort(in)
+		return
+	}
+	p.keep(in, true)
+	p.keep(out, true)
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(out, in, false) })
+	both.Go(func() { p.copy(in, out, true) })
+	both.Wait()
+	p.keep(in, false)
+	p.keep(out, false)
+}
+
+// copy passes one way on until either end is closed.
+func (p *proxy) copy(to, from net.Conn, answers bool) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 && !p.swallows(answers) {
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err == io.EOF || err != nil {
+			return
+		}
+	}
+}
+
+// swallows delays data where the mode asks for it, and reports whether it is not to be passed on. What was swallowed
+// leaves the connection useless, as a lost answer does.
+func (p *proxy) swallows(answers bool) bool {
+	switch p.mode() {
+	case proxySlow:
+		time.Sleep(proxyDelay)
+	case proxySilent:
+		return true
+	case proxyLost:
+		return answers
+	}
+	return false
+}
--- /dev/null
+++ b/internal/soak/schedule_test.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestDraw(t *testing.T) {
+	Convey("A seed gives the same schedule each time, in order and over before the end", t, func() {
+		one := Draw(7, Small, time.Minute)
+		So(Draw(7, Small, time.Minute), ShouldResemble, one)
+		So(Draw(8, Small, time.Minute), ShouldNotResemble, one)
+		So(len(one.Steps), ShouldBeGreaterThan, 10)
+		for _, s := range one.Steps {
+			So(s.At+s.For, ShouldBeLessThan, one.For)
+		}
+	})
+	Convey("Series overlap", t, func() {
+		overlaps := 0
+		steps := Draw(7, Small, time.Minute).Steps
+		for i, s := range steps[1:] {
+			if s.At < steps[i].At+steps[i].For {
+				overlaps++
+			}
+		}
+		So(overlaps, ShouldBeGreaterThan, len(steps)/4)
+	})
+}
+
+func TestSaveAndLoad(t *testing.T) {
+	Convey("A schedule is read back as it was written", t, func() {
+		path := filepath.Join(t.TempDir(), "s.json")
+		s := Draw(3, Usual, 20*time.Second)
+		So(s.Save(path), ShouldBeNil)
+		again, err := Load(path)
+		So(err, ShouldBeNil)
+		So(again, ShouldResemble, s)
+	})
+	Convey("An unknown size is refused", t, func() {
+		path := filepath.Join(t.TempDir(), "s.json")
+		So(Schedule{Size: "huge"}.Save(path), ShouldBeNil)
+		_, err := Load(path)
+		So(err, ShouldNotBeNil)
+	})
+	Convey("Every schedule that once failed can be played", t, func() {
+		files, err := filepath.Glob("testdata/*.json")
+		So(err, ShouldBeNil)
+		So(files, ShouldNotBeEmpty)
+		for _, f := range files {
+			s, err := Load(f)
+			So(err, ShouldBeNil)
+			So(s.Steps, ShouldNotBeEmpty)
+		}
+	})
+}
+
+func TestShrink(t *testing.T) {
+	Convey("Steps that the failure does not need are dropped, within the tries", t, func() {
+		s := Draw(7, Small, time.Minute)
+		needed := []Step{s.Steps[2], s.Steps[len(s.Steps)-2]}
+		runs := 0
+		fails := func(c Schedule) bool {
+			runs++
+			found := 0
+			for _, step := range c.Steps {
+				if step == needed[0] || step == needed[1] {
+					found++
+				}
+			}
+			return found == 2
+		}
+		small := s.Shrink(200, fails)
+		So(small.Steps, ShouldResemble, needed)
+		So(runs, ShouldBeLessThanOrEqualTo, 200)
+		runs = 0
+		s.Shrink(5, fails)
+		So(runs, ShouldEqual, 5)
+	})
+}
--- /dev/null
+++ b/internal/soak/steps.go
@@ -0,0 +1,202 @@
+package soak
+
+import (
+	"net/netip"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// play does a step, and what ends it later. Steps whose subject is not there are left out.
+func (w *world) play(s Step) {
+	now := time.Now()
+	e := w.entries[s.Subject%len(w.entries)]
+	switch s.Kind {
+	case Kill:
+		w.kill(now, e, s.For)
+	case KillAll:
+		for _, e := range w.entries {
+			w.kill(now, e, s.For)
+		}
+	case Restart:
+		began := now
+		if e.stop(syscall.SIGTERM, e.start) {
+			w.after(drainTimeout+stopSlack, func() { w.checkStop(e, began) })
+		}
+	case Pause:
+		w.pause(now, e, s.For)
+	case StoreSlow, StoreReset, StoreSilent, StoreLost:
+		w.spoil(now, e, proxyModes[s.Kind], s.For)
+	case StoreDown:
+		for _, e := range w.entries {
+			w.spoil(now, e, proxyReset, s.For)
+		}
+	case StoreForgets:
+		w.store.forget()
+	case ZoneCut, HalfCut, Loss:
+		w.spoilLinks(now, s)
+	case Crash, Dark, Drain:
+		w.endTarget(s)
+	case AddRoute:
+		w.addRoute()
+	case DropRoute:
+		w.dropRoute(s.Subject)
+	case Settings:
+		if err := e.settings(); err != nil {
+			w.fail(err)
+		}
+		e.signal(syscall.SIGHUP)
+	}
+}
+
+// proxyModes are the modes of the steps that spoil one daemon's way to the store.
+var proxyModes = map[Kind]proxyMode{StoreSlow: proxySlow, StoreReset: proxyReset, StoreSilent: proxySilent, StoreLost: proxyLost}
+
+// troubled notes a fault of a daemon that lasts until a time.
+func (e *entry) troubled(until time.Time) {
+	if until = until.Add(settle); until.After(e.troubledUntil) {
+		e.troubledUntil = until
+	}
+}
+
+func (w *world) kill(now time.Time, e *entry, length time.Duration) {
+	if e.stop(syscall.SIGKILL, func() { w.after(length, e.start) }) {
+		e.troubled(now.Add(length))
+	}
+}
+
+func (w *world) pause(now time.Time, e *entry, length time.Duration) {
+	if e.cmd == nil || e.leaving {
+		return
+	}
+	e.troubled(now.Add(length))
+	e.signal(syscall.SIGSTOP)
+	w.after(length, func() { e.signal(syscall.SIGCONT) })
+}
+
+// checkStop looks whether a planned stop that began at a time is over.
+func (w *world) checkStop(e *entry, began time.Time) {
+	if e.leaving && !began.Before(e.troubledUntil.Add(-settle)) {
+		w.broken("stops", "%s has not ended %v after it was asked to", e.name, drainTimeout+stopSlack)
+	}
+}
+
+func (w *world) spoil(now time.Time, e *entry, mode proxyMode, length time.Duration) {
+	w.tokens++
+	token := w.tokens
+	e.store.begin(token, mode)
+	e.troubled(now.Add(length))
+	w.after(length, func() { e.store.end(token) })
+}
+
+func (w *world) spoilLinks(now time.Time, s Step) {
+	zone := w.zones[s.Subject%len(w.zones)]
+	change := func(by int) {
+		switch s.Kind {
+		case ZoneCut:
+			w.links.cut[zone] += by
+		case HalfCut:
+			w.links.half[zone] += by
+		default:
+			w.links.lossy += by
+		}
+	}
+	change(1)
+	w.trouble(now.Add(s.For))
+	w.after(s.For, func() {
+		change(-1)
+		w.trouble(time.Now())
+	})
+	if s.Kind == ZoneCut {
+		for _, e := range w.entries {
+			if e.zone == zone {
+				w.spoil(now, e, proxySilent, s.For)
+			}
+		}
+	}
+}
+
+// leastServing is how many targets of a zone's service stay.
+const leastServing = 2
+
+// endTarget ends a target and starts another one later.
+func (w *world) endTarget(s Step) {
+	var serving []*target
+	for _, t := range w.targets {
+		if t.state == targetServes && !t.entry.Leaving && w.serving(t.entry.Zone, t.entry.Service) > leastServing {
+			serving = append(serving, t)
+		}
+	}
+	if len(serving) == 0 {
+		return
+	}
+	t := serving[s.Subject%len(serving)]
+	service := t.entry.Service
+	if s.Subject%2 == 1 && w.serving(t.entry.Zone, service) > leastServing {
+		service = w.config.Services[(slices.Index(w.config.Services, service)+1)%len(w.config.Services)]
+	}
+	again := func() {
+		t.leave()
+		w.newTarget(service, t.entry.Zone, t.entry.Address)
+	}
+	switch s.Kind {
+	case Drain:
+		t.entry.Leaving = true
+		t.register(time.Now())
+		w.after(drainFor+s.For, func() {
+			t.leave()
+			w.after(reuseAfter, again)
+		})
+	default:
+		state := targetDark
+		if s.Kind == Crash {
+			state = targetRefuses
+		}
+		t.crash(state)
+		w.after(max(expireAfter, s.For)+reuseAfter, again)
+	}
+}
+
+const (
+	// drainFor is how long a leaving target goes on at least, reuseAfter when its address may be another's.
+	drainFor   = 3 * time.Second
+	reuseAfter = 2 * time.Second
+)
+
+// serving counts the targets of a zone that serve a service.
+func (w *world) serving(zone, service string) int {
+	n := 0
+	for _, t := range w.targets {
+		if t.state == targetServes && !t.entry.Leaving && t.entry.Zone == zone && t.entry.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// maxRoutes bounds the routes that are added.
+const maxRoutes = 40
+
+func (w *world) addRoute() {
+	if len(w.config.Routes) >= maxRoutes {
+		return
+	}
+	n := byte(len(w.configs))
+	r := Route{
+		Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, n}), 443),
+		Service:    w.config.Services[w.rand.IntN(len(w.config.Services))],
+		Repeatable: w.rand.IntN(2) == 0,
+	}
+	w.publish(append(slices.Clone(w.config.Routes), r))
+}
+
+// dropRoute takes away a route that was added; callers go on to ask for it.
+func (w *world) dropRoute(subject int) {
+	added := len(w.config.Routes) - firstRoutes
+	if added <= 0 {
+		return
+	}
+	i := firstRoutes + subject%added
+	w.dropped = append(w.dropped, w.config.Routes[i])
+	w.publish(slices.Delete(slices.Clone(w.config.Routes), i, i+1))
+}
--- /dev/null
+++ b/internal/soak/store.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Item is one published item, or the end of one.
+type Item struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+// Store is the platform's metadata store in memory. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	items    map[string]Item
+	// history holds all changes after forgotten, in their order.
+	history   []Item
+	forgotten uint64
+	changed   chan struct{}
+}
+
+func newStore() *Store {
+	return &Store{items: make(map[string]Item), changed: make(chan struct{})}
+}
+
+// put writes an item; a nil value ends it.
+func (s *Store) put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	it := Item{Key: key, Value: value, Revision: s.revision, Removed: value == nil}
+	if it.Removed {
+		delete(s.items, key)
+	} else {
+		s.items[key] = it
+	}
+	s.history = append(s.history, it)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// forget discards the history.
+func (s *Store) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.forgotten = nil, s.revision
+}
+
+// Standing returns the items with keys after a key in the order of their keys, and the store's revision.
+func (s *Store) Standing(after string) ([]Item, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Item
+	for key, it := range s.items {
+		if key > after {
+			out = append(out, it)
+		}
+	}
+	slices.SortFunc(out, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	return out, s.revision
+}
+
+// After waits for changes after a revision and returns them with the store's revision; false where that history is
+// forgotten.
+func (s *Store) After(ctx context.Context, revision uint64, wait time.Duration) ([]Item, uint64, bool) {
+	timeout := time.NewTimer(wait)
+	defer timeout.Stop()
+	for {
+		items, now, changed, known := s.since(revision)
+		if !known || len(items) > 0 {
+			return items, now, known
+		}
+		select {
+		case <-changed:
+		case <-timeout.C:
+			return nil, now, true
+		case <-ctx.Done():
+			return nil, now, true
+		}
+	}
+}
+
+func (s *Store) since(revision uint64) (items []Item, now uint64, changed chan struct{}, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if revision < s.forgotten {
+		return nil, s.revision, nil, false
+	}
+	for _, it := range s.history {
+		if it.Revision > revision {
+			items = append(items, it)
+		}
+	}
+	return items, s.revision, s.changed, true
+}
--- /dev/null
+++ b/internal/soak/target.go
@@ -0,0 +1,263 @@
+package soak
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+const (
+	// firstRepeat is the time after which an end sends again, maxRepeat the most that it grows to.
+	firstRepeat = 200 * time.Millisecond
+	maxRepeat   = 1600 * time.Millisecond
+	// maxRepeats is how often a target sends again before it gives up.
+	maxRepeats = 8
+	// requestBytes is the size of a request and of its answer.
+	requestBytes = 13
+	// workTime is how long a request runs.
+	workTime = 10 * time.Millisecond
+	// registerEvery is the time between two writes of a target's entry, expireAfter the silence that ends it.
+	registerEvery = 1200 * time.Millisecond
+	expireAfter   = 3 * registerEvery
+)
+
+// targetState is how a target is.
+type targetState uint8
+
+const (
+	targetServes targetState = iota
+	// targetRefuses has crashed on a machine that answers for it, targetDark on one that does not.
+	targetRefuses
+	targetDark
+	// targetGone has left, and its address may be another's.
+	targetGone
+)
+
+// target is one target process.
+type target struct {
+	w     *world
+	entry TargetEntry
+	guard uint64
+	state targetState
+	conn  *net.UDPConn
+	// health answers checks.
+	health  *http.Server
+	flows   map[packet.FlowKey]*targetFlow
+	writeAt time.Time
+}
+
+// targetFlow is a flow at its target.
+type targetFlow struct {
+	// first and next are the target's opening number and the next one that it sends, expected the caller's next.
+	first, next, expected uint32
+	tag                   uint32
+	open                  bool
+	// answer is sent until it is acknowledged.
+	answer   []byte
+	sentAt   time.Time
+	repeat   time.Duration
+	repeats  int
+	workDone time.Time
+	request  []byte
+}
+
+// newTarget starts a target.
+func (w *world) newTarget(service, zone string, addr netip.AddrPort) *target {
+	w.targetsMade++
+	t := &target{
+		w:     w,
+		guard: w.rand.Uint64()>>16<<16 | uint64(w.targetsMade),
+		flows: make(map[packet.FlowKey]*targetFlow),
+	}
+	t.entry = TargetEntry{
+		Name: fmt.Sprintf("i-%x", t.guard), Service: service, Zone: zone, Address: addr, Slots: 3, Born: time.Now(),
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		w.fail(fmt.Errorf("open a target's socket: %w", err))
+		return t
+	}
+	t.conn = conn
+	w.targets = append(w.targets, t)
+	go w.read(conn, func(now time.Time, from netip.AddrPort, raw []byte) { t.receive(now, from, raw) })
+	t.listen()
+	t.register(time.Now())
+	return t
+}
+
+// listen answers health checks.
+func (t *target) listen() {
+	l, err := net.Listen("tcp", t.entry.Address.String())
+	if err != nil {
+		t.w.fail(fmt.Errorf("listen for health checks: %w", err))
+		return
+	}
+	header, name := t.w.dialect.IdentityHeader(), t.entry.Name
+	t.health = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(header, name)
+	})}
+	go t.health.Serve(l) // ends with the target
+}
+
+// register writes the target's entry.
+func (t *target) register(now time.Time) {
+	t.entry.Sequence++
+	t.writeAt = now.Add(registerEvery)
+	t.w.store.put(t.w.dialect.TargetItem(t.entry))
+}
+
+// crash ends the target without a word; its entry ends later.
+func (t *target) crash(state targetState) {
+	t.state = state
+	t.flows = make(map[packet.FlowKey]*targetFlow)
+	_ = t.health.Close()
+	t.w.after(expireAfter, t.expire)
+}
+
+func (t *target) expire() {
+	key, _ := t.w.dialect.TargetItem(t.entry)
+	t.w.store.put(key, nil)
+}
+
+// leave frees the target's address.
+func (t *target) leave() {
+	if t.state == targetServes {
+		_ = t.health.Close()
+		t.expire()
+	}
+	t.state = targetGone
+	_ = t.conn.Close()
+}
+
+func (t *target) tick(now time.Time) {
+	if t.state != targetServes {
+		return
+	}
+	if !now.Before(t.writeAt) {
+		t.register(now)
+	}
+	for key, f := range t.flows {
+		t.tickFlow(now, key, f)
+	}
+}
+
+func (t *target) tickFlow(now time.Time, key packet.FlowKey, f *targetFlow) {
+	if f.request != nil && !now.Before(f.workDone) {
+		f.answer, f.request = f.request, nil
+		f.repeat, f.repeats = firstRepeat, 0
+		t.sendAnswer(now, key, f)
+	}
+	if f.answer != nil && now.Sub(f.sentAt) >= f.repeat {
+		f.repeats++
+		f.repeat = min(2*f.repeat, maxRepeat)
+		if f.repeats > maxRepeats {
+			delete(t.flows, key)
+			return
+		}
+		t.sendAnswer(now, key, f)
+	}
+}
+
+func (t *target) sendAnswer(now time.Time, key packet.FlowKey, f *targetFlow) {
+	f.sentAt = now
+	t.send(key, Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag, Data: f.answer})
+}
+
+// send sends a packet to a caller.
+func (t *target) send(key packet.FlowKey, p Packet) {
+	c := t.w.callerAt(key.Caller.Addr())
+	if c == nil || t.w.links.drops(t.w.rand, t.entry.Zone, c.zone, false) {
+		return
+	}
+	p.Src, p.Dst = key.Service, key.Caller
+	t.w.write(t.conn, c.addr, t.w.dialect.AppendPacket(nil, p))
+}
+
+// receive takes what a daemon sent.
+func (t *target) receive(now time.Time, from netip.AddrPort, raw []byte) {
+	e := t.w.entryAt(from)
+	guard, p, ok := t.w.dialect.ReadFrame(raw)
+	if !ok || e == nil || t.w.links.drops(t.w.rand, e.zone, t.entry.Zone, true) {
+		return
+	}
+	key := packet.FlowKey{Caller: p.Src, Service: p.Dst}
+	switch {
+	case t.state == targetDark || t.state == targetGone:
+	case t.state == targetRefuses:
+		t.reset(e, key, p)
+	case guard != 0 && guard != t.guard:
+	default:
+		t.handle(now, e, key, p)
+	}
+}
+
+// reset refuses a packet that a daemon sent.
+func (t *target) reset(e *entry, key packet.FlowKey, p Packet) {
+	if !p.Flags.Has(packet.RST) {
+		t.w.refusedFrom[key] = e
+		t.send(key, Packet{Seq: p.Ack, Ack: p.Seq + uint32(len(p.Data)), Flags: packet.RST | packet.ACK})
+	}
+}
+
+func (t *target) handle(now time.Time, e *entry, key packet.FlowKey, p Packet) {
+	f := t.flows[key]
+	switch {
+	case p.Flags.Has(packet.SYN):
+		if f == nil {
+			t.w.checkRoute(now, e, t, key)
+			f = &targetFlow{first: t.w.rand.Uint32(), expected: p.Seq + 1}
+			f.next = f.first + 1
+			t.flows[key] = f
+		}
+		f.tag = p.Tag
+		t.send(key, Packet{Seq: f.first, Ack: f.expected, Flags: packet.SYN | packet.ACK, Tag: f.tag})
+	case f == nil || !f.open && p.Ack != f.first+1:
+		t.reset(e, key, p)
+	case p.Flags.Has(packet.RST):
+		delete(t.flows, key)
+	default:
+		t.advance(now, key, f, p)
+	}
+}
+
+func (t *target) advance(now time.Time, key packet.FlowKey, f *targetFlow, p Packet) {
+	f.open, f.tag = true, p.Tag
+	if f.answer != nil && p.Ack == f.next+uint32(len(f.answer)) {
+		f.next, f.answer = p.Ack, nil
+	}
+	if p.Seq == f.expected && len(p.Data) == requestBytes {
+		f.expected += requestBytes
+		f.request, f.workDone = p.Data, now.Add(workTime)
+		id, _ := readRequest(p.Data)
+		t.w.history.Runs = append(t.w.history.Runs, history.Run{ID: id, Target: t.entry.Name, Flow: key, Start: now})
+	}
+	if p.Flags.Has(packet.FIN) {
+		t.send(key, Packet{Seq: f.next, Ack: f.expected + 1, Flags: packet.ACK | packet.FIN, Tag: f.tag})
+		delete(t.flows, key)
+		return
+	}
+	if len(p.Data) > 0 {
+		t.send(key, Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag})
+	}
+}
+
+// appendRequest writes a request; its answer is the same.
+func appendRequest(id history.AttemptID, repeatable bool) []byte {
+	b := make([]byte, requestBytes)
+	binary.BigEndian.PutUint64(b, id.Request)
+	binary.BigEndian.PutUint32(b[8:], id.Attempt)
+	if repeatable {
+		b[12] = 1
+	}
+	return b
+}
+
+func readRequest(b []byte) (id history.AttemptID, repeatable bool) {
+	return history.AttemptID{Request: binary.BigEndian.Uint64(b), Attempt: binary.BigEndian.Uint32(b[8:])}, b[12] == 1
+}
