Leave out what no decision reads of the configuration

A fault in them would have refused a whole configuration.

Ruled out: to use the idle time for the records of flows; they are a memory of 15 s at most and flows need none to be steered. To refuse by priority: a daemon sees opening packets, and the target refuses earlier and for certain.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -26,12 +26,10 @@
 
 // RouteSpec is a published route.
 type RouteSpec struct {
-	Name     string
-	Address  netip.AddrPort
-	Shares   []ShareSpec
-	Kind     model.RequestKind
-	Timeout  time.Duration
-	Priority int
+	Name    string
+	Address netip.AddrPort
+	Shares  []ShareSpec
+	Kind    model.RequestKind
 }
 
 // Plan is one published version of routes and services, checked: each share names a service of it.
@@ -39,8 +37,6 @@
 	Version  uint64
 	Routes   []RouteSpec
 	Services []ServiceSpec
-	// IdleTimeout is how long a flow may be idle; 0 where none is published.
-	IdleTimeout time.Duration
 }
 
 // Registration is what a target says of itself.
@@ -263,11 +259,9 @@
 func (b *builder) addRoutes() {
 	for _, spec := range b.d.plan.Routes {
 		r := &model.Route{
-			Name:     spec.Name,
-			Address:  spec.Address,
-			Kind:     spec.Kind,
-			Timeout:  spec.Timeout,
-			Priority: spec.Priority,
+			Name:    spec.Name,
+			Address: spec.Address,
+			Kind:    spec.Kind,
 		}
 		for _, share := range spec.Shares {
 			if s := b.services[share.Service]; s != nil && share.Weight > 0 {
--- a/internal/rounds/show.go
+++ b/internal/rounds/show.go
@@ -17,6 +17,8 @@
 const (
 	plotWidth  = 18 * vg.Centimeter
 	plotHeight = 10 * vg.Centimeter
+	// legendRoom is kept free above the lines, in worth.
+	legendRoom = 0.03
 )
 
 // Table prints the rounds, one line each.
@@ -64,6 +66,8 @@
 		return fmt.Errorf("draw the rounds: %w", err)
 	}
 	p.NominalX(commits...)
+	p.Legend.Top = true
+	p.Y.Max += legendRoom
 	p.X.Tick.Label.Rotation = 0.8
 	p.X.Tick.Label.XAlign = text.XRight
 	if err := p.Save(plotWidth, plotHeight, path); err != nil {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -183,10 +183,16 @@
 	return true
 }
 
-// lastLook waits until all faults are settled, then checks that each caller is served on each route that stays.
+// lastLook waits until all faults are settled, then checks that each daemon is ready and that each caller is served on
+// the routes that stay.
 func (w *world) lastLook(ctx context.Context) {
 	until := time.Now().Add(calm)
 	w.loop(func(now time.Time) bool { return ctx.Err() != nil || now.After(until) })
+	for _, e := range w.entries {
+		if !e.ready {
+			w.broken("service", "%s is not ready although all faults are over", e.name)
+		}
+	}
 	waiting := 0
 	for _, c := range w.callers {
 		for i := range lastRequests {
