Judge a target's silence against another target; fetch nothing while an own read is under way

Daemons that start fetch all items from one that they hear, some 300 KB, while they read the platform too; at 300 VMs the busiest daemon had 217 connections and sent 1,158 KB/s.

That check of the probes' length is gone; the one of late ticks stays.

Change: a probe that is not refused counts only if the target of the own zone that answered last is found meanwhile. A daemon that starts fetches from others only where the platform has not answered within 0.3 s.

Before and after: the tests fail without the change (27 fetches of 20 daemons that start -> none).

--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -16,9 +16,6 @@
 	probeTimeout = 130 * time.Millisecond
 	// probeTries connections are tried one after the other, so that one lost packet tells nothing.
 	probeTries = 2
-	// probeLateness is how much longer than probeTimeout a probe may take. One that took more tells nothing: this
-	// process did not get its turn, as on a small VM while all daemons put the same lists in force.
-	probeLateness = 15 * time.Millisecond
 	// probeSpacing is the time between their starts where the first is not refused: most targets have answered by then,
 	// and one connection does.
 	probeSpacing = 60 * time.Millisecond
@@ -106,16 +103,15 @@
 func (d *Daemon) probe(ctx context.Context, s suspect) {
 	start := time.Now()
 	t := s.target
-	connected := d.present(ctx, t, probeTries)
+	found := d.look(ctx, t)
 	if ctx.Err() != nil {
 		return
 	}
 	now := time.Now()
-	took := now.Sub(start)
-	conclusive := conclusive(connected, took)
+	connected, conclusive := found == targetFound, found != targetUnknown
 	d.metrics.probes.Inc(1)
 	d.log.Info("target probed", "op", "targets", "event", "probed", "target", t.Name, "address", t.Data,
-		"connected", connected, "conclusive", conclusive, "told", s.told, "took_ms", took.Milliseconds())
+		"connected", connected, "conclusive", conclusive, "told", s.told, "took_ms", now.Sub(start).Milliseconds())
 	switch {
 	case !conclusive:
 		return
@@ -129,36 +125,85 @@
 	}
 }
 
-// conclusive reports whether the outcome of a probe that took some time tells of its target.
-func conclusive(connected bool, took time.Duration) bool {
-	return connected || took <= probeTimeout+probeLateness
+// finding is what a probe tells of its target.
+type finding uint8
+
+const (
+	// targetUnknown is a target that did not answer while nothing else did.
+	targetUnknown finding = iota
+	targetFound
+	targetAbsent
+)
+
+// look looks for a target. Silence counts only while another target of the own zone answers: it answers the load
+// pattern of a small VM whose link is full, as when other daemons that start fetch all items from it, or that does not
+// get its turn.
+func (d *Daemon) look(ctx context.Context, t *model.Target) finding {
+	own := make(chan answer, 1)
+	go func() { own <- d.present(ctx, t) }()
+	select {
+	case a := <-own:
+		return a.finding(func() bool { return d.reached(ctx, t) })
+	case <-time.After(probeSpacing):
+	}
+	other := make(chan bool, 1)
+	go func() { other <- d.reached(ctx, t) }()
+	return (<-own).finding(func() bool { return <-other })
+}
+
+// answer is what the tries for one target met.
+type answer struct {
+	found bool
+	// refused is true where the target's machine answered for it each time.
+	refused bool
+}
+
+// finding judges an answer; reached tells whether another target is there.
+func (a answer) finding(reached func() bool) finding {
+	switch {
+	case a.found:
+		return targetFound
+	case a.refused || reached():
+		return targetAbsent
+	}
+	return targetUnknown
+}
+
+// reached reports whether the target of the own zone that answered last, other than t, is found.
+func (d *Daemon) reached(ctx context.Context, t *model.Target) bool {
+	id, ok := d.engine.Loads().LatestAnswer(d.settings.Zone, t.ID)
+	if !ok {
+		return false
+	}
+	other := d.engine.Target(id)
+	return other != nil && d.present(ctx, other).found
 }
 
-// present reports whether one of a few tries finds the target. The next try starts when the one before has failed,
-// or while it may still be on its way.
-func (d *Daemon) present(ctx context.Context, t *model.Target, tries int) bool {
+// present looks for a target with a few tries. The next try starts when the one before has failed, or while it may
+// still be on its way.
+func (d *Daemon) present(ctx context.Context, t *model.Target) answer {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	results := make(chan bool, tries)
+	results := make(chan bool, probeTries)
 	failed := 0
-	for i := range tries {
+	for i := range probeTries {
 		go func() { results <- d.prober.Present(ctx, t) }()
-		if i == tries-1 {
+		if i == probeTries-1 {
 			break
 		}
 		select {
 		case found := <-results:
 			if found {
-				return true
+				return answer{found: true}
 			}
 			failed++
 		case <-time.After(probeSpacing):
 		}
 	}
-	for ; failed < tries; failed++ {
+	for ; failed < probeTries; failed++ {
 		if <-results {
-			return true
+			return answer{found: true}
 		}
 	}
-	return false
+	return answer{refused: ctx.Err() == nil}
 }
--- a/internal/news/fetch.go
+++ b/internal/news/fetch.go
@@ -99,6 +99,11 @@
 	return []Action{e.fetch(now, best)}
 }
 
+// ownReadTime is how long a daemon that starts waits for its own read of the platform before it fetches all items from
+// another one: several times what the platform needs. It answers the load pattern of many daemons that start at once,
+// whose fetches would fill the link of the one that they ask.
+const ownReadTime = 300 * time.Millisecond
+
 // oldRepairs is how many times longer a copy that does not look newer may differ before it is fetched.
 const oldRepairs = 10
 
@@ -108,7 +113,7 @@
 		return false
 	}
 	if !e.replica.filled {
-		return true
+		return e.reader.open != callRead || now.Sub(e.started) >= ownReadTime
 	}
 	patience := e.cfg.Repair
 	if m.beat.Highest <= e.replica.highest && m.beat.Complete <= e.replica.complete {
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -20,6 +20,8 @@
 	rand  *rand.Rand
 	queue timeline
 	seq   int
+	// fetches counts those of all nodes.
+	fetches int
 
 	nodes  []*node
 	shared *service
@@ -290,6 +292,7 @@
 }
 
 func (n *node) fetch(a Fetch) {
+	n.site.fetches++
 	m := n.site.node(a.From)
 	fail := func() []Action {
 		return n.engine.HandleFetched(n.site.now, Fetched{From: a.From, Err: errors.New("no answer")})
@@ -587,6 +590,33 @@
 	})
 }
 
+func TestStartBesideOthers(t *testing.T) {
+	Convey("Daemons that start read the platform and leave the links of the others alone", t, func() {
+		eachFleet(41, func(s *site) {
+			s.fetches = 0
+			for _, n := range s.nodes[10:30] {
+				n.stop()
+				n.start()
+			}
+			s.run(250 * time.Millisecond)
+			So(s.fetches, ShouldEqual, 0)
+			s.run(2 * time.Second)
+			s.soWhole()
+		})
+	})
+	Convey("Where the platform does not answer them, they fetch from the others soon", t, func() {
+		eachFleet(41, func(s *site) {
+			s.silent = func(n *node) bool { return n.index >= 10 && n.index < 30 }
+			for _, n := range s.nodes[10:30] {
+				n.stop()
+				n.start()
+			}
+			s.run(time.Second)
+			s.soWhole()
+		})
+	})
+}
+
 func TestPlatformFails(t *testing.T) {
 	for _, c := range []struct {
 		name string
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -52,6 +52,25 @@
 	e.LastMiss = now
 }
 
+// LatestAnswer returns the target of a zone that answered last, other than a given one and without a miss since; false
+// where there is none.
+func (l *LoadTable) LatestAnswer(zone model.Zone, except model.TargetID) (model.TargetID, bool) {
+	var best model.TargetID
+	var at time.Time
+	for id, t := range *l.targets.Load() {
+		if t.zone != zone || id == except {
+			continue
+		}
+		t.mu.Lock()
+		e := t.evidence
+		t.mu.Unlock()
+		if e.MissesInRow == 0 && e.LastAnswer.After(at) {
+			best, at = id, e.LastAnswer
+		}
+	}
+	return best, !at.IsZero()
+}
+
 // Heard is how many targets of a zone answered lately.
 type Heard struct {
 	// Answering is the number of targets whose last attempt was answered, Missing that of the others.
