Confirm the word of another daemon with one try again

Ruled out: one try without comparison, which a full link fails.

Before and after: connections for a confirmation 3 -> 2; the comparison has come since two tries were chosen, and the daemon that tells has tried twice.

--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -16,6 +16,8 @@
 	probeTimeout = 130 * time.Millisecond
 	// probeTries connections are tried one after the other, so that one lost packet tells nothing.
 	probeTries = 2
+	// toldTries are enough where another daemon has tried in vain.
+	toldTries = 1
 	// probeSpacing is the time between their starts where the first is not refused: most targets have answered by then,
 	// and one connection does.
 	probeSpacing = 60 * time.Millisecond
@@ -103,7 +105,11 @@
 func (d *Daemon) probe(ctx context.Context, s suspect) {
 	start := time.Now()
 	t := s.target
-	found := d.look(ctx, t)
+	tries := probeTries
+	if s.told {
+		tries = toldTries
+	}
+	found := d.look(ctx, t, tries)
 	if ctx.Err() != nil {
 		return
 	}
@@ -138,9 +144,9 @@
 // look looks for a target. Silence counts only while another target of the own zone answers: it answers the load
 // pattern of a small VM whose link is full, as when other daemons that start fetch all items from it, or that does not
 // get its turn.
-func (d *Daemon) look(ctx context.Context, t *model.Target) finding {
+func (d *Daemon) look(ctx context.Context, t *model.Target, tries int) finding {
 	own := make(chan answer, 1)
-	go func() { own <- d.present(ctx, t) }()
+	go func() { own <- d.present(ctx, t, tries) }()
 	select {
 	case a := <-own:
 		return a.finding(func() bool { return d.reached(ctx, t) })
@@ -176,19 +182,19 @@
 		return false
 	}
 	other := d.engine.Target(id)
-	return other != nil && d.present(ctx, other).found
+	return other != nil && d.present(ctx, other, probeTries).found
 }
 
 // present looks for a target with a few tries. The next try starts when the one before has failed, or while it may
 // still be on its way.
-func (d *Daemon) present(ctx context.Context, t *model.Target) answer {
+func (d *Daemon) present(ctx context.Context, t *model.Target, tries int) answer {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	results := make(chan bool, probeTries)
+	results := make(chan bool, tries)
 	failed := 0
-	for i := range probeTries {
+	for i := range tries {
 		go func() { results <- d.prober.Present(ctx, t) }()
-		if i == probeTries-1 {
+		if i == tries-1 {
 			break
 		}
 		select {
@@ -200,7 +206,7 @@
 		case <-time.After(probeSpacing):
 		}
 	}
-	for ; failed < probeTries; failed++ {
+	for ; failed < tries; failed++ {
 		if <-results {
 			return answer{found: true}
 		}
--- a/internal/edge/probes_test.go
+++ b/internal/edge/probes_test.go
@@ -95,7 +95,7 @@
 				Convey(c.name, t, func() {
 					d := &Daemon{prober: &prober{after: c.after, found: c.found}}
 					start := time.Now()
-					So(d.present(t.Context(), nil), ShouldResemble, answer{found: c.want, refused: c.refused})
+					So(d.present(t.Context(), nil, probeTries), ShouldResemble, answer{found: c.want, refused: c.refused})
 					So(time.Since(start), ShouldEqual, c.took)
 				})
 			})
