Look for more dead targets after three deaths in a second

Each daemon has one or two flows with a target, so that the deaths were found one after the other until 26.6 s; requests that must run once went to dead targets all that time: 80, 33 and 29 failed in the windows from 24, 26 and 28 s on.

Ruled out: a full queue of probes (14 targets a daemon of 32). Telling other zones: each has flows to other targets.

Change: a daemon that finds three targets absent within a second probes the others of that zone that have flows here, and tells its zone of each dead one.

--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -26,15 +26,21 @@
 	// probeToldEvery is the least time from a probe of a target to one for the word of others, and between two words
 	// of it to others: about the time in which a dead target's registration ends.
 	probeToldEvery = 4 * time.Second
-	// maxProbes bounds the targets that are probed at once; others that are suspected meanwhile are left out.
-	maxProbes = 32
+	// maxProbes bounds the targets that are probed at once, maxWaiting those that wait for it; others that are suspected
+	// meanwhile are left out.
+	maxProbes  = 32
+	maxWaiting = 256
+	// massDeaths targets that a daemon finds absent for itself within massTime are a sign that more died with them: a
+	// rack, or a group that is replaced. Then it looks for the others of the zone, once in probeToldEvery.
+	massDeaths = 3
+	massTime   = time.Second
 )
 
 // suspect is a target that is to be probed.
 type suspect struct {
 	target *model.Target
-	// told is true where another daemon did not find it.
-	told bool
+	// told is true where another daemon did not find it, searched where others of its zone died.
+	told, searched bool
 }
 
 // probes are the targets whose flows miss answers, here or at other daemons.
@@ -44,10 +50,13 @@
 	mu sync.Mutex
 	// told is when others were last told of a target.
 	told map[model.TargetID]time.Time
+	// deaths are when this daemon lately found targets absent for itself, searchedAt when it last looked for more.
+	deaths     []time.Time
+	searchedAt time.Time
 }
 
 func newProbes() *probes {
-	return &probes{suspects: make(chan suspect, maxProbes), told: make(map[model.TargetID]time.Time)}
+	return &probes{suspects: make(chan suspect, maxWaiting), told: make(map[model.TargetID]time.Time)}
 }
 
 // mayTell reports whether others are to be told of a target now, and notes that they are.
@@ -61,6 +70,19 @@
 	return true
 }
 
+// died notes that a target was found absent, and reports whether more of its zone are to be looked for.
+func (p *probes) died(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.deaths = append(p.deaths, now)
+	p.deaths = p.deaths[max(len(p.deaths)-massDeaths, 0):]
+	if len(p.deaths) < massDeaths || now.Sub(p.deaths[0]) > massTime || now.Sub(p.searchedAt) < probeToldEvery {
+		return false
+	}
+	p.searchedAt = now
+	return true
+}
+
 // add asks for a probe of a target whose flows miss answers here; it does not block.
 func (p *probes) add(t *model.Target) {
 	p.put(suspect{target: t})
@@ -117,18 +139,36 @@
 	connected, conclusive := found == targetFound, found != targetUnknown
 	d.metrics.probes.Inc(1)
 	d.log.Info("target probed", "op", "targets", "event", "probed", "target", t.Name, "address", t.Data,
-		"connected", connected, "conclusive", conclusive, "told", s.told, "took_ms", now.Sub(start).Milliseconds())
+		"connected", connected, "conclusive", conclusive, "told", s.told, "searched", s.searched, "took_ms", now.Sub(start).Milliseconds())
 	switch {
 	case !conclusive:
 		return
-	case s.told && !connected:
+	case (s.told || s.searched) && !connected:
 		d.engine.NotFound(now, t.ID)
-	case !s.told:
+	case !s.told && !s.searched:
 		d.engine.Probed(now, t.ID, connected)
 	}
-	if !s.told && !connected && d.probes.mayTell(now, t.ID) {
+	if s.told || connected {
+		return
+	}
+	if d.probes.mayTell(now, t.ID) {
 		d.send(ctx, func(now time.Time) []news.Action { return d.control.news.TellAbsent(now, t.Name) })
 	}
+	if !s.searched && d.probes.died(now) {
+		d.search(t)
+	}
+}
+
+// search asks for probes of the targets of a dead one's zone that have flows here. It answers the load pattern of a rack
+// that dies with many targets, of which each has few flows: callers would meet one dead target after the other.
+func (d *Daemon) search(dead *model.Target) {
+	for _, svc := range d.engine.Lists().Services {
+		for _, t := range svc.Targets {
+			if t.Zone == dead.Zone && !t.Lapsed && t.ID != dead.ID && d.engine.Loads().Open(t.ID) > 0 {
+				d.probes.put(suspect{target: t, searched: true})
+			}
+		}
+	}
 }
 
 // finding is what a probe tells of its target.
--- a/internal/edge/probes_test.go
+++ b/internal/edge/probes_test.go
@@ -24,10 +24,24 @@
 	})
 	Convey("Asking for probes never blocks, whatever waits", t, func() {
 		p := newProbes()
-		for range 10 * maxProbes {
+		for range 10 * maxWaiting {
 			p.add(&model.Target{})
 		}
-		So(p.suspects, ShouldHaveLength, maxProbes)
+		So(p.suspects, ShouldHaveLength, maxWaiting)
+	})
+	Convey("Some deaths within a second make a daemon look for more, once in a while; single ones do not", t, func() {
+		p := newProbes()
+		now := time.Unix(100, 0)
+		for range 5 {
+			now = now.Add(600 * time.Millisecond)
+			So(p.died(now), ShouldBeFalse)
+		}
+		now = now.Add(time.Minute)
+		So(p.died(now), ShouldBeFalse)
+		So(p.died(now), ShouldBeFalse)
+		So(p.died(now.Add(300*time.Millisecond)), ShouldBeTrue)
+		So(p.died(now.Add(400*time.Millisecond)), ShouldBeFalse)
+		So(p.died(now.Add(probeToldEvery+500*time.Millisecond)), ShouldBeFalse)
 	})
 }
 
