--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -103,7 +103,7 @@
 	}
 	for _, name := range names {
 		if t := lists.Target(model.TargetIDOf(name)); t != nil {
-			c.d.probes.put(suspect{target: t, told: true})
+			c.d.probes.put(suspect{target: t, why: suspectTold})
 		}
 	}
 }
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -12,15 +12,6 @@
 )
 
 const (
-	// probeTimeout is how long a target has to take a connection: many times the way to another zone and back.
-	probeTimeout = 130 * time.Millisecond
-	// probeTries connections are tried one after the other, so that one lost packet tells nothing.
-	probeTries = 2
-	// toldTries are enough where another daemon has tried in vain.
-	toldTries = 1
-	// probeSpacing is the time between their starts where the first is not refused: most targets have answered by then,
-	// and one connection does.
-	probeSpacing = 60 * time.Millisecond
 	// probeEvery is the least time between two probes of one target for flows that miss answers here.
 	probeEvery = 400 * time.Millisecond
 	// probeToldEvery is the least time from a probe of a target to one for the word of others, and between two words
@@ -31,16 +22,32 @@
 	maxProbes  = 32
 	maxWaiting = 256
 	// massDeaths targets that a daemon finds absent for itself within massTime are a sign that more died with them: a
-	// rack, or a group that is replaced. Then it looks for the others of the zone, once in probeToldEvery.
+	// rack, or a group that is replaced. Then it looks at its others of that zone, once in probeToldEvery.
 	massDeaths = 3
 	massTime   = time.Second
 )
 
+// suspicion is why a target is probed.
+type suspicion uint8
+
+const (
+	// suspectMissed is a target that flows of this daemon miss answers of.
+	suspectMissed suspicion = iota
+	// suspectTold is one that another daemon did not find.
+	suspectTold
+	// suspectNear is one whose zone others died in.
+	suspectNear
+)
+
+// String returns the suspicion's name in logs.
+func (s suspicion) String() string {
+	return [...]string{"missed", "told", "near"}[s]
+}
+
 // suspect is a target that is to be probed.
 type suspect struct {
 	target *model.Target
-	// told is true where another daemon did not find it, searched where others of its zone died.
-	told, searched bool
+	why    suspicion
 }
 
 // probes are the targets whose flows miss answers, here or at other daemons.
@@ -108,7 +115,7 @@
 		case s := <-d.probes.suspects:
 			now := time.Now()
 			least := probeEvery
-			if s.told {
+			if s.why == suspectTold {
 				least = probeToldEvery
 			}
 			if before, probed := last[s.target.ID]; probed && now.Sub(before) < least {
@@ -123,39 +130,47 @@
 	}
 }
 
-// probe looks for a target, hands in whether it is there, and tells the zone where it is not.
+// probe looks for a suspected target and acts on what it finds.
 func (d *Daemon) probe(ctx context.Context, s suspect) {
 	start := time.Now()
-	t := s.target
 	tries := probeTries
-	if s.told {
+	if s.why == suspectTold {
 		tries = toldTries
 	}
-	found := d.look(ctx, t, tries)
+	found := d.look(ctx, s.target, tries)
 	if ctx.Err() != nil {
 		return
 	}
 	now := time.Now()
-	connected, conclusive := found == targetFound, found != targetUnknown
 	d.metrics.probes.Inc(1)
-	d.log.Info("target probed", "op", "targets", "event", "probed", "target", t.Name, "address", t.Data,
-		"connected", connected, "conclusive", conclusive, "told", s.told, "searched", s.searched, "took_ms", now.Sub(start).Milliseconds())
-	switch {
-	case !conclusive:
+	d.log.Info("target probed", "op", "targets", "event", "probed", "target", s.target.Name, "address", s.target.Data,
+		"connected", found == targetFound, "conclusive", found != targetUnknown, "why", s.why, "took_ms", now.Sub(start).Milliseconds())
+	if found == targetUnknown {
 		return
-	case (s.told || s.searched) && !connected:
-		d.engine.NotFound(now, t.ID)
-	case !s.told && !s.searched:
-		d.engine.Probed(now, t.ID, connected)
 	}
-	if s.told || connected {
-		return
+	d.handIn(now, s, found == targetFound)
+	if found == targetAbsent && s.why != suspectTold {
+		d.tellAbsent(ctx, now, s)
 	}
-	if d.probes.mayTell(now, t.ID) {
-		d.send(ctx, func(now time.Time) []news.Action { return d.control.news.TellAbsent(now, t.Name) })
+}
+
+// handIn gives the engine what a probe found.
+func (d *Daemon) handIn(now time.Time, s suspect, connected bool) {
+	switch {
+	case s.why == suspectMissed:
+		d.engine.Probed(now, s.target.ID, connected)
+	case !connected:
+		d.engine.NotFound(now, s.target.ID)
 	}
-	if !s.searched && d.probes.died(now) {
-		d.search(t)
+}
+
+// tellAbsent tells the zone of a target that was not found, and looks for more after several.
+func (d *Daemon) tellAbsent(ctx context.Context, now time.Time, s suspect) {
+	if d.probes.mayTell(now, s.target.ID) {
+		d.send(ctx, func(now time.Time) []news.Action { return d.control.news.TellAbsent(now, s.target.Name) })
+	}
+	if s.why == suspectMissed && d.probes.died(now) {
+		d.search(s.target)
 	}
 }
 
@@ -165,91 +180,8 @@
 	for _, svc := range d.engine.Lists().Services {
 		for _, t := range svc.Targets {
 			if t.Zone == dead.Zone && !t.Lapsed && t.ID != dead.ID && d.engine.Loads().Open(t.ID) > 0 {
-				d.probes.put(suspect{target: t, searched: true})
+				d.probes.put(suspect{target: t, why: suspectNear})
 			}
 		}
 	}
 }
-
-// finding is what a probe tells of its target.
-type finding uint8
-
-const (
-	// targetUnknown is a target that did not answer while nothing else did.
-	targetUnknown finding = iota
-	targetFound
-	targetAbsent
-)
-
-// look looks for a target. Silence counts only while another target of the own zone answers: it answers the load
-// pattern of a small VM whose link is full, as when other daemons that start fetch all items from it, or that does not
-// get its turn.
-func (d *Daemon) look(ctx context.Context, t *model.Target, tries int) finding {
-	own := make(chan answer, 1)
-	go func() { own <- d.present(ctx, t, tries) }()
-	select {
-	case a := <-own:
-		return a.finding(func() bool { return d.reached(ctx, t) })
-	case <-time.After(probeSpacing):
-	}
-	other := make(chan bool, 1)
-	go func() { other <- d.reached(ctx, t) }()
-	return (<-own).finding(func() bool { return <-other })
-}
-
-// answer is what the tries for one target met.
-type answer struct {
-	found bool
-	// refused is true where the target's machine answered for it each time.
-	refused bool
-}
-
-// finding judges an answer; reached tells whether another target is there.
-func (a answer) finding(reached func() bool) finding {
-	switch {
-	case a.found:
-		return targetFound
-	case a.refused || reached():
-		return targetAbsent
-	}
-	return targetUnknown
-}
-
-// reached reports whether the target of the own zone that answered last, other than t, is found.
-func (d *Daemon) reached(ctx context.Context, t *model.Target) bool {
-	id, ok := d.engine.Loads().LatestAnswer(d.settings.Zone, t.ID)
-	if !ok {
-		return false
-	}
-	other := d.engine.Target(id)
-	return other != nil && d.present(ctx, other, probeTries).found
-}
-
-// present looks for a target with a few tries. The next try starts when the one before has failed, or while it may
-// still be on its way.
-func (d *Daemon) present(ctx context.Context, t *model.Target, tries int) answer {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	results := make(chan bool, tries)
-	failed := 0
-	for i := range tries {
-		go func() { results <- d.prober.Present(ctx, t) }()
-		if i == tries-1 {
-			break
-		}
-		select {
-		case found := <-results:
-			if found {
-				return answer{found: true}
-			}
-			failed++
-		case <-time.After(probeSpacing):
-		}
-	}
-	for ; failed < tries; failed++ {
-		if <-results {
-			return answer{found: true}
-		}
-	}
-	return answer{refused: ctx.Err() == nil}
-}
--- a/internal/edge/random_test.go
+++ b/internal/edge/random_test.go
@@ -34,10 +34,10 @@
 	seq    uint32
 }
 
-func newRandomRun(ctx context.Context, f *fleet, seed uint64) *randomRun {
+func newRandomRun(ctx context.Context, f *fleet, seed uint64, targets int) *randomRun {
 	r := &randomRun{fleet: f, ctx: ctx, rand: rand.New(rand.NewPCG(seed, 0)), alive: make(map[*target]bool), flows: make(map[uint16]*randomFlow)}
 	r.client = f.client()
-	for i := range 8 {
+	for i := range targets {
 		t := f.target(1 + i)
 		r.targets = append(r.targets, t)
 		r.alive[t] = true
@@ -81,7 +81,11 @@
 	for _, t := range r.targets {
 		for _, frame := range t.take() {
 			if r.alive[t] && portOf(frame) == port {
-				r.flows[port] = &randomFlow{target: t, tag: binary.BigEndian.Uint32(frame[8+tagAt:]), seq: 101}
+				f := &randomFlow{target: t, tag: binary.BigEndian.Uint32(frame[8+tagAt:]), seq: 101}
+				r.flows[port] = f
+				r.client.send(n, r.client.packetOf(port, 1, wireACK, f.seq, f.seq+300, f.tag, 0))
+				time.Sleep(10 * time.Millisecond)
+				t.take()
 			}
 		}
 	}
@@ -160,7 +164,7 @@
 	for seed := range uint64(8) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			run(t, func(ctx context.Context, f *fleet) {
-				r := newRandomRun(ctx, f, seed)
+				r := newRandomRun(ctx, f, seed, 8)
 				port := uint16(2000)
 				for range 150 {
 					if r.rand.IntN(6) == 0 {
@@ -196,3 +200,58 @@
 		})
 	}
 }
+
+func TestRackThatDies(t *testing.T) {
+	run(t, func(ctx context.Context, f *fleet) {
+		r := newRandomRun(ctx, f, 1, 12)
+		r.nodes = r.nodes[:1] // one daemon has all flows
+		port := uint16(2000)
+		for range 60 {
+			port++
+			r.open(port)
+		}
+		So(len(r.flows), ShouldEqual, 60)
+		for range 3 {
+			r.speak()
+			time.Sleep(300 * time.Millisecond)
+		}
+		// Four of twelve targets die; three of them miss a packet, the flows of the fourth are idle.
+		dead := r.targets[:4]
+		for _, t := range dead {
+			delete(r.alive, t)
+			r.kill(t)
+		}
+		missing := make(map[*target]uint16)
+		for _, port := range slices.Sorted(maps.Keys(r.flows)) {
+			if t := r.flows[port].target; slices.Contains(dead[:3], t) && missing[t] == 0 {
+				missing[t] = port
+			}
+		}
+		for range 4 {
+			for _, t := range dead[:3] {
+				f := r.flows[missing[t]]
+				r.client.send(r.nodes[0], r.client.packetOf(missing[t], 1, wireACK, f.seq, f.seq+400, f.tag, 10))
+			}
+			for _, port := range slices.Sorted(maps.Keys(r.flows)) {
+				if f := r.flows[port]; r.alive[f.target] {
+					r.client.send(r.nodes[0], r.client.packetOf(port, 1, wireACK, f.seq, f.seq+400, f.tag, 10))
+					f.seq += 10
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+		reset := make(map[*target]int)
+		for _, raw := range r.client.take() {
+			f := r.flows[binary.BigEndian.Uint16(raw[10:])]
+			So(r.alive[f.target], ShouldBeFalse)
+			reset[f.target]++
+		}
+		for _, t := range dead {
+			So(reset[t], ShouldBeGreaterThan, 0)
+		}
+		for t := range r.alive {
+			_ = t.conn.Close()
+		}
+		_ = r.client.conn.Close()
+	})
+}
