Say of the lines' bound only what is known

Cause: a comment compared a line's cost with a packet's without a measurement.

Ruled out: nothing. Before and after: no code.

Conclusion: kept.

--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -34,8 +34,8 @@
 	// once: enough to show what goes on.
 	ownLinesPerSecond = 10
 	ownLineBurst      = 20
-	// sharedLinesPerSecond bounds those beyond that of all events together, sharedLineBurst those at once. A line costs
-	// about as much time as ten packets.
+	// sharedLinesPerSecond bounds those beyond that of all events together, sharedLineBurst those at once, so that lines
+	// leave a VM with a part of a core to its packets.
 	sharedLinesPerSecond = 100
 	sharedLineBurst      = 200
 )
