Build what both kinds of daemons share in one place

Cause: the logger, the sockets, the keys, the TLS config, the operators' server and the listener for calls of other daemons were written in the wiring of both ways of steering.

Ruled out: one wiring for both: the modules between them differ.

Before and after: no behaviour; tests unchanged.

Conclusion: internal/assembly and bulk.Listen serve both.

--- a/internal/bulk/server.go
+++ b/internal/bulk/server.go
@@ -59,18 +59,27 @@
 
 // Listen opens the address and serves in the background until Close.
 func (s *Server) Listen(addr netip.AddrPort) error {
-	l, err := net.Listen("tcp", addr.String())
+	l, err := Listen(addr, s.tls)
 	if err != nil {
-		return fmt.Errorf("listen for calls of other daemons on %v: %w", addr, err)
+		return err
 	}
 	s.local = l.Addr().(*net.TCPAddr).AddrPort()
-	if s.tls != nil {
-		l = tls.NewListener(l, s.tls)
-	}
 	go s.server.Serve(l)
 	return nil
 }
 
+// Listen opens an address for the calls of other daemons, over TLS where a config is given.
+func Listen(addr netip.AddrPort, config *tls.Config) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for calls of other daemons on %v: %w", addr, err)
+	}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
+	return l, nil
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() netip.AddrPort {
 	return s.local
--- a/internal/daemon/sources.go
+++ b/internal/daemon/sources.go
@@ -54,12 +54,6 @@
 	return [3]string{s.Lists.Customers, s.Lists.Plans, s.Lists.Machines}
 }
 
-// newTLS returns the config of calls between daemons; nil where the settings name no certificate.
-func newTLS(i do.Injector) (*tls.Config, error) {
-	files := do.MustInvoke[*settings.Settings](i).TLS
-	return bulk.TLSConfig(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
-}
-
 func newBulk(i do.Injector) (*bulk.Client, error) {
 	config, err := do.Invoke[*tls.Config](i)
 	if err != nil {
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -8,6 +8,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/do/v2"
 
+	"github.com/fireflypin/fireflypin/internal/assembly"
 	"github.com/fireflypin/fireflypin/internal/bulk"
 	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/ops"
@@ -33,10 +34,10 @@
 	do.ProvideValue(i, o)
 	do.ProvideValue(i, o.Settings)
 	do.ProvideValue(i, metrics.NewSet())
-	do.Provide(i, newLogger)
+	do.ProvideValue(i, assembly.Logger(o.LogTo, o.Settings))
 	do.Provide(i, newNetwork)
-	do.Provide(i, newKeys)
-	do.Provide(i, newTLS)
+	do.Provide(i, assembly.Keys)
+	do.Provide(i, assembly.TLS)
 	do.Provide(i, newBulk)
 	do.Provide(i, newBulkServer)
 	do.Provide(i, newLists)
@@ -45,38 +46,12 @@
 	return i
 }
 
-func newLogger(i do.Injector) (*log.Logger, error) {
-	o := do.MustInvoke[Options](i)
-	logger := log.NewWithOptions(o.LogTo, log.Options{
-		Level:           o.Settings.LogLevel,
-		ReportTimestamp: true,
-		TimeFormat:      time.RFC3339Nano,
-		Formatter:       log.LogfmtFormatter,
-	})
-	return logger.With("entry", o.Settings.Name), nil
-}
-
 func newNetwork(i do.Injector) (udpio.Network, error) {
 	o := do.MustInvoke[Options](i)
 	if o.Network != nil {
 		return o.Network, nil
 	}
-	logger := do.MustInvoke[*log.Logger](i)
-	return udpio.System(udpio.Config{
-		Workers: workerCount(o.Settings),
-		OnFallback: func(r udpio.Report) {
-			logger.Warn("system call not available", "op", "listen", "event", "fallback",
-				"fallback", r.Fallback.String(), "cause", r.Cause)
-		},
-	}), nil
-}
-
-func newKeys(i do.Injector) (*wire.KeyStore, error) {
-	ring, err := wire.KeyringOf(do.MustInvoke[*settings.Settings](i).KeyFiles)
-	if err != nil {
-		return nil, err
-	}
-	return wire.NewKeyStore(ring), nil
+	return assembly.Network(i, workerCount(o.Settings)), nil
 }
 
 func newDaemon(i do.Injector) (*Daemon, error) {
@@ -122,13 +97,5 @@
 	if err != nil {
 		return nil, err
 	}
-	set := do.MustInvoke[*metrics.Set](i)
-	set.RegisterProcess()
-	return ops.NewServer(ops.Config{
-		Addr:    d.settings.Ops,
-		Second:  d.settings.Metrics,
-		Metrics: set,
-		Ready:   d,
-		Status:  d,
-	}), nil
+	return assembly.Ops(i, d), nil
 }
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"runtime/debug"
@@ -20,6 +19,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/bulk"
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/news"
@@ -284,12 +284,9 @@
 
 // listenCalls is System.Listen of the machine.
 func listenCalls(addr netip.AddrPort, handler http.Handler, config *tls.Config) (io.Closer, error) {
-	l, err := net.Listen("tcp", addr.String())
+	l, err := bulk.Listen(addr, config)
 	if err != nil {
-		return nil, fmt.Errorf("listen for calls of other daemons on %v: %w", addr, err)
-	}
-	if config != nil {
-		l = tls.NewListener(l, config)
+		return nil, err
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: callTimeout, IdleTimeout: callTimeout}
 	go server.Serve(l) // ends with the server's Close
--- a/internal/edge/wiring.go
+++ b/internal/edge/wiring.go
@@ -12,7 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/samber/do/v2"
 
-	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/assembly"
 	"github.com/fireflypin/fireflypin/internal/logsink"
 	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/news"
@@ -60,10 +60,10 @@
 	sink := logsink.New(o.LogTo, 0)
 	do.ProvideValue(i, o.Settings)
 	do.ProvideValue(i, metrics.NewSet())
-	do.ProvideValue(i, newLogger(o, sink))
-	do.Provide(i, newNetwork)
-	do.Provide(i, newKeys)
-	do.Provide(i, newTLS)
+	do.ProvideValue(i, assembly.Logger(sink, o.Settings))
+	do.Provide(i, func(i do.Injector) (udpio.Network, error) { return assembly.Network(i, 0), nil })
+	do.Provide(i, assembly.Keys)
+	do.Provide(i, assembly.TLS)
 	o.Adapter(i)
 	do.Provide(i, func(i do.Injector) (*Daemon, error) { return newDaemon(i, o.Now) })
 	do.Provide(i, newOps)
@@ -81,39 +81,6 @@
 	}, nil
 }
 
-func newLogger(o Options, to io.Writer) *log.Logger {
-	logger := log.NewWithOptions(to, log.Options{
-		Level:           o.Settings.LogLevel,
-		ReportTimestamp: true,
-		TimeFormat:      time.RFC3339Nano,
-		Formatter:       log.LogfmtFormatter,
-	})
-	return logger.With("entry", o.Settings.Name)
-}
-
-func newNetwork(i do.Injector) (udpio.Network, error) {
-	logger := do.MustInvoke[*log.Logger](i)
-	return udpio.System(udpio.Config{
-		OnFallback: func(r udpio.Report) {
-			logger.Warn("system call not available", "op", "listen", "event", "fallback", "fallback", r.Fallback.String(), "cause", r.Cause)
-		},
-	}), nil
-}
-
-func newKeys(i do.Injector) (*wire.KeyStore, error) {
-	ring, err := wire.KeyringOf(do.MustInvoke[*settings.Settings](i).KeyFiles)
-	if err != nil {
-		return nil, err
-	}
-	return wire.NewKeyStore(ring), nil
-}
-
-// newTLS returns the config of calls between daemons; nil where the settings name no certificate.
-func newTLS(i do.Injector) (*tls.Config, error) {
-	files := do.MustInvoke[*settings.Settings](i).TLS
-	return bulk.TLSConfig(bulk.TLSFiles{Cert: files.CertFile, Key: files.KeyFile, CA: files.CAFile})
-}
-
 func newDaemon(i do.Injector, now time.Time) (*Daemon, error) {
 	keys, err := do.Invoke[*wire.KeyStore](i)
 	if err != nil {
@@ -140,10 +107,7 @@
 }
 
 func newOps(i do.Injector) (*ops.Server, error) {
-	d := do.MustInvoke[*Daemon](i)
-	set := do.MustInvoke[*metrics.Set](i)
-	set.RegisterProcess()
-	return ops.NewServer(ops.Config{Addr: d.settings.Ops, Second: d.settings.Metrics, Metrics: set, Ready: d, Status: d}), nil
+	return assembly.Ops(i, do.MustInvoke[*Daemon](i)), nil
 }
 
 // Run serves until ctx ends and returns after the graceful stop.
