Drop what the soak and the tests of tags wrote twice or never read

Cause: requests of the soak carried a byte that nobody read; its routers hashed a printed key for each packet and daemon; a search in a slice, the reading of a target's evidence and the building of a test's engine stood there several times; one decision had two functions to avoid a name.

Ruled out: to let the soak write packets with the adapter's code: it is the other end, and would share its faults.

--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -69,8 +69,15 @@
 }
 
 // engine returns a daemon that has just started with what is published.
-func (s *tagSite) engine() *TagEngine {
-	e := NewTagEngine(TagConfig{Policy: placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}), Epoch: s.now})
+func (s *tagSite) engine() *TagEngine { return s.engineIn("a", nil) }
+
+// engineIn returns a daemon of a zone that tells of targets which it suspects.
+func (s *tagSite) engineIn(zone string, suspect func(*model.Target)) *TagEngine {
+	e := NewTagEngine(TagConfig{
+		Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: zone}}),
+		Epoch:   s.now,
+		Suspect: suspect,
+	})
 	s.publish(e)
 	e.SetCurrent(true)
 	return e
@@ -462,9 +469,7 @@
 		r.Zone = "b"
 		s.directory.Register(s.now, r)
 	}
-	there := NewTagEngine(TagConfig{Policy: placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "b"}}), Epoch: s.now})
-	s.publish(there)
-	there.SetCurrent(true)
+	there := s.engineIn("b", nil)
 	s.engine = s.tagSite.engine()
 	for range 40 {
 		if c := s.caller(dst).open(s.engine); s.engine.Target(c.target).Zone.Name == "a" {
@@ -530,13 +535,7 @@
 	Convey("A target that refuses new flows at their callers is suspected, probed and, once it is gone, left", t, func() {
 		s := newTagSite(4)
 		var suspected []string
-		e := NewTagEngine(TagConfig{
-			Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
-			Epoch:   s.now,
-			Suspect: func(t *model.Target) { suspected = append(suspected, t.Name) },
-		})
-		s.publish(e)
-		e.SetCurrent(true)
+		e := s.engineIn("a", func(t *model.Target) { suspected = append(suspected, t.Name) })
 		var flows []*caller
 		for range 40 {
 			flows = append(flows, s.caller(unsafeAddr).open(e))
@@ -575,13 +574,7 @@
 	newEngine := func() (*tagSite, *TagEngine, *[]string) {
 		s := newTagSite(14)
 		suspected := new([]string)
-		e := NewTagEngine(TagConfig{
-			Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
-			Epoch:   s.now,
-			Suspect: func(t *model.Target) { *suspected = append(*suspected, t.Name) },
-		})
-		s.publish(e)
-		e.SetCurrent(true)
+		e := s.engineIn("a", func(t *model.Target) { *suspected = append(*suspected, t.Name) })
 		return s, e, suspected
 	}
 	calm := func(s *tagSite, e *TagEngine) {
@@ -641,13 +634,7 @@
 	Convey("Openings are judged only by a daemon that had its turn since: the answers may wait in its socket", t, func() {
 		s := newTagSite(4)
 		suspected := 0
-		e := NewTagEngine(TagConfig{
-			Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
-			Epoch:   s.now,
-			Suspect: func(*model.Target) { suspected++ },
-		})
-		s.publish(e)
-		e.SetCurrent(true)
+		e := s.engineIn("a", func(*model.Target) { suspected++ })
 		for range 30 {
 			s.caller(safeAddr).open(e)
 		}
@@ -679,13 +666,7 @@
 		} {
 			s := newTagSite(1)
 			suspected := 0
-			e := NewTagEngine(TagConfig{
-				Policy:  placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: "a"}}),
-				Epoch:   s.now,
-				Suspect: func(*model.Target) { suspected++ },
-			})
-			s.publish(e)
-			e.SetCurrent(true)
+			e := s.engineIn("a", func(*model.Target) { suspected++ })
 			for range 30 {
 				flow := s.caller(safeAddr)
 				flow.syn(e)
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,12 +65,9 @@
 func (s *silentTargets) add(id model.TargetID) {
 	s.Lock()
 	defer s.Unlock()
-	for _, known := range s.fresh {
-		if known == id {
-			return
-		}
+	if !slices.Contains(s.fresh, id) {
+		s.fresh = append(s.fresh, id)
 	}
-	s.fresh = append(s.fresh, id)
 }
 
 func (s *silentTargets) take() []model.TargetID {
@@ -123,16 +121,11 @@
 // pattern of a target that crashed and whose machine refuses what comes: callers are told at once and repeat nothing
 // on that flow, but ask again on new ones until they have used up their tries.
 func (e *TagEngine) judgeOpenings(now time.Time) {
-	late := now.Sub(e.ticked) > lateTick
+	gap := now.Sub(e.ticked)
 	e.ticked = now
-	if late {
+	if gap > lateTick {
 		return // what callers sent meanwhile may not be read yet
 	}
-	e.suspectLate(now)
-}
-
-// suspectLate judges the openings that are due.
-func (e *TagEngine) suspectLate(now time.Time) {
 	late := e.judgeDue(now, &e.opened, handshakeTime, &e.openedFar)
 	late = append(late, e.judgeDue(now, &e.openedFar, handshakeTimeFar, nil)...)
 	for _, id := range lo.Uniq(late) {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -107,7 +107,7 @@
 
 func (f *flow) sendRequest() {
 	id := history.AttemptID{Request: f.wanted.id, Attempt: f.wanted.attempt}
-	f.send(Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag, Data: appendRequest(id, f.wanted.repeatable)})
+	f.send(Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag, Data: appendRequest(id)})
 }
 
 func (c *caller) tick(now time.Time) {
@@ -195,8 +195,7 @@
 	if f.wanted == nil {
 		return
 	}
-	answer, _ := readRequest(p.Data)
-	f.c.w.outcome(now, f, history.FateAnswered, history.CauseNone, answer)
+	f.c.w.outcome(now, f, history.FateAnswered, history.CauseNone, readRequest(p.Data))
 	if f.wanted.done != nil {
 		f.wanted.done(true)
 	}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -19,7 +19,7 @@
 	// maxRepeats is how often a target sends again before it gives up.
 	maxRepeats = 8
 	// requestBytes is the size of a request and of its answer.
-	requestBytes = 13
+	requestBytes = 12
 	// workTime is how long a request runs.
 	workTime = 10 * time.Millisecond
 	// registerEvery is the time between two writes of a target's entry, expireAfter the silence that ends it.
@@ -234,8 +234,7 @@
 	if p.Seq == f.expected && len(p.Data) == requestBytes {
 		f.expected += requestBytes
 		f.request, f.workDone = p.Data, now.Add(workTime)
-		id, _ := readRequest(p.Data)
-		t.w.history.Runs = append(t.w.history.Runs, history.Run{ID: id, Target: t.entry.Name, Flow: key, Start: now})
+		t.w.history.Runs = append(t.w.history.Runs, history.Run{ID: readRequest(p.Data), Target: t.entry.Name, Flow: key, Start: now})
 	}
 	if p.Flags.Has(packet.FIN) {
 		t.send(key, Packet{Seq: f.next, Ack: f.expected + 1, Flags: packet.ACK | packet.FIN, Tag: f.tag})
@@ -248,16 +247,13 @@
 }
 
 // appendRequest writes a request; its answer is the same.
-func appendRequest(id history.AttemptID, repeatable bool) []byte {
+func appendRequest(id history.AttemptID) []byte {
 	b := make([]byte, requestBytes)
 	binary.BigEndian.PutUint64(b, id.Request)
 	binary.BigEndian.PutUint32(b[8:], id.Attempt)
-	if repeatable {
-		b[12] = 1
-	}
 	return b
 }
 
-func readRequest(b []byte) (id history.AttemptID, repeatable bool) {
-	return history.AttemptID{Request: binary.BigEndian.Uint64(b), Attempt: binary.BigEndian.Uint32(b[8:])}, b[12] == 1
+func readRequest(b []byte) history.AttemptID {
+	return history.AttemptID{Request: binary.BigEndian.Uint64(b), Attempt: binary.BigEndian.Uint32(b[8:])}
 }
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -244,8 +245,9 @@
 func pick(entries []*entry, key packet.FlowKey) *entry {
 	var best *entry
 	var most uint64
+	flow := uint64(key.Hash())
 	for _, e := range entries {
-		if h := xxhash.Sum64String(fmt.Sprint(e.name, key.Caller, key.Service)); best == nil || h > most {
+		if h := xxhash.Sum64String(e.name + strconv.FormatUint(flow, 16)); best == nil || h > most {
 			best, most = e, h
 		}
 	}
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -52,6 +52,13 @@
 	e.LastMiss = now
 }
 
+// seen returns what attempts to the target met.
+func (t *targetLoad) seen() Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.evidence
+}
+
 // LatestAnswer returns the target of a zone that answered last, other than a given one and without a miss since; false
 // where there is none.
 func (l *LoadTable) LatestAnswer(zone model.Zone, except model.TargetID) (model.TargetID, bool) {
@@ -61,9 +68,7 @@
 		if t.zone != zone || id == except {
 			continue
 		}
-		t.mu.Lock()
-		e := t.evidence
-		t.mu.Unlock()
+		e := t.seen()
 		if e.MissesInRow == 0 && e.LastAnswer.After(at) {
 			best, at = id, e.LastAnswer
 		}
@@ -86,9 +91,7 @@
 func (l *LoadTable) Heard(since time.Time) map[model.Zone]Heard {
 	out := make(map[model.Zone]Heard)
 	for _, t := range *l.targets.Load() {
-		t.mu.Lock()
-		e := t.evidence
-		t.mu.Unlock()
+		e := t.seen()
 		h := out[t.zone]
 		switch {
 		case e.MissesInRow > 0 && e.LastMiss.After(since):
