Look at the clock once for both looks of a daemon, and for first packets alone

Cause: two tickers woke the daemon 30 times a second where 20 do, both looked for a pause, and in no fixed order; the goroutine that moves packets made a system call with each batch, although only first packets depend on it.

Ruled out: a pause that is noticed between the batch's check and a first packet's: the look counts a pause before it moves the clock on, and the packet's check reads them the other way round.

The tests keep their assertions, TestSuspendedDaemonAsksFirst among them.

Conclusion: kept for its order and for being simpler, not for its cost.

--- a/internal/edge/clock.go
+++ b/internal/edge/clock.go
@@ -57,12 +57,16 @@
 	return boot - time.Duration(c.lookedAt.Load()), boot
 }
 
-// pausedSince reports whether the process was paused since the caller last asked, noticed by a look or not yet. seen
-// is the caller's own.
+// pausedSince reports whether a look has noticed a pause since the caller last asked. seen is the caller's own.
 func (c *pauseClock) pausedSince(seen *int64) bool {
 	pauses := c.pauses.Load()
 	paused := pauses != *seen
 	*seen = pauses
+	return paused
+}
+
+// pausedNow reports whether the process was paused and no look has noticed it yet.
+func (c *pauseClock) pausedNow() bool {
 	gap, _ := c.gap()
-	return paused || gap >= pauseLimit
+	return gap >= pauseLimit
 }
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// tickInterval is the time between two looks at the copy of the published items and the other daemons.
-	tickInterval = 100 * time.Millisecond
 	// flowInterval is the time between two looks at what flows tell of their targets: of the order in which callers that
 	// a dead target's machine refuses ask again.
 	flowInterval = 50 * time.Millisecond
+	// flowLooks of them go to one at the copy of the published items and the other daemons: each 0.1 s.
+	flowLooks = 2
 	// adoptDelay gathers changes that come together into one set of lists.
 	adoptDelay = 20 * time.Millisecond
 	// adoptPerTarget is added for each target: about ten times what a set of lists costs to build.
@@ -57,10 +57,9 @@
 	c.status.Store(c.report(time.Now()))
 	c.d.engine.SetCurrent(true)
 	c.handle(ctx, c.news.Start)
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTicker(flowInterval)
 	defer ticker.Stop()
-	flows := time.NewTicker(flowInterval)
-	defer flows.Stop()
+	looks := 0
 	soon := time.NewTimer(0)
 	defer soon.Stop()
 	for {
@@ -72,9 +71,10 @@
 		case s := <-c.d.seeds:
 			c.handle(ctx, func(now time.Time) []news.Action { return c.news.SetSeeds(now, s.Seeds) })
 		case <-ticker.C:
-			c.tick(ctx)
-		case <-flows.C:
 			c.tickFlows()
+			if looks++; looks%flowLooks == 0 {
+				c.tick(ctx)
+			}
 		case <-soon.C:
 			c.handle(ctx, c.news.Tick)
 		}
@@ -151,7 +151,6 @@
 
 func (c *control) tick(ctx context.Context) {
 	now := time.Now()
-	c.noticePause(now)
 	c.handle(ctx, c.news.Tick)
 	if c.news.Confirmed() {
 		c.d.confirmedAt.Store(now.Add(-c.news.Age(now)).UnixNano())
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -81,6 +81,13 @@
 	m.out = m.out[:0]
 }
 
+// mayBeStale reports whether packets may have waited through a pause. The clock is read for first packets alone; a pause
+// that a look notices between the two questions is known by the second.
+func (m *mover) mayBeStale() bool {
+	m.stale = m.stale || m.d.pauses.pausedNow() || m.d.pauses.pausedSince(&m.pauses)
+	return m.stale
+}
+
 // handle decides on one packet. First packets of flows that waited through a pause are dropped: their callers have gone
 // on elsewhere since, and a second target that refuses such a packet would end the flow at the first.
 func (m *mover) handle(now time.Time, i int) {
@@ -90,7 +97,7 @@
 		m.d.metrics.kinds.Add(kind, 1)
 		return
 	}
-	if m.stale && m.meta.Flags.Has(packet.SYN) {
+	if m.meta.Flags.Has(packet.SYN) && m.mayBeStale() {
 		m.d.noteDropped(now, &m.meta, tag, &core.TagVerdict{Op: core.OpDrop, Kind: errkind.NotReady})
 		return
 	}
