Tell tags from records, and what a reset of an open flow rests on

Cause: logs could not tell the three hypotheses on the reset flows apart. A packet that its record steered against its tag left no line, a first packet that dropped the record of an open flow looked like any other, and a reset did not say whether the target's registration had ended and whether its probe came after the first miss.

--- /dev/null
+++ b/core/tag_conflict_test.go
@@ -0,0 +1,53 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestConflictOfTagAndRecord(t *testing.T) {
+	Convey("A packet whose tag names another target than its flow's record is told", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr).open(e)
+		So(flow.send(e, 10).Conflict, ShouldBeNil)
+		last := s.now
+		other := s.caller(safeAddr)
+		for other.target == flow.target || other.target == 0 {
+			other = s.caller(safeAddr).open(e)
+		}
+		s.now = s.now.Add(time.Second)
+		Convey("as one that continues the recorded flow", func() {
+			flow.tag = other.tag
+			c := flow.send(e, 10).Conflict
+			So(c, ShouldNotBeNil)
+			So(c.Named, ShouldEqual, other.target)
+			So(c.Recorded, ShouldEqual, flow.target)
+			So(c.Opening, ShouldBeFalse)
+			So(c.SeqAhead, ShouldEqual, -10)
+			So(c.AckAhead, ShouldEqual, 0)
+			So(c.Age, ShouldEqual, s.now.Sub(last))
+		})
+		Convey("as one of a later flow between the same ends", func() {
+			flow.tag, flow.seq, flow.ack = other.tag, flow.seq+1<<30, flow.ack+1<<29
+			c := flow.send(e, 10).Conflict
+			So(c, ShouldNotBeNil)
+			So(c.SeqAhead, ShouldBeGreaterThan, 1<<29)
+			So(c.AckAhead, ShouldEqual, 1<<29)
+		})
+		Convey("as one with an unknown tag", func() {
+			flow.tag = 1
+			So(flow.send(e, 10).Conflict.Named, ShouldEqual, 0)
+		})
+	})
+	Convey("A SYN on ends that have a record of another flow says so", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr).open(e)
+		flow.seq += 100_000
+		So(flow.syn(e).Replaced, ShouldBeTrue)
+		So(s.caller(safeAddr).syn(e).Replaced, ShouldBeFalse)
+	})
+}
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -188,12 +188,53 @@
 	Tag    flowtag.Tag
 	// Route is the flow's route where the packet opens one.
 	Route *model.Route
+	// Replaced is true for the first packet of a flow whose ends had a record of another flow, or of this one when it was
+	// open already.
+	Replaced bool
+	// Conflict is set where the packet's tag names another target than the flow's record.
+	Conflict *TagConflict
 	// ISN is, of a reset in a target's place, the number that the flow's SYN carried; 0 where another daemon saw that.
 	ISN uint32
 	// RetryAfter is when a refused caller should come back; 0 where asking again is useless.
 	RetryAfter time.Duration
 }
 
+// TagConflict is what a packet and its flow's record say where they differ. It tells a packet of the recorded flow that
+// carries the tag of another target from one of a later flow between the same ends: the numbers of the former continue
+// those of the record.
+type TagConflict struct {
+	// Named is the target of the packet's tag; nil for a tag that nobody here knows. Recorded is the record's.
+	Named, Recorded model.TargetID
+	Tag             flowtag.Tag
+	// SeqAhead and AckAhead are how far the packet's numbers are beyond the record's, in bytes.
+	SeqAhead, AckAhead int32
+	// Age is the time since the last packet that told something new of the flow.
+	Age time.Duration
+	// Opening is true where the record knew only SYNs, so that the packet's tag counts.
+	Opening bool
+}
+
+// conflictOf returns what a packet and its flow's record say where they differ, or nil.
+func (w *tagWorld) conflictOf(m *packet.Meta, tag flowtag.Tag, p *tagProgress) *TagConflict {
+	if p.before.tag == flowtag.None || tag == p.before.tag {
+		return nil
+	}
+	c := &TagConflict{
+		Recorded: p.before.target,
+		Tag:      tag,
+		SeqAhead: int32(m.Seq - p.before.seq),
+		Age:      p.waited,
+		Opening:  p.before.state == tagOpening,
+	}
+	if !c.Opening {
+		c.AckAhead = int32(m.Ack - p.before.ack)
+	}
+	if t := w.tags.Target(tag); t != nil {
+		c.Named = t.ID
+	}
+	return c
+}
+
 func dropTagged(k errkind.Kind) TagVerdict {
 	return TagVerdict{Op: OpDrop, Kind: k}
 }
@@ -230,9 +271,10 @@
 		e.end(now, h)
 		v := refuseTagged(errkind.TargetLost, h)
 		v.Target, v.ISN = target, f.after.isn
+		v.Conflict = w.conflictOf(m, tag, &f)
 		return v
 	}
-	v := TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag}
+	v := TagVerdict{Op: OpForward, Target: target, Tag: f.after.tag, Conflict: w.conflictOf(m, tag, &f)}
 	if f.added {
 		v.Reason = TagLearned
 	}
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -22,11 +22,13 @@
 
 // open admits and places a new flow, or handles the repetition of its SYN.
 func (e *TagEngine) open(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta) TagVerdict {
+	replaced := false
 	if f, known := e.flows.get(h); known {
 		if f.state == tagOpening && f.seq == m.Seq+m.SegmentLen() {
 			return e.reopen(w, now, h, m, f)
 		}
 		if over, ok := e.flows.remove(h); ok {
+			replaced = true
 			e.released(now, over)
 		}
 	}
@@ -49,6 +51,7 @@
 		e.cfg.Limits.Close(now, customer)
 		return v
 	}
+	v.Replaced = replaced
 	f := e.newFlow(now, m, v)
 	f.customer = customer
 	if e.flows.put(h, f) {
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -197,6 +197,12 @@
 	return t == nil || t.Lapsed
 }
 
+// Ended reports whether a target's registration has ended, as the lists in force say.
+func (e *TagEngine) Ended(id model.TargetID) bool {
+	w := e.world.Load()
+	return w == nil || w.ended(id)
+}
+
 // givesUp reports whether a repeated packet is answered with a reset in its target's place. A request that may
 // run again is given up as soon as the target counts as silent, so that its caller asks again in time; another
 // one when the target's registration has ended too, since nobody can say whether it ran.
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -7,6 +7,7 @@
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/internal/flowtag"
+	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 )
 
@@ -46,12 +47,17 @@
 		d.metrics.learned.Inc(1)
 	}
 	event := eventOf(v.Reason)
+	if v.Replaced {
+		d.metrics.replaced.Inc(1)
+		event = flowReplaced
+	}
 	if !d.flowLines.allow(now, event) {
 		return
 	}
 	o := d.engine.Loads().Observe(now, v.Target.ID)
 	if v.Reason == core.TagLearned {
 		d.log.Info("flow learned", "op", "flow", "event", event, "flow", flowID(m.Src, m.Dst, 0), "tag", tagText(v.Tag),
+			"seq", m.Seq, "ack", m.Ack, "data", m.PayloadLen,
 			"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "leaving", v.Target.Leaving, "lapsed", v.Target.Lapsed)
 		return
 	}
@@ -60,6 +66,26 @@
 		"misses", o.MissesInRow, "lapsed", v.Target.Lapsed, "plan", d.planVersion.Load(), "age_ms", d.newsAge(now).Milliseconds())
 }
 
+// noteConflict counts and logs a packet whose tag names another target than its flow's record.
+func (d *Daemon) noteConflict(now time.Time, m *packet.Meta, v *core.TagVerdict) {
+	d.metrics.conflicts.Inc(1)
+	if !d.flowLines.allow(now, flowConflict) {
+		return
+	}
+	c := v.Conflict
+	d.log.Warn("tag and record differ", "op", "flow", "event", flowConflict, "flow", flowID(m.Src, m.Dst, 0), "tag", tagText(c.Tag),
+		"named", d.targetName(c.Named), "recorded", d.targetName(c.Recorded), "sent_to", v.Target.Name, "opening", c.Opening,
+		"seq_ahead", c.SeqAhead, "ack_ahead", c.AckAhead, "data", m.PayloadLen, "age_ms", c.Age.Milliseconds())
+}
+
+// targetName returns the name of a target, empty where it is not known.
+func (d *Daemon) targetName(id model.TargetID) string {
+	if t := d.engine.Target(id); t != nil {
+		return t.Name
+	}
+	return ""
+}
+
 func tagText(t flowtag.Tag) string {
 	return fmt.Sprintf("%08x", uint32(t))
 }
@@ -100,11 +126,8 @@
 		return
 	}
 	ev := d.engine.Loads().Evidence(f.Target)
-	target := ""
-	if t := d.engine.Target(f.Target); t != nil {
-		target = t.Name
-	}
 	d.log.Info("flow reset", "op", "flow", "event", flowReset, "flow", flowID(f.Caller, f.Service, f.ISN), "kind", f.Kind, "cause", cause,
-		"target", target, "misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", now.Sub(ev.FirstMiss).Milliseconds(),
+		"target", d.targetName(f.Target), "ended", d.engine.Ended(f.Target), "probed_since", !ev.ProbedAt.Before(ev.FirstMiss), "strong", ev.Strong,
+		"misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", now.Sub(ev.FirstMiss).Milliseconds(),
 		"connected", ev.Connected, "probe_ms", now.Sub(ev.ProbedAt).Milliseconds())
 }
--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -21,12 +21,14 @@
 	flowRefused
 	flowDropped
 	flowReset
+	flowReplaced
+	flowConflict
 	flowEvents
 )
 
 // String returns the event's name in logs.
 func (e flowEvent) String() string {
-	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset"}[e]
+	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict"}[e]
 }
 
 const (
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -16,6 +16,8 @@
 	repeated      gometrics.Counter
 	moved         gometrics.Counter
 	learned       gometrics.Counter
+	replaced      gometrics.Counter
+	conflicts     gometrics.Counter
 	refused       gometrics.Counter
 	reset         gometrics.Counter
 	probes        gometrics.Counter
@@ -47,6 +49,8 @@
 		repeated:      counter("repeated_opens_total", "Repeated first packets sent to the same target."),
 		moved:         counter("moved_opens_total", "Repeated first packets sent to another target."),
 		learned:       counter("learned_flows_total", "Flows that another daemon opened and whose packets came here."),
+		replaced:      counter("replaced_records_total", "First packets on ends that had a record of another flow or of another first packet."),
+		conflicts:     counter("tag_conflicts_total", "Packets whose tag names another target than their flow's record."),
 		refused:       counter("refused_flows_total", "New flows that were refused."),
 		reset:         counter("reset_flows_total", "Open flows that were ended at their callers, since their targets are silent."),
 		probes:        counter("target_probes_total", "Suspected targets to which connections were tried."),
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -102,6 +102,9 @@
 		return
 	}
 	v := m.d.engine.FromCaller(now, &m.meta, tag)
+	if v.Conflict != nil {
+		m.d.noteConflict(now, &m.meta, &v)
+	}
 	switch v.Op {
 	case core.OpForward:
 		frame := m.frames[i][:m.headroom+len(raw)]
