Keep the copies of a SYN with the target that the SYN went to

Callers saw, by the promise that a flow has one target, what must not happen: two targets answered one SYN. A daemon sent a copy to a second target when the first had answered nobody since the SYN, which is always so where SYN and copy waited in one socket, and always with the second copy. A caller that returns the tag it received last then sends the flow of one target to the other, and a second target that refuses the SYN ends a flow that is open at the first.

Cause: speed for callers of a dead target was bought with a guess that the first target is dead.

Also ruled out: a reset instead of the copy: a target repeats its answer at the time at which the caller repeats its SYN, so the flow may be open by then.

Two assertions of TestTagsRepeatedSYN asked for the second target; they ask for the first now, and for the second after a probe that did not find the first, with the same checks behind it.

--- /dev/null
+++ b/core/tag_steer_test.go
@@ -0,0 +1,60 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// Two targets that take one SYN both answer: the caller returns the tag of one of them, and another daemon sends the
+// flow there; a second target that refuses the SYN ends a flow that is open at the first.
+func TestFlowIsOfferedToOneTarget(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		waits []time.Duration
+	}{
+		{"in time", []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}},
+		{"that waited in the socket with it", []time.Duration{0, 0}},
+	} {
+		Convey("Copies of a SYN go to the target that the SYN went to: "+c.name, t, func() {
+			s := newTagSite(8)
+			e := s.engine()
+			for range 50 {
+				flow := s.caller(safeAddr)
+				first := flow.syn(e).Target.ID
+				for _, wait := range c.waits {
+					s.now = s.now.Add(wait)
+					So(flow.syn(e).Target.ID, ShouldEqual, first)
+				}
+			}
+		})
+	}
+	Convey("Copies go to another target once a probe since the SYN has not found the first", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Target
+		s.now = s.now.Add(190 * time.Millisecond)
+		e.Probed(s.now, first.ID, false)
+		s.now = s.now.Add(10 * time.Millisecond)
+		again := flow.syn(e)
+		So(again.Reason, ShouldEqual, TagMoved)
+		So(again.Target.ID, ShouldNotEqual, first.ID)
+		So(again.Target.Service, ShouldEqual, first.Service)
+	})
+	Convey("A probe from before the SYN moves nothing", t, func() {
+		s := newTagSite(1)
+		e := s.engine()
+		s.register("booking", 1)
+		flow := s.caller(safeAddr)
+		e.Probed(s.now, model.TargetIDOf("booking-00"), false)
+		s.now = s.now.Add(time.Second)
+		first := flow.syn(e).Target.ID
+		s.publish(e)
+		s.now = s.now.Add(200 * time.Millisecond)
+		So(flow.syn(e).Target.ID, ShouldEqual, first)
+	})
+}
--- a/core/tag_test.go
+++ b/core/tag_test.go
@@ -282,12 +282,17 @@
 			again := c.syn(e)
 			So(again.Reason, ShouldEqual, TagRepeated)
 			So(again.Target.ID, ShouldEqual, first.Target.ID)
-			Convey("and to another one the second time: the first may be full", func() {
+			Convey("and so does the second one: a target that answers late would be one of two", func() {
 				s.now = s.now.Add(400 * time.Millisecond)
-				So(c.syn(e).Target.ID, ShouldNotEqual, first.Target.ID)
+				So(c.syn(e).Target.ID, ShouldEqual, first.Target.ID)
 			})
 		})
-		Convey("goes to another target while the first one is silent", func() {
+		Convey("goes to the same target while that one is silent", func() {
+			s.now = s.now.Add(200 * time.Millisecond)
+			So(c.syn(e).Target.ID, ShouldEqual, first.Target.ID)
+		})
+		Convey("goes to another target once a probe has not found the first one", func() {
+			e.Probed(s.now.Add(100*time.Millisecond), first.Target.ID, false)
 			s.now = s.now.Add(200 * time.Millisecond)
 			again := c.syn(e)
 			So(again.Reason, ShouldEqual, TagMoved)
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// sameTargetCopies is how many repetitions of a SYN go to the first target while that one answers others.
-	// A second one means that the target is full or the path is cut.
-	sameTargetCopies = 1
 	// maxRedraws bounds the search for another target.
 	maxRedraws = 4
 	// redrawSalt makes the draws for one flow independent of each other.
@@ -93,21 +90,39 @@
 	return TagVerdict{Op: OpForward, Reason: TagPlaced, Target: t, Tag: tag, Route: route}
 }
 
-// reopen handles the repetition of a SYN. It goes to the same target while that one is known to answer
-// others, since a second target would open a connection for nothing, and else to another one.
+// reopen handles the repetition of a SYN. It goes to the same target unless that one is gone: of two targets that take
+// one SYN both answer, the caller may return the tag of either, and one that refuses the SYN ends a flow that is open at
+// the other.
 func (e *TagEngine) reopen(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta, f tagFlow) TagVerdict {
 	e.missed(now, h, f.target, true)
 	f.copies++
 	f.last = e.flows.millis(now)
-	target := w.targets[f.target]
 	route := w.snapshot.RouteAt(m.Dst)
 	if route == nil {
 		return refuseTagged(errkind.NoSuchService, h)
 	}
-	if target != nil && !target.Leaving && f.copies <= sameTargetCopies && e.answersSince(f) {
-		e.flows.put(h, f)
-		return TagVerdict{Op: OpForward, Reason: TagRepeated, Target: target, Tag: f.tag, Route: route}
+	target := w.targets[f.target]
+	if target == nil || e.goneSince(f) {
+		if v, moved := e.move(w, now, h, route, &f); moved {
+			e.flows.put(h, f)
+			return v
+		}
+	}
+	e.flows.put(h, f)
+	if target == nil {
+		return refuseTagged(errkind.NoTargetReachable, h)
 	}
+	return TagVerdict{Op: OpForward, Reason: TagRepeated, Target: target, Tag: f.tag, Route: route}
+}
+
+// goneSince reports whether a probe since the flow's SYN has not found its target.
+func (e *TagEngine) goneSince(f tagFlow) bool {
+	ev := e.loads.Evidence(f.target)
+	return !ev.ProbedAt.IsZero() && !newer(f.at, e.flows.millis(ev.ProbedAt)) && !ev.Connected
+}
+
+// move gives an opening flow another target, if there is one.
+func (e *TagEngine) move(w *tagWorld, now time.Time, h model.FlowHash, route *model.Route, f *tagFlow) (TagVerdict, bool) {
 	for i := range maxRedraws {
 		v := e.place(w, now, h, h^model.FlowHash(redrawSalt*uint64(i+1)*uint64(f.copies)), route)
 		if v.Op != OpForward || v.Target.ID == f.target {
@@ -116,21 +131,10 @@
 		e.loads.Closed(f.target)
 		e.loads.Placed(now, v.Target.ID)
 		f.target, f.tag = v.Target.ID, v.Tag
-		e.flows.put(h, f)
 		v.Reason = TagMoved
-		return v
-	}
-	e.flows.put(h, f)
-	if target == nil {
-		return refuseTagged(errkind.NoTargetReachable, h)
+		return v, true
 	}
-	return TagVerdict{Op: OpForward, Reason: TagRepeated, Target: target, Tag: f.tag, Route: route}
-}
-
-// answersSince reports whether the flow's target has answered another flow since this one's SYN.
-func (e *TagEngine) answersSince(f tagFlow) bool {
-	answered := e.loads.Evidence(f.target).LastAnswer
-	return !answered.IsZero() && newer(e.flows.millis(answered), f.at)
+	return TagVerdict{}, false
 }
 
 func refuseTagged(k errkind.Kind, h model.FlowHash) TagVerdict {
