Drop copies of a SYN that come when their flow is open

What callers could see: a reset of an open flow by a target that never had it. A copy of a SYN that was held back until the flow was open dropped the flow's record and was sent to a target as a new flow; if that one refuses it, the caller loses the open flow.

Cause: any SYN on ends with a record of an open flow passed for a new flow, whatever its number.

Ruled out: to send it to the flow's own target: nothing says how a target treats a SYN of a flow that it holds.

The kind packet_outdated counts them; SYNs that waited through a pause count there too, and no longer as not_ready.

--- a/core/tag_steer_test.go
+++ b/core/tag_steer_test.go
@@ -6,7 +6,9 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
 )
 
 // Two targets that take one SYN both answer: the caller returns the tag of one of them, and another daemon sends the
@@ -58,3 +60,32 @@
 		So(flow.syn(e).Target.ID, ShouldEqual, first)
 	})
 }
+
+func TestLateCopyOfSYNOpensNothing(t *testing.T) {
+	Convey("A copy of a flow's SYN that arrives when the flow is open is dropped, and the flow goes on", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		for range 50 {
+			flow := s.caller(safeAddr).open(e)
+			opened := flow.target
+			flow.ask(e)
+			late := flow.meta(packet.SYN, 0)
+			late.Seq, late.Ack = 1000, 1
+			dropped := e.FromCaller(s.now, late, 0)
+			So(dropped.Op, ShouldEqual, OpDrop)
+			So(dropped.Kind, ShouldEqual, errkind.PacketOutdated)
+			v := flow.send(e, 100)
+			So(v.Target.ID, ShouldEqual, opened)
+			So(v.Conflict, ShouldBeNil)
+		}
+	})
+	Convey("also where another daemon saw the SYN", t, func() {
+		s := newTagSite(8)
+		flow := s.caller(safeAddr).open(s.engine())
+		e := s.engine()
+		flow.ask(e)
+		late := flow.meta(packet.SYN, 0)
+		late.Seq, late.Ack = 1000, 1
+		So(e.FromCaller(s.now, late, 0).Op, ShouldEqual, OpDrop)
+	})
+}
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -28,6 +28,9 @@
 	// repeatAfter is the time from which the same data again is a retransmission and not a copy that the
 	// network made; ends repeat after 200 ms.
 	repeatAfter = 150 * time.Millisecond
+	// flowWindow bounds the bytes that a flow's ends send by way of other daemons between two packets that come here. The
+	// numbers of another flow between the same ends are random: one in four million lies within it in both directions.
+	flowWindow = 1 << 20
 	// closedFor is how long a flow that has ended stays known, for the last packets of its ends.
 	closedFor = 2 * time.Second
 )
@@ -282,6 +285,23 @@
 	return true
 }
 
+// lateCopy reports whether a SYN is a copy of the one that opened this flow: the network or a full link held it back. Of a
+// flow that another daemon opened it is known by its number, which is a little behind the flow's.
+func (f *tagFlow) lateCopy(m *packet.Meta) bool {
+	switch {
+	case f.state == tagOpening:
+		return false
+	case f.isn != 0:
+		return f.isn == m.Seq
+	}
+	return f.state == tagOpen && within(f.seq-m.Seq, flowWindow)
+}
+
+// within reports whether a sequence number is ahead of another by less than a number of bytes.
+func within(ahead uint32, bytes uint32) bool {
+	return ahead < bytes
+}
+
 // newer compares two sequence numbers that wrap around.
 func newer(a, b uint32) bool {
 	return int32(a-b) > 0
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -24,6 +24,9 @@
 		if f.state == tagOpening && f.seq == m.Seq+m.SegmentLen() {
 			return e.reopen(w, now, h, m, f)
 		}
+		if f.lateCopy(m) {
+			return dropTagged(errkind.PacketOutdated)
+		}
 		if over, ok := e.flows.remove(h); ok {
 			replaced = true
 			e.released(now, over)
--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -17,6 +17,7 @@
 	PacketNotTCP
 	PacketLooping
 	PacketFromUnknownTarget
+	PacketOutdated
 
 	// New flows that are refused: the caller is told, and no target has seen the flow.
 	NoSuchService
--- a/errkind/table.go
+++ b/errkind/table.go
@@ -17,6 +17,7 @@
 	{Kind: PacketNotTCP, Name: "packet_not_tcp", Meaning: "The packet carries another protocol than TCP."},
 	{Kind: PacketLooping, Name: "packet_looping", Meaning: "The packet has passed too many daemons or its hop limit is used up."},
 	{Kind: PacketFromUnknownTarget, Name: "packet_from_unknown_target", Meaning: "An answer came from an address that is no target of its service."},
+	{Kind: PacketOutdated, Name: "packet_outdated", Meaning: "A first packet was held back until its flow was open, or may have gone on at another daemon."},
 
 	{Kind: NoSuchService, Name: "no_such_service", Answer: AnswerReset, NotRun: true, Meaning: "No service has this address."},
 	{Kind: UnknownCustomer, Name: "unknown_customer", Answer: AnswerReset, NotRun: true, Meaning: "No customer has this source address."},
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -98,7 +98,7 @@
 		return
 	}
 	if m.meta.Flags.Has(packet.SYN) && m.mayBeStale() {
-		m.d.noteDropped(now, &m.meta, tag, &core.TagVerdict{Op: core.OpDrop, Kind: errkind.NotReady})
+		m.d.noteDropped(now, &m.meta, tag, &core.TagVerdict{Op: core.OpDrop, Kind: errkind.PacketOutdated})
 		return
 	}
 	v := m.d.engine.FromCaller(now, &m.meta, tag)
