Tell a later flow between the same ends by its numbers

What callers could see: a flow whose packets go to the target of an earlier flow between the same ends. A daemon that did not see the earlier flow's end keeps its record; when the ends are used again by way of another daemon, the record steered the new flow's packets, whatever their tag and numbers.

Cause: an open record was never compared with the packet.

Ruled out: to let the tag always decide: a caller that heard two targets returns the tag that it received last. The numbers tell both cases apart: those of a recorded flow continue the record, within what its ends may have sent by way of other daemons; those of a later flow are random.

--- a/core/tag_steer_test.go
+++ b/core/tag_steer_test.go
@@ -89,3 +89,54 @@
 		So(e.FromCaller(s.now, late, 0).Op, ShouldEqual, OpDrop)
 	})
 }
+
+func TestLaterFlowBetweenTheSameEnds(t *testing.T) {
+	Convey("A flow that another daemon opened on the ends of an earlier one goes to its own target", t, func() {
+		for _, end := range []string{"unseen", "closing", "opening"} {
+			Convey("where the earlier one is "+end, func() {
+				s := newTagSite(8)
+				known, other := s.engine(), s.engine()
+				earlier := s.caller(safeAddr)
+				earlier.syn(known)
+				switch end {
+				case "unseen":
+					earlier.answered(known)
+				case "closing":
+					earlier.answered(known)
+					known.FromCaller(s.now, earlier.meta(packet.FIN|packet.ACK, 0), earlier.tag)
+				}
+				later := s.caller(safeAddr)
+				for later.target == earlier.target || later.target == 0 {
+					later = s.caller(safeAddr)
+					later.syn(other)
+				}
+				later.src, later.seq, later.ack = earlier.src, 1<<30, 1<<29
+				v := later.send(known, 100)
+				So(v.Op, ShouldEqual, OpForward)
+				So(v.Target.ID, ShouldEqual, later.target)
+				So(v.Tag, ShouldEqual, later.tag)
+				So(known.OpenFlows(), ShouldEqual, 1)
+				So(known.Loads().Open(earlier.target), ShouldEqual, 0)
+				So(known.Loads().Open(later.target), ShouldEqual, 1)
+				later.seq += 100
+				So(later.send(known, 100).Target.ID, ShouldEqual, later.target)
+			})
+		}
+	})
+	Convey("A packet of a later flow whose tag nobody knows is dropped", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr).open(e)
+		flow.seq, flow.ack, flow.tag = 1<<30, 1<<29, 1
+		So(flow.send(e, 100).Op, ShouldEqual, OpDrop)
+	})
+	Convey("A flow whose packets went through other daemons meanwhile goes on", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr).open(e)
+		flow.seq, flow.ack = flow.seq+3000, flow.ack+400_000
+		v := flow.send(e, 100)
+		So(v.Target.ID, ShouldEqual, flow.target)
+		So(e.Loads().Open(flow.target), ShouldEqual, 1)
+	})
+}
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -254,7 +254,7 @@
 
 // steer sends a packet of an open flow to its target. The target that a daemon saw first in the flow's tags
 // stays its target: a caller whose repeated SYN reached two targets may return the tag of the one that it
-// did not choose.
+// did not choose. Of another flow between the same ends, as its numbers tell, the packet's tag decides.
 func (e *TagEngine) steer(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta, tag flowtag.Tag) TagVerdict {
 	f, known := e.flows.packet(now, h, m, func() (tagFlow, bool) {
 		return e.learn(w, tag)
@@ -292,6 +292,9 @@
 
 // judge turns a packet's progress into evidence on the flow's target.
 func (e *TagEngine) judge(now time.Time, h model.FlowHash, f *tagProgress) {
+	if f.replaced {
+		e.released(now, f.before)
+	}
 	if f.added {
 		e.loads.Opened(f.after.target)
 	}
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -112,8 +112,8 @@
 // tagProgress is what a packet told of its flow.
 type tagProgress struct {
 	before, after tagFlow
-	// added is true for a flow that had no record.
-	added bool
+	// added is true for a flow that had no record, replaced for one whose ends had the record of another flow: before.
+	added, replaced bool
 	// opened is true for the first packet after a target's answer to the SYN.
 	opened bool
 	// retargeted is true where that packet names another target than the record did.
@@ -212,6 +212,9 @@
 	s.Lock()
 	defer s.Unlock()
 	f, known := s.flows[h]
+	if known && !f.continuedBy(m) {
+		return t.replace(now, s, h, m, f, learn)
+	}
 	if known && f.state != tagOpening {
 		p := t.advance(now, f, m)
 		s.flows[h] = p.after
@@ -227,6 +230,19 @@
 	return t.begin(now, s, h, m, f, known, fresh), true
 }
 
+// replace notes a packet whose numbers are those of another flow between the same ends, which another daemon opened.
+func (t *tagFlows) replace(now time.Time, s *tagShard, h model.FlowHash, m *packet.Meta, over tagFlow, learn func() (tagFlow, bool)) (tagProgress, bool) {
+	fresh, found := learn()
+	if !found {
+		return tagProgress{}, false
+	}
+	delete(s.flows, h)
+	t.count.Add(-1)
+	p := t.begin(now, s, h, m, tagFlow{}, false, fresh)
+	p.before, p.replaced = over, true
+	return p, true
+}
+
 // begin notes the first packet after a SYN, or the first one of a flow that another daemon opened.
 func (t *tagFlows) begin(now time.Time, s *tagShard, h model.FlowHash, m *packet.Meta, f tagFlow, known bool, fresh tagFlow) tagProgress {
 	ms := t.millis(now)
@@ -285,6 +301,20 @@
 	return true
 }
 
+// continuedBy reports whether a packet's numbers are those of the recorded flow, and not of another one between the same
+// ends.
+func (f *tagFlow) continuedBy(m *packet.Meta) bool {
+	if f.state == tagOpening {
+		return within(m.Seq-f.seq, flowWindow)
+	}
+	return near(m.Seq, f.seq) && (!m.Flags.Has(packet.ACK) || near(m.Ack, f.ack))
+}
+
+// near reports whether two sequence numbers may be of one flow.
+func near(a, b uint32) bool {
+	return within(a-b, flowWindow) || within(b-a, flowWindow)
+}
+
 // lateCopy reports whether a SYN is a copy of the one that opened this flow: the network or a full link held it back. Of a
 // flow that another daemon opened it is known by its number, which is a little behind the flow's.
 func (f *tagFlow) lateCopy(m *packet.Meta) bool {
