Take no first packet that waited until its flow may have moved

What callers could see: a flow that another daemon opened is offered to a second target when a stalled or just started daemon comes to the SYN in its socket. A second target that refuses it ends the open flow.

Cause: only pauses of 1 s or more counted. The fabric moves flows after two checks, half a second apart, and packets that waited for the first lists of a starting daemon were all taken.

Ruled out: 0.2 s, the time of the first copy, as the limit: a stall shorter than two checks moves no flow, and callers would lose 0.4 s. The clock tells pauses of the machine and gaps between two looks; both count.

Before and after: TestFirstPacketsThatWaitedThroughAStall and TestFirstPacketsThatWaitedForTheFirstLists failed (the packet reached the target) and pass.

--- a/internal/edge/clock.go
+++ b/internal/edge/clock.go
@@ -7,18 +7,24 @@
 	"golang.org/x/sys/unix"
 )
 
-// pauseLimit is the gap between two looks at the clock from which the process was paused and what it believes may be
-// old.
-const pauseLimit = time.Second
+const (
+	// pauseLimit is the gap between two looks at the clock from which the process was paused and what it believes may be
+	// old.
+	pauseLimit = time.Second
+	// stallLimit is the wait from which a first packet's flow may have gone on elsewhere: the fabric moves flows once two
+	// checks of a daemon, half a second apart, got no answer.
+	stallLimit = 500 * time.Millisecond
+)
 
-// pauseClock finds pauses of the process by a clock that goes on while the machine is suspended, which the runtime's
+// pauseClock finds pauses and stalls of the process by a clock that goes on while the machine is suspended, which the runtime's
 // steady clock does not. One goroutine looks at regular times; others may ask it at any time.
 type pauseClock struct {
 	// sinceBoot returns the time since the machine started, suspension counted; false where it is not known.
 	sinceBoot func() (time.Duration, bool)
 	// lookedAt is when the last look was, in nanoseconds since the machine's start.
 	lookedAt atomic.Int64
-	pauses   atomic.Int64
+	// stalls counts the gaps of stallLimit or more.
+	stalls atomic.Int64
 }
 
 // sinceBoot returns the time since the machine started, suspension counted.
@@ -32,14 +38,14 @@
 
 func (c *pauseClock) start() {
 	c.look()
-	c.pauses.Store(0)
+	c.stalls.Store(0)
 }
 
 // look returns how long the process was paused since the last look; 0 where it was not.
 func (c *pauseClock) look() time.Duration {
 	gap, boot := c.gap()
-	if gap >= pauseLimit {
-		c.pauses.Add(1)
+	if gap >= stallLimit {
+		c.stalls.Add(1)
 	}
 	c.lookedAt.Store(int64(boot))
 	if gap < pauseLimit {
@@ -57,16 +63,16 @@
 	return boot - time.Duration(c.lookedAt.Load()), boot
 }
 
-// pausedSince reports whether a look has noticed a pause since the caller last asked. seen is the caller's own.
-func (c *pauseClock) pausedSince(seen *int64) bool {
-	pauses := c.pauses.Load()
-	paused := pauses != *seen
-	*seen = pauses
-	return paused
+// stalledSince reports whether a look has noticed a stall since the caller last asked. seen is the caller's own.
+func (c *pauseClock) stalledSince(seen *int64) bool {
+	stalls := c.stalls.Load()
+	stalled := stalls != *seen
+	*seen = stalls
+	return stalled
 }
 
-// pausedNow reports whether the process was paused and no look has noticed it yet.
-func (c *pauseClock) pausedNow() bool {
+// stalledNow reports whether the process was stalled and no look has noticed it yet.
+func (c *pauseClock) stalledNow() bool {
 	gap, _ := c.gap()
-	return gap >= pauseLimit
+	return gap >= stallLimit
 }
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -240,12 +240,15 @@
 }
 
 // moveOnceAdopted moves packets from the moment when lists are in force. Until then they wait in the socket: it
-// answers the load pattern of a whole fleet that starts again, whose callers send before the first lists are read.
+// answers the load pattern of a whole fleet that starts again, whose callers send before the first lists are read. After a
+// wait as long as a stall first packets are not taken.
 func (d *Daemon) moveOnceAdopted(ctx context.Context, m *mover) error {
+	opened := time.Now()
 	select {
 	case <-ctx.Done():
 		return nil
 	case <-d.adopted:
+		m.stale = time.Since(opened) >= stallLimit
 		return m.run()
 	}
 }
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -31,9 +31,9 @@
 	resets [][]byte
 	meta   packet.Meta
 
-	// pauses is the mover's own count for the clock of pauses; stale is true while packets are read that may have
-	// waited through a pause.
-	pauses int64
+	// stalls is the mover's own count for the clock of pauses; stale is true while packets are read that may have
+	// waited through a stall.
+	stalls int64
 	stale  bool
 }
 
@@ -60,7 +60,7 @@
 		}
 		now := time.Now()
 		m.d.metrics.lastPacket.Store(now.UnixNano())
-		m.stale = m.d.pauses.pausedSince(&m.pauses) || m.stale
+		m.stale = m.d.pauses.stalledSince(&m.stalls) || m.stale
 		for i := range m.in[:n] {
 			m.handle(now, i)
 		}
@@ -81,14 +81,14 @@
 	m.out = m.out[:0]
 }
 
-// mayBeStale reports whether packets may have waited through a pause. The clock is read for first packets alone; a pause
+// mayBeStale reports whether packets may have waited through a stall. The clock is read for first packets alone; a stall
 // that a look notices between the two questions is known by the second.
 func (m *mover) mayBeStale() bool {
-	m.stale = m.stale || m.d.pauses.pausedNow() || m.d.pauses.pausedSince(&m.pauses)
+	m.stale = m.stale || m.d.pauses.stalledNow() || m.d.pauses.stalledSince(&m.stalls)
 	return m.stale
 }
 
-// handle decides on one packet. First packets of flows that waited through a pause are dropped: their callers have gone
+// handle decides on one packet. First packets of flows that waited through a stall are dropped: their callers have gone
 // on elsewhere since, and a second target that refuses such a packet would end the flow at the first.
 func (m *mover) handle(now time.Time, i int) {
 	raw := m.in[i].Buf[:m.in[i].N]
