Drop the end of a handshake whose tag is not known here

What callers could see: a reset by a target that they never chose. Where two daemons offered a flow to two targets, and the caller chose one that the first daemon does not know yet, that daemon rewrote the caller's tag to the target of its own offer.

Cause: an opening record stood in for a tag that nobody here knows.

Ruled out: to drop packets without any tag too: a caller that gives up its SYN may say so, and the offered target may hear it.

--- a/core/tag_steer_test.go
+++ b/core/tag_steer_test.go
@@ -140,3 +140,19 @@
 		So(e.Loads().Open(flow.target), ShouldEqual, 1)
 	})
 }
+
+// Another daemon, whose lists are newer, may have offered the flow to a target that is not known here.
+func TestFlowAtUnknownTarget(t *testing.T) {
+	Convey("The end of a handshake whose tag nobody here knows is dropped, also where a SYN of the flow went to a target", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Tag
+		flow.seq, flow.ack, flow.tag = flow.seq+1, 5000, 1
+		v := flow.send(e, 100)
+		So(v.Op, ShouldEqual, OpDrop)
+		So(v.Kind, ShouldEqual, errkind.TargetLost)
+		flow.tag = first
+		So(flow.send(e, 100).Target.ID, ShouldEqual, flow.target)
+	})
+}
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -256,7 +256,7 @@
 // stays its target: a caller whose repeated SYN reached two targets may return the tag of the one that it
 // did not choose. Of another flow between the same ends, as its numbers tell, the packet's tag decides.
 func (e *TagEngine) steer(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta, tag flowtag.Tag) TagVerdict {
-	f, known := e.flows.packet(now, h, m, func() (tagFlow, bool) {
+	f, known := e.flows.packet(now, h, m, tag, func() (tagFlow, bool) {
 		return e.learn(w, tag)
 	})
 	if !known {
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -205,9 +205,9 @@
 	return f, ok
 }
 
-// packet notes a packet of an open flow. A flow without a record gets the one that learn returns; false
+// packet notes a packet of an open flow. A flow without a record gets the one that learn returns for the tag; false
 // means that there is none.
-func (t *tagFlows) packet(now time.Time, h model.FlowHash, m *packet.Meta, learn func() (tagFlow, bool)) (tagProgress, bool) {
+func (t *tagFlows) packet(now time.Time, h model.FlowHash, m *packet.Meta, tag flowtag.Tag, learn func() (tagFlow, bool)) (tagProgress, bool) {
 	s := t.shard(h)
 	s.Lock()
 	defer s.Unlock()
@@ -222,10 +222,10 @@
 	}
 	fresh, found := learn()
 	switch {
-	case !found && !known:
-		return tagProgress{}, false
-	case !found:
+	case !found && known && (tag == f.tag || tag == flowtag.None):
 		fresh = f
+	case !found:
+		return tagProgress{}, false
 	}
 	return t.begin(now, s, h, m, f, known, fresh), true
 }
