Let only the daemon that got a flow's first SYN offer it to a target

What callers could see: as before, two targets that answer one SYN, here by way of two daemons. Each chooses by the loads that it sees, so a copy that reaches another daemon, when a VM joins or leaves the rotation, may go to another target.

Cause: a daemon could not tell a copy from a first SYN, although the transport says so.

Ruled out: a reset of such a copy: the flow may be open by then. To place it with a mark in the tag: a daemon without a record could not tell either which of two targets the caller chose. To ask the zone's daemons: the one that knows may be gone.

Before and after: TestFlowIsOfferedByOneDaemon failed before (forwarded) and passes.

--- a/core/tag_steer_test.go
+++ b/core/tag_steer_test.go
@@ -7,6 +7,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 )
@@ -61,6 +62,38 @@
 	})
 }
 
+// Daemons choose by the loads that each sees, so two of them may choose differently for one SYN.
+func TestFlowIsOfferedByOneDaemon(t *testing.T) {
+	Convey("A copy of a SYN is dropped by a daemon that did not get the SYN, on transports that tell copies", t, func() {
+		s := newTagSite(8)
+		flow := s.caller(safeAddr)
+		flow.syn(s.engine())
+		e := s.engine()
+		m := flow.meta(packet.SYN, 0)
+		m.Copy = true
+		v := e.FromCaller(s.now, m, flowtag.None)
+		So(v.Op, ShouldEqual, OpDrop)
+		So(v.Kind, ShouldEqual, errkind.PacketOutdated)
+		So(e.OpenFlows(), ShouldEqual, 0)
+		Convey("also where it has the record of an earlier flow, which goes on", func() {
+			earlier := s.caller(safeAddr).open(e)
+			m := flow.meta(packet.SYN, 0)
+			m.Src, m.Seq, m.Copy = earlier.src, 1<<30, true
+			So(e.FromCaller(s.now, m, flowtag.None).Op, ShouldEqual, OpDrop)
+			So(earlier.send(e, 100).Target.ID, ShouldEqual, earlier.target)
+		})
+	})
+	Convey("A copy goes where the SYN went", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Target.ID
+		m := flow.meta(packet.SYN, 0)
+		m.Copy = true
+		So(e.FromCaller(s.now, m, flowtag.None).Target.ID, ShouldEqual, first)
+	})
+}
+
 func TestLateCopyOfSYNOpensNothing(t *testing.T) {
 	Convey("A copy of a flow's SYN that arrives when the flow is open is dropped, and the flow goes on", t, func() {
 		s := newTagSite(8)
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -17,16 +17,19 @@
 	redrawSalt = 0x9e3779b97f4a7c15
 )
 
-// open admits and places a new flow, or handles the repetition of its SYN.
+// open admits and places a new flow, or handles the repetition of its SYN. Only the daemon that got a flow's first SYN
+// offers the flow to a target.
 func (e *TagEngine) open(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta) TagVerdict {
+	f, known := e.flows.get(h)
+	switch {
+	case known && f.state == tagOpening && f.seq == m.Seq+m.SegmentLen():
+		return e.reopen(w, now, h, m, f)
+	case m.Copy, known && f.lateCopy(m):
+		// Another daemon may have offered the flow to a target.
+		return dropTagged(errkind.PacketOutdated)
+	}
 	replaced := false
-	if f, known := e.flows.get(h); known {
-		if f.state == tagOpening && f.seq == m.Seq+m.SegmentLen() {
-			return e.reopen(w, now, h, m, f)
-		}
-		if f.lateCopy(m) {
-			return dropTagged(errkind.PacketOutdated)
-		}
+	if known {
 		if over, ok := e.flows.remove(h); ok {
 			replaced = true
 			e.released(now, over)
@@ -52,7 +55,7 @@
 		return v
 	}
 	v.Replaced = replaced
-	f := e.newFlow(now, m, v)
+	f = e.newFlow(now, m, v)
 	f.customer = customer
 	if e.flows.put(h, f) {
 		e.loads.Placed(now, f.target)
--- a/packet/meta.go
+++ b/packet/meta.go
@@ -33,6 +33,8 @@
 	HopLimit uint8
 	// Len is the length of the whole IP packet in bytes.
 	Len int
+	// Copy is true for a SYN that its caller has sent before; false on transports that do not tell.
+	Copy bool
 }
 
 // SegmentLen returns the sequence numbers that the segment takes: its payload, SYN and FIN.
