--- /dev/null
+++ b/core/tag_steer_test.go
@@ -0,0 +1,191 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// Two targets that take one SYN both answer: the caller returns the tag of one of them, and another daemon sends the
+// flow there; a second target that refuses the SYN ends a flow that is open at the first.
+func TestFlowIsOfferedToOneTarget(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		waits []time.Duration
+	}{
+		{"in time", []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}},
+		{"that waited in the socket with it", []time.Duration{0, 0}},
+	} {
+		Convey("Copies of a SYN go to the target that the SYN went to: "+c.name, t, func() {
+			s := newTagSite(8)
+			e := s.engine()
+			for range 50 {
+				flow := s.caller(safeAddr)
+				first := flow.syn(e).Target.ID
+				for _, wait := range c.waits {
+					s.now = s.now.Add(wait)
+					So(flow.syn(e).Target.ID, ShouldEqual, first)
+				}
+			}
+		})
+	}
+	Convey("Copies go to another target once a probe since the SYN has not found the first", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Target
+		s.now = s.now.Add(190 * time.Millisecond)
+		e.Probed(s.now, first.ID, false)
+		s.now = s.now.Add(10 * time.Millisecond)
+		again := flow.syn(e)
+		So(again.Reason, ShouldEqual, TagMoved)
+		So(again.Target.ID, ShouldNotEqual, first.ID)
+		So(again.Target.Service, ShouldEqual, first.Service)
+	})
+	Convey("A probe from before the SYN moves nothing", t, func() {
+		s := newTagSite(1)
+		e := s.engine()
+		s.register("booking", 1)
+		flow := s.caller(safeAddr)
+		e.Probed(s.now, model.TargetIDOf("booking-00"), false)
+		s.now = s.now.Add(time.Second)
+		first := flow.syn(e).Target.ID
+		s.publish(e)
+		s.now = s.now.Add(200 * time.Millisecond)
+		So(flow.syn(e).Target.ID, ShouldEqual, first)
+	})
+}
+
+// Daemons choose by the loads that each sees, so two of them may choose differently for one SYN.
+func TestFlowIsOfferedByOneDaemon(t *testing.T) {
+	Convey("A copy of a SYN is dropped by a daemon that did not get the SYN, on transports that tell copies", t, func() {
+		s := newTagSite(8)
+		flow := s.caller(safeAddr)
+		flow.syn(s.engine())
+		e := s.engine()
+		m := flow.meta(packet.SYN, 0)
+		m.Copy = true
+		v := e.FromCaller(s.now, m, flowtag.None)
+		So(v.Op, ShouldEqual, OpDrop)
+		So(v.Kind, ShouldEqual, errkind.PacketOutdated)
+		So(e.OpenFlows(), ShouldEqual, 0)
+		Convey("also where it has the record of an earlier flow, which goes on", func() {
+			earlier := s.caller(safeAddr).open(e)
+			m := flow.meta(packet.SYN, 0)
+			m.Src, m.Seq, m.Copy = earlier.src, 1<<30, true
+			So(e.FromCaller(s.now, m, flowtag.None).Op, ShouldEqual, OpDrop)
+			So(earlier.send(e, 100).Target.ID, ShouldEqual, earlier.target)
+		})
+	})
+	Convey("A copy goes where the SYN went", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Target.ID
+		m := flow.meta(packet.SYN, 0)
+		m.Copy = true
+		So(e.FromCaller(s.now, m, flowtag.None).Target.ID, ShouldEqual, first)
+	})
+}
+
+func TestLateCopyOfSYNOpensNothing(t *testing.T) {
+	Convey("A copy of a flow's SYN that arrives when the flow is open is dropped, and the flow goes on", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		for range 50 {
+			flow := s.caller(safeAddr).open(e)
+			opened := flow.target
+			flow.ask(e)
+			late := flow.meta(packet.SYN, 0)
+			late.Seq, late.Ack = 1000, 1
+			dropped := e.FromCaller(s.now, late, 0)
+			So(dropped.Op, ShouldEqual, OpDrop)
+			So(dropped.Kind, ShouldEqual, errkind.PacketOutdated)
+			v := flow.send(e, 100)
+			So(v.Target.ID, ShouldEqual, opened)
+			So(v.Conflict, ShouldBeNil)
+		}
+	})
+	Convey("also where another daemon saw the SYN", t, func() {
+		s := newTagSite(8)
+		flow := s.caller(safeAddr).open(s.engine())
+		e := s.engine()
+		flow.ask(e)
+		late := flow.meta(packet.SYN, 0)
+		late.Seq, late.Ack = 1000, 1
+		So(e.FromCaller(s.now, late, 0).Op, ShouldEqual, OpDrop)
+	})
+}
+
+func TestLaterFlowBetweenTheSameEnds(t *testing.T) {
+	Convey("A flow that another daemon opened on the ends of an earlier one goes to its own target", t, func() {
+		for _, end := range []string{"unseen", "closing", "opening"} {
+			Convey("where the earlier one is "+end, func() {
+				s := newTagSite(8)
+				known, other := s.engine(), s.engine()
+				earlier := s.caller(safeAddr)
+				earlier.syn(known)
+				switch end {
+				case "unseen":
+					earlier.answered(known)
+				case "closing":
+					earlier.answered(known)
+					known.FromCaller(s.now, earlier.meta(packet.FIN|packet.ACK, 0), earlier.tag)
+				}
+				later := s.caller(safeAddr)
+				for later.target == earlier.target || later.target == 0 {
+					later = s.caller(safeAddr)
+					later.syn(other)
+				}
+				later.src, later.seq, later.ack = earlier.src, 1<<30, 1<<29
+				v := later.send(known, 100)
+				So(v.Op, ShouldEqual, OpForward)
+				So(v.Target.ID, ShouldEqual, later.target)
+				So(v.Tag, ShouldEqual, later.tag)
+				So(known.OpenFlows(), ShouldEqual, 1)
+				So(known.Loads().Open(earlier.target), ShouldEqual, 0)
+				So(known.Loads().Open(later.target), ShouldEqual, 1)
+				later.seq += 100
+				So(later.send(known, 100).Target.ID, ShouldEqual, later.target)
+			})
+		}
+	})
+	Convey("A packet of a later flow whose tag nobody knows is dropped", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr).open(e)
+		flow.seq, flow.ack, flow.tag = 1<<30, 1<<29, 1
+		So(flow.send(e, 100).Op, ShouldEqual, OpDrop)
+	})
+	Convey("A flow whose packets went through other daemons meanwhile goes on", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr).open(e)
+		flow.seq, flow.ack = flow.seq+3000, flow.ack+400_000
+		v := flow.send(e, 100)
+		So(v.Target.ID, ShouldEqual, flow.target)
+		So(e.Loads().Open(flow.target), ShouldEqual, 1)
+	})
+}
+
+// Another daemon, whose lists are newer, may have offered the flow to a target that is not known here.
+func TestFlowAtUnknownTarget(t *testing.T) {
+	Convey("The end of a handshake whose tag nobody here knows is dropped, also where a SYN of the flow went to a target", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Tag
+		flow.seq, flow.ack, flow.tag = flow.seq+1, 5000, 1
+		v := flow.send(e, 100)
+		So(v.Op, ShouldEqual, OpDrop)
+		So(v.Kind, ShouldEqual, errkind.TargetLost)
+		flow.tag = first
+		So(flow.send(e, 100).Target.ID, ShouldEqual, flow.target)
+	})
+}
