Tests of resets that rest on evidence which is not of now

These tests name each way in which a daemon of today resets a flow whose target may live: an old probe, a probe that began before the target's latest answer, an ended registration, misses without a probe, other targets' answers of long ago, and a reset that is lost in place of waiting for its probe.

Ruled out: nothing yet; no logic changed.

--- /dev/null
+++ b/core/tag_reset_test.go
@@ -0,0 +1,273 @@
+package core
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// probedSilence is a silence whose daemon has had answers enough to ask for probes; asked are the targets that it
+// asked for.
+type probedSilence struct {
+	*silence
+	asked []string
+}
+
+func newProbedSilence(dst netip.AddrPort, flows int) *probedSilence {
+	s := &probedSilence{silence: &silence{tagSite: newTagSite(4)}}
+	s.engine = s.engineIn("a", func(t *model.Target) { s.asked = append(s.asked, t.Name) })
+	for range flows {
+		s.flows = append(s.flows, s.caller(dst).open(s.engine))
+	}
+	s.dead = s.flows[0].target
+	s.now = s.now.Add(time.Second)
+	s.tick(s.engine)
+	return s
+}
+
+// repeat makes flows of the dead target send a request and repeat it after the times that ends wait; none of these
+// packets may be answered with a reset.
+func (s *probedSilence) repeat(flows []*caller, waits ...time.Duration) {
+	for _, c := range flows {
+		So(c.send(s.engine, 100).Op, ShouldEqual, OpForward)
+	}
+	for _, wait := range waits {
+		s.pass(wait)
+		for _, c := range flows {
+			So(c.send(s.engine, 100).Op, ShouldEqual, OpForward)
+		}
+	}
+}
+
+// pass lets a time go by in which the other targets answer.
+func (s *probedSilence) pass(d time.Duration) {
+	start := s.now
+	s.others()
+	s.now = start.Add(d)
+}
+
+// fromElsewhere returns a flow of the dead target that another daemon opened.
+func (s *probedSilence) fromElsewhere(dst netip.AddrPort) *caller {
+	other := s.tagSite.engine()
+	for {
+		if c := s.caller(dst).open(other); c.target == s.dead {
+			return c
+		}
+	}
+}
+
+// endRegistration ends the registration of the dead target, for some time already.
+func (s *probedSilence) endRegistration(since time.Duration) {
+	s.directory.End(s.now, s.engine.Target(s.dead).Name)
+	s.now = s.now.Add(since)
+	s.publish(s.engine)
+}
+
+const (
+	// firstRepeat is the time after which an end repeats data, secondRepeat that after which it does so again.
+	firstRepeat  = 200 * time.Millisecond
+	secondRepeat = 400 * time.Millisecond
+)
+
+func TestOldProbeResetsNothing(t *testing.T) {
+	Convey("A target that a probe did not find long ago, and that serves again", t, func() {
+		s := newTagSite(4)
+		e := s.engine()
+		var flows []*caller
+		for range 40 {
+			flows = append(flows, s.caller(safeAddr).open(e))
+		}
+		dead := flows[0].target
+		s.now = s.now.Add(500 * time.Millisecond)
+		e.NotFound(s.now, dead)
+		s.now = s.now.Add(8 * time.Second)
+		// A flow of it that another daemon opened comes here, and its request takes 250 ms.
+		other := s.engine()
+		var flow *caller
+		for flow == nil || flow.target != dead {
+			flow = s.caller(safeAddr).open(other)
+		}
+		for _, c := range flows {
+			if c.target != dead {
+				c.ask(e)
+			}
+		}
+		So(flow.send(e, 100).Op, ShouldEqual, OpForward)
+		s.now = s.now.Add(200 * time.Millisecond)
+		So(flow.send(e, 100).Op, ShouldEqual, OpForward)
+		So(s.tick(e), ShouldBeEmpty)
+	})
+	Convey("A target that a probe did not find 2 s ago, and that is slow now", t, func() {
+		s := newProbedSilence(unsafeAddr, 40)
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		So(s.asked, ShouldHaveLength, 1)
+		s.engine.Probed(s.now, s.dead, false)
+		s.now = s.now.Add(2 * time.Second)
+		flow := s.fromElsewhere(safeAddr)
+		s.repeat([]*caller{flow}, firstRepeat)
+		Convey("loses neither that flow nor idle ones, and is probed again", func() {
+			So(s.tick(s.engine), ShouldBeEmpty)
+			So(s.asked, ShouldHaveLength, 2)
+		})
+		Convey("is reset once the new probe did not find it either", func() {
+			s.tick(s.engine)
+			s.engine.Probed(s.now, s.dead, false)
+			So(len(s.tick(s.engine)), ShouldBeGreaterThan, 1)
+		})
+	})
+}
+
+func TestProbeBeforeTheMissResetsNothing(t *testing.T) {
+	Convey("A probe that began before the target's latest answer tells nothing of the time since", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.pass(time.Second)
+		began := s.now
+		s.now = s.now.Add(50 * time.Millisecond)
+		s.engine.Loads().Alive(s.now, s.dead)
+		s.now = s.now.Add(80 * time.Millisecond)
+		s.others()
+		s.engine.NotFound(began, s.dead)
+		So(s.tick(s.engine), ShouldBeEmpty)
+	})
+	Convey("A probe that found the target after the one that did not takes that back", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.pass(time.Second)
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		s.engine.Probed(s.now, s.dead, false)
+		s.engine.Probed(s.now.Add(10*time.Millisecond), s.dead, true)
+		// An answer of an earlier probe that comes late changes nothing.
+		s.engine.Probed(s.now, s.dead, false)
+		s.now = s.now.Add(20 * time.Millisecond)
+		So(s.tick(s.engine), ShouldBeEmpty)
+	})
+}
+
+func TestEndedRegistrationResetsNothingWithoutAProbe(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		since time.Duration
+	}{
+		{"a moment ago", 0},
+		{"some seconds ago", 5 * time.Second},
+	} {
+		Convey("A target that lives and whose registration ended "+c.name, t, func() {
+			s := newProbedSilence(unsafeAddr, 40)
+			s.endRegistration(c.since)
+			name := s.engine.Target(s.dead).Name
+			s.repeat(s.ofDead()[:2], firstRepeat)
+			Convey("keeps its flows and is probed", func() {
+				So(s.tick(s.engine), ShouldBeEmpty)
+				So(s.asked, ShouldContain, name)
+				s.repeat(s.ofDead()[:2], firstRepeat, secondRepeat)
+			})
+			Convey("keeps them when the probe finds it", func() {
+				s.engine.Probed(s.now, s.dead, true)
+				s.repeat(s.ofDead()[:2], firstRepeat, secondRepeat)
+				So(s.tick(s.engine), ShouldBeEmpty)
+			})
+			Convey("loses them all, those of requests under way too, when the probe does not find it", func() {
+				flows := len(s.ofDead())
+				s.engine.Probed(s.now, s.dead, false)
+				So(s.tick(s.engine), ShouldHaveLength, flows)
+			})
+		})
+	}
+}
+
+func TestMissesAloneResetNothing(t *testing.T) {
+	Convey("Flows of a busy target that a probe found a moment ago go on until the next probe", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		waiting := s.ofDead()[:3]
+		s.repeat(waiting[:1], firstRepeat)
+		s.engine.Probed(s.now, s.dead, true)
+		s.engine.Loads().Alive(s.now, s.dead)
+		s.repeat(waiting, firstRepeat, secondRepeat/2)
+		So(s.tick(s.engine), ShouldBeEmpty)
+	})
+	Convey("So they do while the probe tells nothing", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.repeat(s.ofDead()[:3], firstRepeat, secondRepeat, 2*secondRepeat)
+		So(s.tick(s.engine), ShouldBeEmpty)
+		So(s.asked, ShouldNotBeEmpty)
+	})
+	Convey("So they do at a daemon that has just started, which asks for no probe", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		started := s.engineIn("a", func(*model.Target) { So("asked", ShouldBeEmpty) })
+		for _, c := range s.flows {
+			c.ask(started)
+		}
+		s.engine = started
+		s.repeat(s.ofDead()[:3], firstRepeat, secondRepeat)
+		So(s.tick(started), ShouldBeEmpty)
+	})
+	Convey("So they do when answers to SYNs were lost on the callers' links", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		var lost []*caller
+		for len(lost) < 3 {
+			c := s.caller(safeAddr)
+			if c.syn(s.engine); c.target == s.dead {
+				lost = append(lost, c)
+			}
+		}
+		s.pass(firstRepeat)
+		for _, c := range lost {
+			So(c.syn(s.engine).Op, ShouldEqual, OpForward)
+			s.pass(150 * time.Millisecond)
+		}
+		So(s.tick(s.engine), ShouldBeEmpty)
+		s.pass(secondRepeat)
+		So(s.tick(s.engine), ShouldBeEmpty)
+	})
+}
+
+func TestAnswersOfLongAgoClearNotTheOwnLink(t *testing.T) {
+	Convey("Other targets that answered long after the misses began, and none of late, do not show that the daemon's link is sound", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		s.engine.Probed(s.now, s.dead, true)
+		s.pass(time.Second)
+		s.others()
+		s.now = s.now.Add(8 * time.Second)
+		s.repeat(s.ofDead()[1:2], firstRepeat/2)
+		s.now = s.now.Add(firstRepeat)
+		s.ofDead()[1].send(s.engine, 100)
+		s.engine.Probed(s.now, s.dead, false)
+		So(s.tick(s.engine), ShouldBeEmpty)
+	})
+}
+
+func TestResetWaitsForItsProbe(t *testing.T) {
+	Convey("A target that dies just after a probe found it", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		flows := len(s.ofDead())
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		s.engine.Probed(s.now, s.dead, true)
+		s.engine.Loads().Alive(s.now, s.dead)
+		asked := len(s.asked)
+		s.repeat(s.ofDead()[:3], firstRepeat)
+		Convey("is probed again as soon as that may be, without a further packet", func() {
+			s.pass(probeEvery)
+			So(s.tick(s.engine), ShouldBeEmpty)
+			So(len(s.asked), ShouldBeGreaterThan, asked)
+		})
+		Convey("and its flows are reset with the first tick at which others are known to answer", func() {
+			s.now = s.now.Add(probeEvery)
+			s.silenceAll()
+			s.engine.Probed(s.now, s.dead, false)
+			So(s.tick(s.engine), ShouldBeEmpty)
+			s.pass(200 * time.Millisecond)
+			So(s.tick(s.engine), ShouldHaveLength, flows)
+		})
+	})
+}
+
+// silenceAll notes an attempt without an answer at each target.
+func (s *probedSilence) silenceAll() {
+	for _, t := range s.engine.Lists().Services[0].Targets {
+		s.engine.Loads().Missed(s.now, t.ID, 7, true)
+	}
+}
