Reset open flows on a probe of now alone

Cause: a probe that found no target counted until the target answered a flow of this daemon, so a flow that came from another daemon seconds later was reset on it, and idle flows with it. Three misses of two flows were enough where no probe could be made or none had answered, two once the registration had ended. A probe counted from its end, so an answer of the target while it ran was overlooked. Other targets that had answered long after the first miss, but not of late, still cleared the daemon's own link. A reset that could not be made at once was lost.

Ruled out: a shorter memory of misses alone: a busy target, lost answers and a stalled caller make the same misses. Misses as a way round the probe while many answers are late: such resets are what the users saw. Changing how often probes are made: 0.5 s stays.

Change: with a prober a flow is reset only on a probe that began since the first miss and 0.7 s ago at most, and that no answer and no later probe contradicts; targets whose registration has ended are probed too; suspects stay suspects until they are settled, and the tick asks for the probe and makes the reset. Without a prober misses go on to count.

Why it works: a probe of now tells a target that is gone from one that is busy, slow or unheard; all else only asks for it.

--- a/core/tag_reset_test.go
+++ b/core/tag_reset_test.go
@@ -232,9 +232,10 @@
 		s.pass(time.Second)
 		s.others()
 		s.now = s.now.Add(8 * time.Second)
-		s.repeat(s.ofDead()[1:2], firstRepeat/2)
+		waiting := s.ofDead()[1]
+		waiting.send(s.engine, 100)
 		s.now = s.now.Add(firstRepeat)
-		s.ofDead()[1].send(s.engine, 100)
+		So(waiting.send(s.engine, 100).Op, ShouldEqual, OpForward)
 		s.engine.Probed(s.now, s.dead, false)
 		So(s.tick(s.engine), ShouldBeEmpty)
 	})
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -24,8 +24,9 @@
 	MaxFlows int
 	// Limits bounds customers' flows. Default: no bounds.
 	Limits Limits
-	// Suspect asks to try a connection to a target and to hand the outcome to Probed. It must not block. Default:
-	// none is tried.
+	// Suspect asks to look for a target, whose registration may have ended, and to hand the outcome to Probed. It must not
+	// block. With it, flows are reset in their target's place on what Probed tells alone. Default: targets are judged by
+	// the answers that they miss.
 	Suspect func(t *model.Target)
 }
 
@@ -47,7 +48,7 @@
 	// openedFar are those of them whose targets need longer.
 	openedFar openings
 	world     atomic.Pointer[tagWorld]
-	silent    silentTargets
+	suspects  suspects
 	// current is false while the daemon's beliefs may be old, as after a pause.
 	current atomic.Bool
 }
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +17,7 @@
 // it sends on any flow clears it.
 const (
 	// silentMisses and silentFlows are the packets without an answer, and the flows that they belong to, from
-	// which a target counts as silent where no connection was tried. One flow alone may have lost its path.
+	// which a target counts as silent where probes cannot be made. One flow alone may have lost its path.
 	silentMisses = 3
 	silentFlows  = 2
 	// silentStrong of the misses are ones that a busy target would have answered: a SYN, or data that was
@@ -38,48 +37,90 @@
 	handshakeFactor  = 4
 	// lateTick is the time between two ticks from which the daemon did not get its turn: twice the usual.
 	lateTick = 100 * time.Millisecond
-	// probeEvery is the least time between two connections that are tried to one target.
+	// probeEvery is the least time between two probes of one target.
 	probeEvery = 500 * time.Millisecond
+	// probeTime is how long a probe takes at most, with the wait for the next tick: 130 and 50 ms, and some turns.
+	probeTime = 200 * time.Millisecond
+	// absentFor is how long a probe that did not find a target counts, from its beginning: until that of the next one may
+	// be known.
+	absentFor = probeEvery + probeTime
+	// heardFor is how far back answers of other targets count against the cause being here: longer than the longest time
+	// between two retransmissions, 1.6 s.
+	heardFor = 2 * time.Second
 	// lateWeight is the weight of one opening in the share of those that were not answered in time; from lateShare on
 	// the cause is here or everywhere: a rack is less of a service than that.
 	lateWeight = 0.1
 	lateShare  = 0.25
 	// zoneAnswers targets of a zone must have answered to show that it is reached; one may be this VM's neighbour.
 	zoneAnswers = 2
-	// endedMisses and endedTime hold for a target whose registration has ended.
+	// endedMisses and endedTime hold for a target whose registration has ended, where probes cannot be made.
 	endedMisses = 2
 	endedTime   = 150 * time.Millisecond
 	// idleAfter is how long a caller that waits for nothing has sent nothing: data without an answer is
 	// repeated sooner.
 	idleAfter = 300 * time.Millisecond
-	// silentFor is how long a silent target is remembered; a live one answers its next packet.
+	// silentFor is how long misses without a probe count; a live target answers its next packet.
 	silentFor = 10 * time.Second
 )
 
-// silentTargets are the targets that fell silent since the last tick.
-type silentTargets struct {
+// suspects are targets that missed answers and of which it is not known yet whether they are gone, each with the time at
+// which a probe of it was last asked for; zero where none was.
+type suspects struct {
 	sync.Mutex
-	fresh []model.TargetID
+	asked map[model.TargetID]time.Time
 }
 
-func (s *silentTargets) add(id model.TargetID) {
+func (s *suspects) add(id model.TargetID) {
 	s.Lock()
 	defer s.Unlock()
-	if !slices.Contains(s.fresh, id) {
-		s.fresh = append(s.fresh, id)
+	if s.asked == nil {
+		s.asked = make(map[model.TargetID]time.Time)
 	}
+	if _, suspected := s.asked[id]; !suspected {
+		s.asked[id] = time.Time{}
+	}
+}
+
+func (s *suspects) drop(id model.TargetID) {
+	s.Lock()
+	defer s.Unlock()
+	delete(s.asked, id)
+}
+
+func (s *suspects) list() []model.TargetID {
+	s.Lock()
+	defer s.Unlock()
+	return lo.Keys(s.asked)
 }
 
-func (s *silentTargets) take() []model.TargetID {
+// mayAsk reports whether a probe of a suspect may be asked for now, and notes that it is.
+func (s *suspects) mayAsk(now time.Time, id model.TargetID) bool {
 	s.Lock()
 	defer s.Unlock()
-	taken := s.fresh
-	s.fresh = nil
-	return taken
+	at, suspected := s.asked[id]
+	if !suspected || !at.IsZero() && now.Sub(at) < probeEvery {
+		return false
+	}
+	s.asked[id] = now
+	return true
 }
 
-// isSilent reports whether the evidence says that a target is gone.
-func isSilent(now time.Time, ev placement.Evidence, ended bool) bool {
+// isSilent reports whether the evidence says that a target is gone. Where probes can be made, that is for a probe of now
+// alone to say: what misses tell may have other causes.
+func (e *TagEngine) isSilent(now time.Time, ev placement.Evidence, ended bool) bool {
+	if ev.Probed() {
+		if ev.Connected {
+			return false
+		}
+		if now.Sub(ev.ProbedAt) <= absentFor {
+			return true
+		}
+	}
+	return e.cfg.Suspect == nil && missesTell(now, ev, ended)
+}
+
+// missesTell reports whether the misses say so by themselves.
+func missesTell(now time.Time, ev placement.Evidence, ended bool) bool {
 	span := now.Sub(ev.FirstMiss)
 	if ev.MissesInRow == 0 || now.Sub(ev.LastMiss) > silentFor {
 		return false
@@ -87,32 +128,35 @@
 	if ended {
 		return ev.MissesInRow >= endedMisses && span >= endedTime
 	}
-	if !ev.ProbedAt.Before(ev.FirstMiss) {
-		return !ev.Connected
-	}
 	return ev.MissesInRow >= silentMisses && ev.MissedFlows >= silentFlows && ev.Strong >= silentStrong && span >= silentTime
 }
 
+// settled reports whether there is nothing left to find out of a suspect: it answered, was found, or its callers are
+// done with it.
+func settled(now time.Time, ev placement.Evidence) bool {
+	return ev.MissesInRow == 0 || ev.Probed() && ev.Connected || now.Sub(ev.LastMiss) > absentFor
+}
+
 // missed notes a packet of a flow that its target did not answer in time.
 func (e *TagEngine) missed(now time.Time, h model.FlowHash, id model.TargetID, strong bool) {
-	e.suspect(now, id, e.noteMiss(now, h, id, strong))
+	e.ask(now, id, e.noteMiss(now, h, id, strong))
 }
 
 func (e *TagEngine) noteMiss(now time.Time, h model.FlowHash, id model.TargetID, strong bool) placement.Evidence {
 	ev := e.loads.Missed(now, id, h, strong)
-	if isSilent(now, ev, false) {
-		e.silent.add(id)
+	if e.cfg.Suspect != nil || e.isSilent(now, ev, false) {
+		e.suspects.add(id)
 	}
 	return ev
 }
 
-// suspect asks for a probe of a target that missed an answer; not while many answers are late. It answers the load
-// pattern of a mass return of power, when probes would add connections to targets that are full already.
-func (e *TagEngine) suspect(now time.Time, id model.TargetID, ev placement.Evidence) {
+// ask asks for a probe of a suspect, whose registration may have ended; not while many answers are late. It answers the
+// load pattern of a mass return of power, when probes would add connections to targets that are full already.
+func (e *TagEngine) ask(now time.Time, id model.TargetID, ev placement.Evidence) {
 	if e.cfg.Suspect == nil || e.opened.oftenLate() || now.Sub(ev.ProbedAt) < probeEvery {
 		return
 	}
-	if t := e.world.Load().snapshot.Target(id); t != nil {
+	if t := e.Target(id); t != nil && e.suspects.mayAsk(now, id) {
 		e.cfg.Suspect(t)
 	}
 }
@@ -129,7 +173,7 @@
 	late := e.judgeDue(now, &e.opened, handshakeTime, &e.openedFar)
 	late = append(late, e.judgeDue(now, &e.openedFar, handshakeTimeFar, nil)...)
 	for _, id := range lo.Uniq(late) {
-		e.suspect(now, id, e.loads.Evidence(id))
+		e.ask(now, id, e.loads.Evidence(id))
 	}
 }
 
@@ -155,22 +199,26 @@
 	return late
 }
 
-// Probed notes whether a suspected target took a connection. One that does not, while its flows miss answers and
-// those of other targets do not, is silent.
-func (e *TagEngine) Probed(now time.Time, id model.TargetID, connected bool) {
-	e.loads.Probed(now, id, connected)
+// Probed notes whether a probe that began at a time found a suspected target. One that it did not find, while its flows
+// miss answers and those of other targets do not, is silent.
+func (e *TagEngine) Probed(began time.Time, id model.TargetID, connected bool) {
+	e.loads.Probed(began, id, connected)
 	if !connected {
-		e.silent.add(id)
+		e.suspects.add(id)
 	}
 }
 
 // hampered reports whether the cause of silence is more likely here than at the target or on the way to it: since the
-// first packet that it did not answer, no more targets have answered than have not, in all and in each zone. A zone
-// that answers while others do not answers the load pattern of a zone that is cut off: flows across the cut would hang
+// first packet that it did not answer, and lately, no more targets have answered than have not, in all and in each zone. A
+// zone that answers while others do not answers the load pattern of a zone that is cut off: flows across the cut would hang
 // until their callers give up.
-func (e *TagEngine) hampered(ev placement.Evidence) bool {
+func (e *TagEngine) hampered(now time.Time, ev placement.Evidence) bool {
+	since := ev.FirstMiss
+	if lately := now.Add(-heardFor); since.Before(lately) {
+		since = lately
+	}
 	var all placement.Heard
-	for _, h := range e.loads.Heard(ev.FirstMiss.Add(-missDelay)) {
+	for _, h := range e.loads.Heard(since.Add(-missDelay)) {
 		if h.Mostly() && h.Answering >= zoneAnswers {
 			return false
 		}
@@ -180,12 +228,15 @@
 	return !all.Mostly()
 }
 
-// NotFound notes that another daemon and a probe of this one did not find a target: the word of the other stands for
-// a miss. It answers the load pattern of many daemons with few flows each, of which every one would have to lose some
-// to a dead target before it knows.
-func (e *TagEngine) NotFound(now time.Time, id model.TargetID) {
-	e.loads.Missed(now, id, elsewhere, true)
-	e.Probed(now, id, false)
+// NotFound notes that another daemon, and a probe of this one that began at a time, did not find a target: the word of the
+// other stands for a miss, unless the target has answered since. It answers the load pattern of many daemons with few
+// flows each, of which every one would have to lose some to a dead target before it knows.
+func (e *TagEngine) NotFound(began time.Time, id model.TargetID) {
+	if e.loads.Evidence(id).LastAnswer.After(began) {
+		return
+	}
+	e.loads.Missed(began, id, elsewhere, true)
+	e.Probed(began, id, false)
 }
 
 // elsewhere stands for the flows of other daemons among misses.
@@ -209,7 +260,7 @@
 func (e *TagEngine) givesUp(w *tagWorld, now time.Time, dst netip.AddrPort, f *tagFlow) bool {
 	ended := w.ended(f.target)
 	ev := e.loads.Evidence(f.target)
-	if !isSilent(now, ev, ended) || e.hampered(ev) {
+	if !e.isSilent(now, ev, ended) || e.hampered(now, ev) {
 		return false
 	}
 	route := w.snapshot.RouteAt(dst)
@@ -236,35 +287,50 @@
 
 // resetSilent returns the flows of targets that fell silent whose callers are better off with a new flow: those
 // that wait for nothing, and those whose request may run again. It answers the load pattern of a target that
-// dies with many idle flows, on which callers would send their next request into the void.
+// dies with many idle flows, on which callers would send their next request into the void. Suspects of which nothing is
+// known yet stay suspects, and are probed as soon as that may be.
 func (e *TagEngine) resetSilent(now time.Time) []TagReset {
-	fresh := e.silent.take()
 	w := e.world.Load()
-	if len(fresh) == 0 || w == nil {
+	if w == nil {
 		return nil
 	}
 	var out []TagReset
-	for _, id := range fresh {
-		if ev := e.loads.Evidence(id); !isSilent(now, ev, false) || e.hampered(ev) {
-			continue
-		}
-		for _, f := range e.flows.takeOf(id, func(f tagFlow) bool { return e.abandons(w, now, f) }) {
-			e.released(now, f)
-			out = append(out, TagReset{
-				Caller:  f.caller.AddrPort(),
-				Service: f.service.AddrPort(),
-				ISN:     f.isn,
-				Ack:     f.ack,
-				Kind:    errkind.TargetLost,
-				Target:  id,
-			})
+	for _, id := range e.suspects.list() {
+		ev := e.loads.Evidence(id)
+		switch {
+		case e.isSilent(now, ev, false) && !e.hampered(now, ev):
+			e.suspects.drop(id)
+			out = append(out, e.resetFlows(w, now, id)...)
+		case settled(now, ev):
+			e.suspects.drop(id)
+		default:
+			e.ask(now, id, ev)
 		}
 	}
 	return out
 }
 
-// abandons reports whether a flow of a silent target is reset.
-func (e *TagEngine) abandons(w *tagWorld, now time.Time, f tagFlow) bool {
+// resetFlows ends the flows of a silent target.
+func (e *TagEngine) resetFlows(w *tagWorld, now time.Time, id model.TargetID) []TagReset {
+	ended := w.ended(id)
+	var out []TagReset
+	for _, f := range e.flows.takeOf(id, func(f tagFlow) bool { return e.abandons(w, now, f, ended) }) {
+		e.released(now, f)
+		out = append(out, TagReset{
+			Caller:  f.caller.AddrPort(),
+			Service: f.service.AddrPort(),
+			ISN:     f.isn,
+			Ack:     f.ack,
+			Kind:    errkind.TargetLost,
+			Target:  id,
+		})
+	}
+	return out
+}
+
+// abandons reports whether a flow of a silent target is reset. One whose request must run once is under way only until
+// the registration has ended, as with givesUp.
+func (e *TagEngine) abandons(w *tagWorld, now time.Time, f tagFlow, ended bool) bool {
 	if f.state != tagOpen {
 		return false
 	}
@@ -273,7 +339,7 @@
 		return false
 	}
 	idle := f.repeats == 0 && e.flows.millis(now)-f.last >= uint32(idleAfter/time.Millisecond)
-	return idle || route.Kind.Idempotent()
+	return ended || idle || route.Kind.Idempotent()
 }
 
 // takeOf removes and returns the records of a target's flows that meet a condition.
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -95,14 +95,10 @@
 	}
 }
 
-// suspected asks for probes of targets that another daemon did not find.
+// suspected asks for probes of targets that another daemon did not find, whose registrations may have ended.
 func (c *control) suspected(names []string) {
-	lists := c.d.engine.Lists()
-	if lists == nil {
-		return
-	}
 	for _, name := range names {
-		if t := lists.Target(model.TargetIDOf(name)); t != nil {
+		if t := c.d.engine.Target(model.TargetIDOf(name)); t != nil {
 			c.d.probes.put(suspect{target: t, why: suspectTold})
 		}
 	}
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -148,20 +148,19 @@
 	if found == targetUnknown {
 		return
 	}
-	d.handIn(now, s, found == targetFound)
+	d.handIn(start, s, found == targetFound)
 	if found == targetAbsent && s.why != suspectTold {
 		d.tellAbsent(ctx, now, s)
 	}
 }
 
-// handIn gives the engine what a probe found.
-func (d *Daemon) handIn(now time.Time, s suspect, connected bool) {
-	switch {
-	case s.why == suspectMissed:
-		d.engine.Probed(now, s.target.ID, connected)
-	case !connected:
-		d.engine.NotFound(now, s.target.ID)
+// handIn gives the engine what a probe found that began at a time. What flows tell meanwhile is newer.
+func (d *Daemon) handIn(began time.Time, s suspect, connected bool) {
+	if s.why == suspectMissed || connected {
+		d.engine.Probed(began, s.target.ID, connected)
+		return
 	}
+	d.engine.NotFound(began, s.target.ID)
 }
 
 // tellAbsent tells the zone of a target that was not found, and looks for more after several.
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -20,16 +20,21 @@
 	MissedFlows int
 	// Strong counts the attempts since the last answer that a busy target would have answered.
 	Strong int
-	// ProbedAt is when a connection to the target was last tried to find out; zero when none was. Connected
-	// is true where it came about.
+	// ProbedAt is when the last probe of the target began, which tells of no time before; zero when there was none.
+	// Connected is true where it found the target.
 	ProbedAt   time.Time
 	Connected  bool
 	lastMissed model.FlowHash
 }
 
+// Probed reports whether a probe began since the first miss, so that it tells of the target in its silence.
+func (e *Evidence) Probed() bool {
+	return e.MissesInRow > 0 && !e.ProbedAt.Before(e.FirstMiss)
+}
+
 // absent reports whether a probe after the first miss found no target.
 func (e *Evidence) absent() bool {
-	return e.MissesInRow > 0 && !e.ProbedAt.Before(e.FirstMiss) && !e.Connected
+	return e.Probed() && !e.Connected
 }
 
 func (e *Evidence) answered(now time.Time) {
@@ -41,7 +46,7 @@
 	if strong {
 		e.Strong++
 	}
-	if e.MissesInRow == 0 {
+	if e.MissesInRow == 0 || now.Before(e.FirstMiss) {
 		e.FirstMiss = now
 	}
 	if h != e.lastMissed {
@@ -49,7 +54,17 @@
 		e.lastMissed = h
 	}
 	e.MissesInRow++
-	e.LastMiss = now
+	if now.After(e.LastMiss) {
+		e.LastMiss = now
+	}
+}
+
+// probed notes a probe that began at a time. Answers of probes may come in another order than they began.
+func (e *Evidence) probed(began time.Time, connected bool) {
+	if began.Before(e.ProbedAt) {
+		return
+	}
+	e.ProbedAt, e.Connected = began, connected
 }
 
 // seen returns what attempts to the target met.
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -46,7 +46,7 @@
 	MissesInRow int
 	// LastMiss is the time of the last attempt without an answer; zero when there was none.
 	LastMiss time.Time
-	// Absent is true where the target took no connection after its first miss; AbsentAt is when that was found.
+	// Absent is true where a probe that began after the target's first miss, at AbsentAt, did not find it.
 	Absent   bool
 	AbsentAt time.Time
 	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
@@ -238,12 +238,9 @@
 	return e
 }
 
-// Probed notes whether the target took a connection.
-func (l *LoadTable) Probed(now time.Time, id model.TargetID, connected bool) {
-	l.with(id, func(t *targetLoad) {
-		t.evidence.ProbedAt = now
-		t.evidence.Connected = connected
-	})
+// Probed notes whether a probe that began at a time found the target.
+func (l *LoadTable) Probed(began time.Time, id model.TargetID, connected bool) {
+	l.with(id, func(t *targetLoad) { t.evidence.probed(began, connected) })
 }
 
 // Evidence returns what own connection attempts to the target met.
