Take first packets again a moment after a stall

What callers saw: the first new flow at a daemon that had stalled, or got its first lists late, was dropped however much later it came.

Cause: the doubt of packets that waited ended with the first read, and a read waits for a packet.

Ruled out: to read the socket once without waiting: the batch reader has no such call. What waited is read at once when the process runs, so the doubt ends 0.2 s after the stall was noticed.

--- a/internal/edge/clock.go
+++ b/internal/edge/clock.go
@@ -14,6 +14,9 @@
 	// stallLimit is the wait from which a first packet's flow may have gone on elsewhere: the fabric moves flows once two
 	// checks of a daemon, half a second apart, got no answer.
 	stallLimit = 500 * time.Millisecond
+	// backlogTime is how long after a stall the first read of what waited may come: two periods of a processor quota.
+	// Packets that are read later came later.
+	backlogTime = 200 * time.Millisecond
 )
 
 // pauseClock finds pauses and stalls of the process by a clock that goes on while the machine is suspended, which the runtime's
@@ -23,8 +26,8 @@
 	sinceBoot func() (time.Duration, bool)
 	// lookedAt is when the last look was, in nanoseconds since the machine's start.
 	lookedAt atomic.Int64
-	// stalls counts the gaps of stallLimit or more.
-	stalls atomic.Int64
+	// stalls counts the gaps of stallLimit or more; stalledAt is when the last of them was noticed, as lookedAt.
+	stalls, stalledAt atomic.Int64
 }
 
 // sinceBoot returns the time since the machine started, suspension counted.
@@ -45,7 +48,7 @@
 func (c *pauseClock) look() time.Duration {
 	gap, boot := c.gap()
 	if gap >= stallLimit {
-		c.stalls.Add(1)
+		c.stalled(boot)
 	}
 	c.lookedAt.Store(int64(boot))
 	if gap < pauseLimit {
@@ -54,6 +57,19 @@
 	return gap
 }
 
+// stalled notes a stall that ended at a time since the machine's start.
+func (c *pauseClock) stalled(boot time.Duration) {
+	c.stalledAt.Store(int64(boot))
+	c.stalls.Add(1)
+}
+
+// startedLate notes that the first packets waited for this process as through a stall.
+func (c *pauseClock) startedLate() {
+	if boot, ok := c.sinceBoot(); ok {
+		c.stalled(boot)
+	}
+}
+
 // gap returns the time since the last look, and the time of this one.
 func (c *pauseClock) gap() (gap, boot time.Duration) {
 	boot, ok := c.sinceBoot()
@@ -63,12 +79,16 @@
 	return boot - time.Duration(c.lookedAt.Load()), boot
 }
 
-// stalledSince reports whether a look has noticed a stall since the caller last asked. seen is the caller's own.
+// stalledSince reports whether a look has noticed a stall since the caller last asked, and a moment ago. seen is the
+// caller's own.
 func (c *pauseClock) stalledSince(seen *int64) bool {
 	stalls := c.stalls.Load()
-	stalled := stalls != *seen
+	if stalls == *seen {
+		return false
+	}
 	*seen = stalls
-	return stalled
+	boot, ok := c.sinceBoot()
+	return ok && boot-time.Duration(c.stalledAt.Load()) < backlogTime
 }
 
 // stalledNow reports whether the process was stalled and no look has noticed it yet.
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -248,7 +248,9 @@
 	case <-ctx.Done():
 		return nil
 	case <-d.adopted:
-		m.stale = time.Since(opened) >= stallLimit
+		if time.Since(opened) >= stallLimit {
+			d.pauses.startedLate()
+		}
 		return m.run()
 	}
 }
