Take only a refusal of the target's machine for its absence

What callers could see: flows of sound targets reset by a daemon that cannot open connections itself.

Cause: any connection error that came at once counted as a refusal by the target's machine, which needs no second target for comparison: too many open files, no free port and no route too.

Ruled out: a third outcome in the prober's interface: an error that is not the target's waits until its time is up, and counts as silence, which the comparison with another target judges.

--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -78,6 +78,14 @@
 		"seq_ahead", c.SeqAhead, "ack_ahead", c.AckAhead, "data", m.PayloadLen, "age_ms", c.Age.Milliseconds())
 }
 
+// sinceMillis returns the milliseconds since a time, -1 where it is unknown.
+func sinceMillis(now, at time.Time) int64 {
+	if at.IsZero() {
+		return unknownAge.Milliseconds()
+	}
+	return now.Sub(at).Milliseconds()
+}
+
 // targetName returns the name of a target, empty where it is not known.
 func (d *Daemon) targetName(id model.TargetID) string {
 	if t := d.engine.Target(id); t != nil {
@@ -128,6 +136,6 @@
 	ev := d.engine.Loads().Evidence(f.Target)
 	d.log.Info("flow reset", "op", "flow", "event", flowReset, "flow", flowID(f.Caller, f.Service, f.ISN), "kind", f.Kind, "cause", cause,
 		"target", d.targetName(f.Target), "ended", d.engine.Ended(f.Target), "probed_since", !ev.ProbedAt.Before(ev.FirstMiss), "strong", ev.Strong,
-		"misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", now.Sub(ev.FirstMiss).Milliseconds(),
-		"connected", ev.Connected, "probe_ms", now.Sub(ev.ProbedAt).Milliseconds())
+		"misses", ev.MissesInRow, "flows", ev.MissedFlows, "first_miss_ms", sinceMillis(now, ev.FirstMiss),
+		"connected", ev.Connected, "probe_ms", sinceMillis(now, ev.ProbedAt))
 }
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -46,7 +46,8 @@
 
 // Prober finds out whether targets are there. It must be safe for concurrent use.
 type Prober interface {
-	// Present reports whether a target takes a connection and is the one that is meant.
+	// Present reports whether a target takes a connection and is the one that is meant. Before ctx ends it returns false only
+	// where the target's machine, or another target there, answered for it.
 	Present(ctx context.Context, t *model.Target) bool
 }
 
