Let the soak's ends play the users' protocol where flows depend on it

Cause: the stand-ins were kinder than the protocol. A target answered a SYN once instead of until it was acknowledged, answered requests within 10 ms, and acknowledged each packet at once, so that no caller ever repeated data to a living, busy target. A caller took no tag of a second target's answer to the SYN and used no port twice, so that no record of an earlier flow ever met a later one.

Ruled out: the strict reading of "the last tag that they received" for all callers, since the callers of the users' bench kept the tag of the target that the flow is open at in all of 98 flows; and the kind one for all, since the protocol's words say the other. Half of the flows do either. Ignoring target resets by their number: the reset of a late SYN would be missed; they are told from those of earlier flows by the number that they answer.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -18,6 +18,16 @@
 	// maxRequests bounds the requests of a flow, pauseTime is the mean time between two of them.
 	maxRequests = 12
 	pauseTime   = 400 * time.Millisecond
+	// lastTagShare is the share of flows whose callers return the tag of the last packet that they received on the flow,
+	// also of a second target's answer to the SYN: the protocol's words, read strictly. The others keep the tag of the
+	// target that the flow is open at, as the callers of the users' bench were seen to (98 flows). Daemons must be right
+	// with both.
+	lastTagShare = 0.5
+	// firstPort and portCount are the ports of a caller: so few that one is used again some 12 s later, while daemons
+	// may still have a record of the flow before (15 s). portRest is how long a port rests at least after a flow.
+	firstPort = 1024
+	portCount = 200
+	portRest  = 2 * time.Second
 )
 
 // synCopies are the times of the copies of a SYN.
@@ -30,8 +40,10 @@
 	addr  netip.AddrPort
 	conn  *net.UDPConn
 	flows map[uint16]*flow
-	port  uint16
-	next  time.Time
+	// port is the one that was used last, rested are the times from which used ones may be used again.
+	port   uint16
+	rested map[uint16]time.Time
+	next   time.Time
 }
 
 // request is what a caller wants; it goes on over several attempts.
@@ -53,6 +65,8 @@
 	first, next, expected uint32
 	tag                   uint32
 	open                  bool
+	// lastTag is true for a caller that returns the last tag that it received, whichever target it is of.
+	lastTag bool
 	// holder is the target that the flow opened at.
 	holder *target
 	// strays counts the flow's packets that reached other targets, from strayedAt on, since the last one at its own.
@@ -74,7 +88,7 @@
 		w.fail(err)
 		return
 	}
-	c := &caller{w: w, zone: zone, addr: addr, conn: conn, flows: make(map[uint16]*flow), port: 1024, next: time.Now()}
+	c := &caller{w: w, zone: zone, addr: addr, conn: conn, flows: make(map[uint16]*flow), rested: make(map[uint16]time.Time), next: time.Now()}
 	w.callers = append(w.callers, c)
 	go w.read(conn, func(now time.Time, from netip.AddrPort, raw []byte) { c.receive(now, from, raw) })
 }
@@ -87,12 +101,9 @@
 
 // ask opens a flow for a request and, where left allows, further ones.
 func (c *caller) ask(now time.Time, r Route, q *request, left int) {
-	c.port++
-	if c.port < 1024 {
-		c.port = 1024
-	}
+	c.port = c.freePort(now)
 	f := &flow{
-		c: c, route: r, began: now, wanted: q, left: left, first: c.w.rand.Uint32(),
+		c: c, route: r, began: now, wanted: q, left: left, first: c.w.rand.Uint32(), lastTag: c.w.rand.Float64() < lastTagShare,
 		key: packet.FlowKey{Caller: netip.AddrPortFrom(c.addr.Addr(), c.port), Service: r.Address},
 	}
 	f.next = f.first + 1
@@ -101,6 +112,24 @@
 	f.send(Packet{Seq: f.first, Flags: packet.SYN})
 }
 
+// freePort returns the next port after the last one that no flow uses and that has rested.
+func (c *caller) freePort(now time.Time) uint16 {
+	port := c.port
+	for range portCount {
+		port = firstPort + (port+1-firstPort)%portCount
+		if c.flows[port] == nil && !now.Before(c.rested[port]) {
+			break
+		}
+	}
+	return port
+}
+
+// forget drops a flow that is over.
+func (c *caller) forget(now time.Time, f *flow) {
+	delete(c.flows, f.key.Caller.Port())
+	c.rested[f.key.Caller.Port()] = now.Add(portRest)
+}
+
 func (f *flow) send(p Packet) {
 	p.Src, p.Dst = f.key.Caller, f.key.Service
 	if e := f.c.w.route(f.c.zone, f.key); e != nil && !f.c.w.links.drops(f.c.w.rand, f.c.zone, e.zone, false) {
@@ -174,12 +203,16 @@
 	}
 	switch {
 	case p.Flags.Has(packet.RST):
-		f.wasReset(now, from)
+		f.wasReset(now, from, p.Ack)
 	case !f.open && p.Flags.Has(packet.SYN|packet.ACK) && p.Ack == f.next:
 		f.open, f.expected, f.tag = true, p.Seq+1, p.Tag
 		f.holder = c.w.targetAt(from)
 		f.begin(now, f.wanted)
-	case f.open && !p.Flags.Has(packet.SYN):
+	case f.open && f.owns(p.Ack) && p.Flags.Has(packet.SYN):
+		if f.lastTag {
+			f.tag = p.Tag
+		}
+	case f.open && f.owns(p.Ack):
 		f.advance(now, p)
 	}
 }
@@ -211,12 +244,16 @@
 	f.askAt = now.Add(f.c.w.wait(pauseTime))
 	if f.left <= 0 || !f.c.w.traffic {
 		f.send(Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK | packet.FIN, Tag: f.tag})
-		delete(f.c.flows, f.key.Caller.Port())
+		f.c.forget(now, f)
 	}
 }
 
-// wasReset ends the flow, and checks a reset of an open one.
-func (f *flow) wasReset(now time.Time, from netip.AddrPort) {
+// wasReset ends the flow, and checks a reset of an open one. A target's reset says what it answers: a packet of this flow,
+// its SYN too, or one of an earlier flow that was late.
+func (f *flow) wasReset(now time.Time, from netip.AddrPort, answers uint32) {
+	if f.c.w.entryAt(from) == nil && !f.owns(answers) {
+		return
+	}
 	if !f.open {
 		f.end(now, history.FateNotRun, history.CauseReset)
 		return
@@ -227,7 +264,7 @@
 
 // end ends the flow with its request's fate, and asks again where that is safe.
 func (f *flow) end(now time.Time, fate history.Fate, cause history.Cause) {
-	delete(f.c.flows, f.key.Caller.Port())
+	f.c.forget(now, f)
 	q := f.wanted
 	if q == nil {
 		return
--- /dev/null
+++ b/internal/soak/ends_test.go
@@ -0,0 +1,194 @@
+package soak
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/internal/history"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// plain is a dialect for packets alone.
+type plain struct{ Dialect }
+
+func (plain) AppendPacket(_ []byte, p Packet) []byte {
+	raw, err := json.Marshal(p)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
+
+func (plain) ReadPacket(raw []byte) (p Packet, ok bool) {
+	return p, json.Unmarshal(raw, &p) == nil
+}
+
+// ends are a caller and targets whose packets are read from a socket.
+type ends struct {
+	w      *world
+	f      *flow
+	socket *net.UDPConn
+}
+
+func newEnds(t *testing.T) *ends {
+	w, f := bareWorld()
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = socket.Close() })
+	at := socket.LocalAddr().(*net.UDPAddr).AddrPort()
+	w.dialect, w.rand, w.port, w.entries[0].ip = plain{}, rand.New(rand.NewPCG(1, 1)), int(at.Port()), at.Addr()
+	w.entries[0].ready = true
+	c := f.c
+	c.conn, c.addr, c.flows, c.rested = socket, at, map[uint16]*flow{}, map[uint16]time.Time{}
+	f.key.Caller = netip.AddrPortFrom(at.Addr(), 1025)
+	c.flows[1025] = f
+	w.byIP = map[netip.Addr]*caller{at.Addr(): c}
+	for _, target := range w.targets {
+		target.conn, target.flows, target.writeAt = socket, map[packet.FlowKey]*targetFlow{}, time.Now().Add(time.Hour)
+	}
+	return &ends{w: w, f: f, socket: socket}
+}
+
+// sent returns the packets that were written since the last call: those before a mark.
+func (e *ends) sent() []Packet {
+	const mark = "mark"
+	e.w.write(e.socket, e.f.c.addr, []byte(mark))
+	var out []Packet
+	buf := make([]byte, 2048)
+	_ = e.socket.SetReadDeadline(time.Now().Add(5 * time.Second))
+	for {
+		n, err := e.socket.Read(buf)
+		if err != nil || string(buf[:n]) == mark {
+			return out
+		}
+		p, _ := e.w.dialect.ReadPacket(buf[:n])
+		out = append(out, p)
+	}
+}
+
+func TestTargetsRepeatTheirAnswersToSYNs(t *testing.T) {
+	Convey("A target repeats a SYN+ACK after 0.2 s, doubled up to 1.6 s, eight times, and gives up", t, func() {
+		e := newEnds(t)
+		target, now := e.w.targets[0], time.Now()
+		target.handle(now, e.w.entries[0], e.f.key, Packet{Src: e.f.key.Caller, Dst: e.f.key.Service, Seq: 7, Flags: packet.SYN, Tag: 3})
+		So(e.sent(), ShouldHaveLength, 1)
+		var at []time.Duration
+		for ms := time.Duration(0); ms < 20_000; ms += 100 {
+			target.tick(now.Add(ms * time.Millisecond))
+			for _, p := range e.sent() {
+				So(p.Flags, ShouldEqual, packet.SYN|packet.ACK)
+				So(p.Ack, ShouldEqual, 8)
+				So(p.Tag, ShouldEqual, 3)
+				at = append(at, ms*time.Millisecond)
+			}
+		}
+		So(at, ShouldResemble, []time.Duration{
+			200 * time.Millisecond, 600 * time.Millisecond, 1400 * time.Millisecond, 3 * time.Second,
+			4600 * time.Millisecond, 6200 * time.Millisecond, 7800 * time.Millisecond, 9400 * time.Millisecond,
+		})
+		So(target.flows, ShouldBeEmpty)
+	})
+	Convey("A later flow between the same ends begins anew at the target", t, func() {
+		e := newEnds(t)
+		target, now := e.w.targets[0], time.Now()
+		for _, seq := range []uint32{7, 7, 900} {
+			target.handle(now, e.w.entries[0], e.f.key, Packet{Seq: seq, Flags: packet.SYN})
+		}
+		sent := e.sent()
+		So(sent[1], ShouldResemble, sent[0])
+		So(sent[2].Seq, ShouldNotEqual, sent[0].Seq)
+		So(sent[2].Ack, ShouldEqual, 901)
+	})
+	Convey("A busy target acknowledges the repetition of a request and not the request", t, func() {
+		e := newEnds(t)
+		target, now := e.w.targets[0], time.Now()
+		target.flows[e.f.key] = &targetFlow{first: 50, next: 51, opening: 7, expected: 8, open: true}
+		request := Packet{Seq: 8, Ack: 51, Flags: packet.ACK, Data: appendRequest(history.AttemptID{Request: 1})}
+		target.handle(now, e.w.entries[0], e.f.key, request)
+		So(e.sent(), ShouldBeEmpty)
+		target.handle(now, e.w.entries[0], e.f.key, request)
+		So(e.sent(), ShouldHaveLength, 1)
+		So(e.w.history.Runs, ShouldHaveLength, 1)
+		target.tick(now.Add(slowMost))
+		So(e.sent()[0].Data, ShouldHaveLength, requestBytes)
+	})
+}
+
+func TestCallersReturnTags(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		lastTag bool
+		tag     uint32
+	}{
+		{"of the last packet, also of a second target's answer to the SYN", true, 9},
+		{"of the target that the flow is open at", false, 3},
+	} {
+		Convey("A caller returns the tag "+c.name, t, func() {
+			e := newEnds(t)
+			f, now := e.f, time.Now()
+			f.open, f.first, f.next, f.lastTag, f.wanted = false, 7, 8, c.lastTag, &request{id: 1}
+			answer := func(seq, tag uint32) {
+				raw := e.w.dialect.AppendPacket(nil, Packet{
+					Src: f.key.Service, Dst: f.key.Caller, Seq: seq, Ack: 8, Flags: packet.SYN | packet.ACK, Tag: tag,
+				})
+				f.c.receive(now, e.w.targets[0].entry.Address, raw)
+			}
+			answer(50, 3)
+			answer(70, 9)
+			So(f.expected, ShouldEqual, 51)
+			So(f.tag, ShouldEqual, c.tag)
+			So(e.sent(), ShouldHaveLength, 1)
+		})
+	}
+}
+
+func TestResetsOfEarlierFlows(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		number uint32
+		flags  packet.Flags
+		broken int
+	}{
+		{"a packet of the flow", 200, packet.ACK, 1},
+		{"a late copy of its SYN", 100, packet.SYN, 1},
+		{"a late packet of an earlier flow between the same ends", 7_000_000, packet.ACK, 0},
+	} {
+		Convey("Another target's refusal is held against its sender when it answers "+c.name, t, func() {
+			e := newEnds(t)
+			f, now := e.f, time.Now()
+			f.first, f.next, f.expected = 100, 200, 500
+			f.holder.flows[f.key] = &targetFlow{open: true}
+			p := Packet{Src: f.key.Caller, Dst: f.key.Service, Seq: c.number, Ack: 1, Flags: c.flags}
+			e.w.targets[1].reset(e.w.entries[0], f.key, p)
+			f.c.receive(now, e.w.targets[1].entry.Address, e.w.dialect.AppendPacket(nil, e.sent()[0]))
+			So(e.w.breaks, ShouldHaveLength, c.broken)
+			So(f.c.flows, ShouldHaveLength, 1-c.broken)
+		})
+	}
+}
+
+func TestPortsAreUsedAgain(t *testing.T) {
+	Convey("A caller uses a port again when its flow is over and has rested", t, func() {
+		c := &caller{flows: make(map[uint16]*flow), rested: make(map[uint16]time.Time)}
+		now := time.Now()
+		c.port = c.freePort(now)
+		first := c.port
+		c.flows[first+1] = &flow{}
+		for range portCount - 2 {
+			c.port = c.freePort(now)
+			So(c.port, ShouldNotEqual, first)
+			So(c.port, ShouldNotEqual, first+1)
+		}
+		c.rested[first] = now.Add(portRest)
+		So(c.freePort(now), ShouldNotEqual, first)
+		So(c.freePort(now.Add(portRest)), ShouldEqual, first)
+	})
+}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -20,8 +20,15 @@
 	maxRepeats = 8
 	// requestBytes is the size of a request and of its answer.
 	requestBytes = 12
-	// workTime is how long a request runs.
-	workTime = 10 * time.Millisecond
+	// Requests run from quickLeast to quickMost, slowShare of them from slowLeast to slowMost: the times of the users'
+	// bench. A slow one makes its caller repeat data to a target that lives.
+	quickLeast = 20 * time.Millisecond
+	quickMost  = 100 * time.Millisecond
+	slowLeast  = 200 * time.Millisecond
+	slowMost   = 700 * time.Millisecond
+	slowShare  = 0.15
+	// ackEvery is how many packets with data an end takes before it acknowledges them without an answer (protocol).
+	ackEvery = 2
 	// registerEvery is the time between two writes of a target's entry, expireAfter the silence that ends it.
 	registerEvery = 1200 * time.Millisecond
 	expireAfter   = 3 * registerEvery
@@ -58,6 +65,9 @@
 	first, next, expected uint32
 	tag                   uint32
 	open                  bool
+	// opening is the number of the caller's SYN; taken counts the packets with data.
+	opening uint32
+	taken   int
 	// answer is sent until it is acknowledged.
 	answer   []byte
 	sentAt   time.Time
@@ -153,17 +163,29 @@
 		f.repeat, f.repeats = firstRepeat, 0
 		t.sendAnswer(now, key, f)
 	}
-	if f.answer != nil && now.Sub(f.sentAt) >= f.repeat {
+	if (f.answer != nil || !f.open) && now.Sub(f.sentAt) >= f.repeat {
 		f.repeats++
 		f.repeat = min(2*f.repeat, maxRepeat)
 		if f.repeats > maxRepeats {
 			delete(t.flows, key)
 			return
 		}
+		if !f.open {
+			t.sendOpening(now, key, f)
+			return
+		}
 		t.sendAnswer(now, key, f)
 	}
 }
 
+// sendOpening answers a SYN; it is repeated until the caller acknowledges it.
+func (t *target) sendOpening(now time.Time, key packet.FlowKey, f *targetFlow) {
+	f.sentAt = now
+	if !t.w.links.dropsSYN(t.w.rand) {
+		t.send(key, Packet{Seq: f.first, Ack: f.opening + 1, Flags: packet.SYN | packet.ACK, Tag: f.tag})
+	}
+}
+
 func (t *target) sendAnswer(now time.Time, key packet.FlowKey, f *targetFlow) {
 	f.sentAt = now
 	t.send(key, Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag, Data: f.answer})
@@ -210,14 +232,7 @@
 	f := t.flows[key]
 	switch {
 	case p.Flags.Has(packet.SYN):
-		if f == nil {
-			t.w.checkRoute(now, e, t, key)
-			f = &targetFlow{first: t.w.rand.Uint32(), expected: p.Seq + 1}
-			f.next = f.first + 1
-			t.flows[key] = f
-		}
-		f.tag = p.Tag
-		t.send(key, Packet{Seq: f.first, Ack: f.expected, Flags: packet.SYN | packet.ACK, Tag: f.tag})
+		t.takeSYN(now, e, key, f, p)
 	case f == nil || !f.open && p.Ack != f.first+1:
 		t.reset(e, key, p)
 	case p.Flags.Has(packet.RST):
@@ -227,6 +242,30 @@
 	}
 }
 
+// takeSYN takes a SYN. One with another number than the flow's is of a later flow between the same ends.
+func (t *target) takeSYN(now time.Time, e *entry, key packet.FlowKey, f *targetFlow, p Packet) {
+	if t.w.links.dropsSYN(t.w.rand) {
+		return
+	}
+	if f == nil || f.opening != p.Seq {
+		t.w.checkRoute(now, e, t, key)
+		f = &targetFlow{first: t.w.rand.Uint32(), opening: p.Seq, expected: p.Seq + 1, repeat: firstRepeat}
+		f.next = f.first + 1
+		t.flows[key] = f
+	}
+	f.tag = p.Tag
+	t.sendOpening(now, key, f)
+}
+
+// workTime draws how long a request runs.
+func (t *target) workTime() time.Duration {
+	least, most := quickLeast, quickMost
+	if t.w.rand.Float64() < slowShare {
+		least, most = slowLeast, slowMost
+	}
+	return least + time.Duration(t.w.rand.Int64N(int64(most-least)))
+}
+
 func (t *target) advance(now time.Time, key packet.FlowKey, f *targetFlow, p Packet) {
 	f.open, f.tag = true, p.Tag
 	if f.answer != nil && p.Ack == f.next+uint32(len(f.answer)) {
@@ -234,7 +273,7 @@
 	}
 	if p.Seq == f.expected && len(p.Data) == requestBytes {
 		f.expected += requestBytes
-		f.request, f.workDone = p.Data, now.Add(workTime)
+		f.request, f.workDone = p.Data, now.Add(t.workTime())
 		t.w.history.Runs = append(t.w.history.Runs, history.Run{ID: readRequest(p.Data), Target: t.entry.Name, Flow: key, Start: now})
 	}
 	if p.Flags.Has(packet.FIN) {
@@ -242,7 +281,10 @@
 		delete(t.flows, key)
 		return
 	}
-	if len(p.Data) > 0 {
+	if len(p.Data) == 0 {
+		return
+	}
+	if f.taken++; f.taken%ackEvery == 0 {
 		t.send(key, Packet{Seq: f.next, Ack: f.expected, Flags: packet.ACK, Tag: f.tag})
 	}
 }
