Add faults to the soak that change which daemon sees a flow's next packet

Cause: the soak's faults hit daemons hard and excused them for 4 s more, all of them for each cut, and flows seldom changed daemons meanwhile: with rendezvous hashing only those of a daemon that leaves do. What a fault leaves behind at a daemon that is sound again was hardly ever met. Stalls under a second, registrations that lapse while the target lives, a leaving target that is no longer listed, the loss of SYNs, and routers that hash by the remainder were missing.

Schedules of before play as they did: a schedule without a hash has rendezvous.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -169,4 +169,22 @@
 		w.entries[2].ready = false
 		So(used(), ShouldResemble, map[string]bool{"b0": true})
 	})
+	Convey("Where routers take the remainder, nearly all flows change daemons with the number of daemons", t, func() {
+		w := &world{hash: Mod}
+		for _, name := range []string{"a0", "a1", "a2", "a3"} {
+			w.entries = append(w.entries, &entry{w: w, name: name, zone: "a", ready: true})
+		}
+		const flows = 1000
+		kept := 0
+		for port := range uint16(flows) {
+			key := packet.FlowKey{Caller: netip.AddrPortFrom(netip.MustParseAddr("127.60.0.1"), port)}
+			w.entries[3].ready = true
+			before := w.route("a", key)
+			w.entries[3].ready = false
+			if w.route("a", key) == before {
+				kept++
+			}
+		}
+		So(kept, ShouldBeLessThan, flows/2)
+	})
 }
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -29,6 +29,8 @@
 	return p, json.Unmarshal(raw, &p) == nil
 }
 
+func (plain) TargetItem(t TargetEntry) (key string, value []byte) { return t.Name, []byte("here") }
+
 // ends are a caller and targets whose packets are read from a socket.
 type ends struct {
 	w      *world
@@ -122,6 +124,27 @@
 	})
 }
 
+func TestRegistrationsThatLapse(t *testing.T) {
+	Convey("A target whose registration has lapsed goes on serving and is listed again in time", t, func() {
+		e := newEnds(t)
+		target, now := e.w.targets[0], time.Now()
+		listed := func() int {
+			items, _ := e.w.store.Standing("")
+			return len(items)
+		}
+		target.register(now)
+		So(listed(), ShouldEqual, 1)
+		e.w.play(Step{Kind: Lapse, For: 50 * time.Millisecond})
+		target.tick(now.Add(2 * registerEvery))
+		So(listed(), ShouldEqual, 0)
+		target.handle(now, e.w.entries[0], e.f.key, Packet{Seq: 7, Flags: packet.SYN})
+		So(e.sent(), ShouldHaveLength, 1)
+		time.Sleep(60 * time.Millisecond)
+		e.w.tick(time.Now())
+		So(listed(), ShouldEqual, len(e.w.targets))
+	})
+}
+
 func TestCallersReturnTags(t *testing.T) {
 	for _, c := range []struct {
 		name    string
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -93,7 +93,7 @@
 		return nil, err
 	}
 	w := &world{
-		dialect: o.Dialect, binary: o.Binary, dir: o.Dir, port: o.Port, shape: shapes[s.Size],
+		dialect: o.Dialect, binary: o.Binary, dir: o.Dir, port: o.Port, shape: shapes[s.Size], hash: s.Hash,
 		rand: rand.New(rand.NewPCG(s.Seed, 1)), began: time.Now(), store: newStore(),
 		byData: make(map[netip.AddrPort]*entry), byIP: make(map[netip.Addr]*caller),
 		refusedFrom: make(map[packet.FlowKey]*entry),
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -1,10 +1,12 @@
 package soak
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"time"
 )
 
@@ -33,13 +35,18 @@
 	// from its daemons to the targets of other zones.
 	ZoneCut Kind = "zone_cut"
 	HalfCut Kind = "half_cut"
-	// Loss drops packets at random.
-	Loss Kind = "loss"
+	// Loss drops packets at random, SYNLoss half of the SYNs and of the answers to them.
+	Loss    Kind = "loss"
+	SYNLoss Kind = "syn_loss"
+	// Stall stops a daemon's process for less than a second: too short to be taken for a pause.
+	Stall Kind = "stall"
+	// Lapse ends the registrations of a zone's targets, which go on serving and register again within lapseMost.
+	Lapse Kind = "lapse"
 	// Crash ends a target whose machine refuses what comes, Dark one that is silent. Another one starts after the
 	// step's time, at the same address and, for every second one, for the other service.
 	Crash Kind = "crash"
 	Dark  Kind = "dark"
-	// Drain takes a target away as planned.
+	// Drain takes a target away as planned; its registration ends before it does.
 	Drain Kind = "drain"
 	// AddRoute and DropRoute change the configuration.
 	AddRoute  Kind = "add_route"
@@ -52,8 +59,22 @@
 var faults = []Kind{
 	Kill, Kill, KillAll, Restart, Restart, Pause, Pause, StoreSlow, StoreReset, StoreSilent, StoreLost, StoreDown,
 	StoreForgets, ZoneCut, HalfCut, Loss, Crash, Crash, Dark, Dark, Drain, Drain, AddRoute, AddRoute, DropRoute, Settings,
+	SYNLoss, Stall, Stall, Stall, Lapse, Lapse, ZoneCut,
 }
 
+// leavings are the kinds that every second seed draws from: what they leave behind outlasts the time for which they
+// excuse a daemon, and few of them excuse all.
+var leavings = []Kind{Stall, Stall, Stall, Stall, Restart, Restart, Lapse, Lapse, Crash, Dark, Drain, Drain, ZoneCut, SYNLoss}
+
+// Hash is how routers choose the daemon of a flow.
+type Hash string
+
+// Mod moves nearly all flows when a daemon leaves or joins, Steady those of that daemon.
+const (
+	Mod    Hash = "mod"
+	Steady Hash = "steady"
+)
+
 // Step is one fault: what happens, when, to what and for how long.
 type Step struct {
 	Kind Kind `json:"kind"`
@@ -69,6 +90,7 @@
 type Schedule struct {
 	Seed  uint64        `json:"seed"`
 	Size  Size          `json:"size"`
+	Hash  Hash          `json:"hash,omitempty"`
 	For   time.Duration `json:"for"`
 	Steps []Step        `json:"steps"`
 }
@@ -80,6 +102,13 @@
 	// maxSeries bounds the steps of one series, maxFor the length of one step.
 	maxSeries = 4
 	maxFor    = 5 * time.Second
+	// calmFactor is how much further apart series of leavings start.
+	calmFactor = 2
+	// stallLeast and stallMost bound a stall.
+	stallLeast = 200 * time.Millisecond
+	stallMost  = 950 * time.Millisecond
+	// lapseMost is how long a registration that ended is away (the users' protocol).
+	lapseMost = 2 * time.Second
 	// calmEnd is kept free of new steps, so that all have ended before the last look.
 	calmEnd = maxFor + time.Second
 )
@@ -87,26 +116,50 @@
 // Draw returns the schedule of a seed: series of faults that overlap.
 func Draw(seed uint64, size Size, length time.Duration) Schedule {
 	r := rand.New(rand.NewPCG(seed, uint64(len(size))))
-	s := Schedule{Seed: seed, Size: size, For: length}
+	s := Schedule{Seed: seed, Size: size, For: length, Hash: Steady}
+	gap, kinds := seriesGap, faults
+	if seed%2 == 0 {
+		gap, kinds = calmFactor*seriesGap, leavings
+	}
+	if seed%4 >= 2 {
+		s.Hash = Mod
+	}
 	last := max(length-calmEnd, 0)
-	for at := draw(r, seriesGap); at < last; at += draw(r, seriesGap) {
+	for at := draw(r, gap); at < last; at += draw(r, gap) {
 		begin := at
 		for range 1 + r.IntN(maxSeries) {
 			if begin >= last {
 				break
 			}
-			s.Steps = append(s.Steps, Step{
-				Kind:    faults[r.IntN(len(faults))],
+			step := Step{
+				Kind:    kinds[r.IntN(len(kinds))],
 				At:      begin,
 				For:     200*time.Millisecond + time.Duration(r.Int64N(int64(maxFor))),
 				Subject: r.IntN(1 << 16),
-			})
+			}
+			s.Steps = append(s.Steps, follow(r, step)...)
 			begin += draw(r, meanGap)
 		}
 	}
+	slices.SortStableFunc(s.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
+	s.Steps = slices.DeleteFunc(s.Steps, func(p Step) bool { return p.At >= last })
 	return s
 }
 
+// follow returns a step and, after a stall or the cut of a zone, planned work some time later: flows then change
+// daemons, so that one meets what the fault has left at another.
+func follow(r *rand.Rand, s Step) []Step {
+	switch s.Kind {
+	case Stall:
+		s.For = stallLeast + time.Duration(r.Int64N(int64(stallMost-stallLeast)))
+	case ZoneCut:
+	default:
+		return []Step{s}
+	}
+	next := Step{Kind: Restart, At: s.At + s.For + time.Duration(r.Int64N(int64(2*settle))), Subject: s.Subject}
+	return []Step{s, next}
+}
+
 func draw(r *rand.Rand, mean time.Duration) time.Duration {
 	return time.Duration(r.ExpFloat64() * float64(mean))
 }
--- a/internal/soak/schedule_test.go
+++ b/internal/soak/schedule_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,24 @@
 			So(s.At+s.For, ShouldBeLessThan, one.For)
 		}
 	})
+	Convey("A stall is shorter than a pause, and planned work of the same daemon follows it", t, func() {
+		steps := Draw(710, Small, time.Minute).Steps
+		stalls := 0
+		for i, s := range steps {
+			if s.Kind != Stall {
+				continue
+			}
+			stalls++
+			So(s.For, ShouldBeBetween, stallLeast-1, stallMost)
+			follows := func(n Step) bool { return n.Kind == Restart && n.Subject == s.Subject }
+			So(slices.ContainsFunc(steps[i:], follows), ShouldBeTrue)
+		}
+		So(stalls, ShouldBeGreaterThan, 0)
+	})
+	Convey("Routers use both hashes in turn", t, func() {
+		So(Draw(1, Small, time.Minute).Hash, ShouldEqual, Steady)
+		So(Draw(2, Small, time.Minute).Hash, ShouldEqual, Mod)
+	})
 	Convey("Series overlap", t, func() {
 		overlaps := 0
 		steps := Draw(7, Small, time.Minute).Steps
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -27,7 +27,7 @@
 				}
 			})
 		}
-	case Pause:
+	case Pause, Stall:
 		w.pause(now, e, s.For)
 	case StoreSlow, StoreReset, StoreSilent, StoreLost:
 		w.spoil(now, e, proxyModes[s.Kind], s.For)
@@ -37,10 +37,12 @@
 		}
 	case StoreForgets:
 		w.store.forget()
-	case ZoneCut, HalfCut, Loss:
+	case ZoneCut, HalfCut, Loss, SYNLoss:
 		w.spoilLinks(now, s)
 	case Crash, Dark, Drain:
 		w.endTarget(s)
+	case Lapse:
+		w.lapse(s)
 	case AddRoute:
 		w.addRoute()
 	case DropRoute:
@@ -101,6 +103,8 @@
 			w.links.cut[zone] += by
 		case HalfCut:
 			w.links.half[zone] += by
+		case SYNLoss:
+			w.links.synLossy += by
 		default:
 			w.links.lossy += by
 		}
@@ -120,6 +124,22 @@
 	}
 }
 
+// lapse ends the registrations of a zone's targets. Those that still serve when it is over register again.
+func (w *world) lapse(s Step) {
+	zone := w.zones[s.Subject%len(w.zones)]
+	for _, t := range w.targets {
+		if t.entry.Zone != zone || t.state != targetServes || t.entry.Leaving {
+			continue
+		}
+		t.lapse()
+		w.after(min(s.For, lapseMost), func() {
+			if t.state == targetServes && !t.entry.Leaving {
+				t.register(time.Now())
+			}
+		})
+	}
+}
+
 // leastServing is how many targets of a zone's service stay.
 const leastServing = 2
 
@@ -147,6 +167,7 @@
 	case Drain:
 		t.entry.Leaving = true
 		t.register(time.Now())
+		w.after(drainFor, t.lapse)
 		w.after(drainFor+s.For, func() {
 			t.leave()
 			w.after(reuseAfter, again)
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -57,6 +57,8 @@
 	health  *http.Server
 	flows   map[packet.FlowKey]*targetFlow
 	writeAt time.Time
+	// lapsed is true while the target serves without a registration.
+	lapsed bool
 }
 
 // targetFlow is a flow at its target.
@@ -117,6 +119,7 @@
 
 // register writes the target's entry.
 func (t *target) register(now time.Time) {
+	t.lapsed = false
 	t.entry.Sequence++
 	t.writeAt = now.Add(registerEvery)
 	t.w.store.put(t.w.dialect.TargetItem(t.entry))
@@ -130,6 +133,12 @@
 	t.w.after(expireAfter, t.expire)
 }
 
+// lapse ends the registration of a target that goes on serving.
+func (t *target) lapse() {
+	t.lapsed = true
+	t.expire()
+}
+
 func (t *target) expire() {
 	key, _ := t.w.dialect.TargetItem(t.entry)
 	t.w.store.put(key, nil)
@@ -149,7 +158,7 @@
 	if t.state != targetServes {
 		return
 	}
-	if !now.Before(t.writeAt) {
+	if !t.lapsed && !now.Before(t.writeAt) {
 		t.register(now)
 	}
 	for key, f := range t.flows {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -47,6 +47,7 @@
 	port    int
 	shape   shape
 	zones   []string
+	hash    Hash
 	rand    *rand.Rand
 	began   time.Time
 
@@ -236,18 +237,22 @@
 	}
 	switch {
 	case len(ready) == 0 && len(elsewhere) > 0:
-		return pick(elsewhere, key)
+		return w.pick(elsewhere, key)
 	case 2*len(ready) < len(all):
-		return pick(all, key)
+		return w.pick(all, key)
 	}
-	return pick(ready, key)
+	return w.pick(ready, key)
 }
 
-// pick chooses by rendezvous hashing.
-func pick(entries []*entry, key packet.FlowKey) *entry {
+// pick chooses as the schedule says: by rendezvous hashing, where only the flows of a daemon that leaves or joins change
+// theirs, or by the remainder, where nearly all do.
+func (w *world) pick(entries []*entry, key packet.FlowKey) *entry {
+	flow := uint64(key.Hash())
+	if w.hash == Mod && len(entries) > 0 {
+		return entries[flow%uint64(len(entries))]
+	}
 	var best *entry
 	var most uint64
-	flow := uint64(key.Hash())
 	for _, e := range entries {
 		if h := xxhash.Sum64String(e.name + strconv.FormatUint(flow, 16)); best == nil || h > most {
 			best, most = e, h
