Show that a daemon that starts offers one flow to several targets

Cause: a daemon that has just started leaves packets in its socket until it has lists (moveOnceAdopted). A SYN and its copies are then taken in one turn. The copy finds that the flow's target has answered nothing since, as none could, and goes to another one (reopen, answersSince). A stall of less than a second does the same.

Ruled out: the time that they waited as a sign: a SYN that waited for the first lists is placed on purpose (TestFlowThroughDaemons), since callers of a whole fleet that starts again would fail otherwise.

--- /dev/null
+++ b/internal/edge/waiting_test.go
@@ -0,0 +1,59 @@
+package edge_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// A daemon that has just started leaves packets in its socket until it has lists. A SYN and its copies are taken in one
+// turn then, before any target could answer.
+func TestSYNAndCopiesThatWaitedForListsReachOneTarget(t *testing.T) {
+	const flows = 20
+	twice := 0
+	run(t, func(ctx context.Context, f *fleet) {
+		var targets []*target
+		for i := range 4 {
+			targets = append(targets, f.target(i+1))
+		}
+		defer func() {
+			for _, t := range targets {
+				_ = t.conn.Close()
+			}
+		}()
+		c := f.client()
+		defer c.conn.Close()
+		f.store.set(true, false)
+		a := f.start(ctx, 1)
+		for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 100 * time.Millisecond} {
+			for port := range uint16(flows) {
+				c.send(a, c.packetOf(2000+port, 1, wireSYN, 100, uint32(copies), 0, 0))
+			}
+			time.Sleep(wait)
+		}
+		f.store.set(false, false)
+		time.Sleep(2 * time.Second)
+		offered := make(map[uint16]int)
+		for _, t := range targets {
+			seen := make(map[uint16]bool)
+			for _, frame := range t.take() {
+				seen[portOf(frame)] = true
+			}
+			for port := range seen {
+				offered[port]++
+			}
+		}
+		So(offered, ShouldHaveLength, flows)
+		for _, n := range offered {
+			if n > 1 {
+				twice++
+			}
+		}
+	})
+	// Outside, as a failure inside leaves goroutines of virtual time behind.
+	if twice > 0 {
+		t.Errorf("%d of %d flows were offered to more than one target", twice, flows)
+	}
+}
