Show that health goes by probes of any age

Cause: a daemon that ceases to be a target's prober keeps the verdict of its last probes, and counts it again once it probes the target anew (hear: good+bad > 0, with no age), until enough new probes are answered. What other daemons say ends after ResultLifetime; a daemon's own word does not.

Ruled out: a fault on open flows: the verdict only keeps new flows away, at most from the panic share of a service's targets. Own misses that are counted without an age (silent): a hold needs a miss later than the end of the last hold, and ends by itself.

Before and after: no logic changed.

Conclusion: a real fault of the same class, evidence without expiry, in steering by owners; mild.

--- /dev/null
+++ b/internal/health/stale_test.go
@@ -0,0 +1,25 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func TestOldProbesTellNothing(t *testing.T) {
+	Convey("A daemon that probes a target again after a long time does not go by the probes of before", t, func() {
+		f := newFixture(4)
+		for range 10 {
+			f.m.HandleProbe(start, Result{Target: f.id(0)})
+		}
+		So(f.down(start, 0), ShouldBeTrue)
+		f.m.SetLive(func(model.Zone) []model.MachineID { return []model.MachineID{2, 3, 4} }, 3)
+		later := start.Add(time.Hour)
+		So(f.down(later, 0), ShouldBeFalse)
+		f.m.SetLive(func(model.Zone) []model.MachineID { return []model.MachineID{1} }, 1)
+		So(f.down(later, 0), ShouldBeFalse)
+	})
+}
