Tell how a broken flow was opened and whose number a reset carries

Cause: a broken flow's line did not say whether its caller returns the last tag, so that the two readings of the protocol could not be told apart, nor whether a daemon's reset carries a number that its caller may take for this flow's (76,800).

Ruled out: not holding a reset with a far number against the daemon: whether callers look at it on an open flow is not known.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -28,6 +28,9 @@
 	firstPort = 1024
 	portCount = 200
 	portRest  = 2 * time.Second
+	// resetWindow is how far a daemon's reset of an open flow may be from the caller's last acknowledgement, in bytes
+	// (protocol). One that is further off is held against the daemon too, and told as such.
+	resetWindow = 76_800
 )
 
 // synCopies are the times of the copies of a SYN.
@@ -72,8 +75,10 @@
 	// strays counts the flow's packets that reached other targets, from strayedAt on, since the last one at its own.
 	strays    int
 	strayedAt time.Time
-	copies    int
-	left      int
+	// resetAhead is how far the number of a reset was from the caller's last acknowledgement.
+	resetAhead int32
+	copies     int
+	left       int
 	// wanted is under way, sent at sent and again at repeatAt; nil between two.
 	wanted   *request
 	sent     time.Time
@@ -203,6 +208,7 @@
 	}
 	switch {
 	case p.Flags.Has(packet.RST):
+		f.resetAhead = int32(p.Seq - f.expected)
 		f.wasReset(now, from, p.Ack)
 	case !f.open && p.Flags.Has(packet.SYN|packet.ACK) && p.Ack == f.next:
 		f.open, f.expected, f.tag = true, p.Seq+1, p.Tag
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -36,7 +36,7 @@
 	}
 	if e := w.entryAt(from); e != nil {
 		if w.counts(now, f, e) {
-			w.broken("open flows", "%s reset %v, whose target %s lives", e.name, f, h.entry.Name)
+			w.broken("open flows", "%s reset %v, whose target %s lives%s", e.name, f, h.entry.Name, f.resetNote())
 		}
 		return
 	}
@@ -98,12 +98,23 @@
 	return sound && slices.ContainsFunc(w.config.Routes, func(r Route) bool { return r.Address == f.key.Service })
 }
 
+// resetNote tells a daemon's reset that callers may not take for one of this flow.
+func (f *flow) resetNote() string {
+	if max(f.resetAhead, -f.resetAhead) > resetWindow {
+		return "; its number is that of another flow"
+	}
+	return ""
+}
+
 // String names the flow, and how it was opened.
 func (f *flow) String() string {
 	s := fmt.Sprintf("%v > %v", f.key.Caller, f.key.Service)
 	if f.copies > 0 {
 		s += fmt.Sprintf(" (%d copies of its SYN)", f.copies)
 	}
+	if f.lastTag {
+		s += " (its caller returns the last tag)"
+	}
 	if tf := f.holder.flows[f.key]; tf == nil || !tf.open {
 		s += " (not open at its target yet, or no longer)"
 	}
