--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -62,6 +62,27 @@
 			w.refusedFrom[f.key] = w.entries[0]
 			w.checkReset(now, f, w.targets[1].entry.Address)
 		}, "open flows"},
+		{"an open flow's packets all go to another target for two seconds", func(w *world, f *flow, now time.Time) {
+			w.stray(f, now, misroutePackets)
+		}, "open flows"},
+		{"one of them reached its own", func(w *world, f *flow, now time.Time) {
+			w.stray(f, now, misroutePackets-1)
+			w.checkWay(now, w.entries[0], f.holder, f.key, Packet{})
+			w.stray(f, now, misroutePackets-1)
+		}, ""},
+		{"they are of an earlier flow between the same ends", func(w *world, f *flow, now time.Time) {
+			f.first -= 1 << 20
+			f.next = f.first + 1
+			w.stray(f, now, misroutePackets)
+		}, ""},
+		{"their target is dead", func(w *world, f *flow, now time.Time) {
+			f.holder.state = targetDark
+			w.stray(f, now, misroutePackets)
+		}, ""},
+		{"the daemon that sent them elsewhere is in trouble", func(w *world, f *flow, now time.Time) {
+			w.entries[0].troubled(now)
+			w.stray(f, now, misroutePackets)
+		}, ""},
 		{"a flow reaches a service that its address does not have", func(w *world, f *flow, now time.Time) {
 			w.checkRoute(now, w.entries[0], w.targets[1], f.key)
 		}, "plan"},
@@ -116,6 +137,16 @@
 	}
 }
 
+// stray brings packets of a flow to another target, the last of them misrouteTime after the first.
+func (w *world) stray(f *flow, now time.Time, packets int) {
+	f.c.flows = map[uint16]*flow{f.key.Caller.Port(): f}
+	w.byIP = map[netip.Addr]*caller{f.key.Caller.Addr(): f.c}
+	for i := range packets {
+		at := now.Add(misrouteTime * time.Duration(i) / time.Duration(packets-1))
+		w.checkWay(at, w.entries[0], w.targets[1], f.key, Packet{})
+	}
+}
+
 func TestRouters(t *testing.T) {
 	Convey("Routers use the daemons of a zone in rotation, all of them when few are, and other zones when none is", t, func() {
 		w := &world{}
@@ -138,4 +169,22 @@
 		w.entries[2].ready = false
 		So(used(), ShouldResemble, map[string]bool{"b0": true})
 	})
+	Convey("Where routers take the remainder, nearly all flows change daemons with the number of daemons", t, func() {
+		w := &world{hash: Mod}
+		for _, name := range []string{"a0", "a1", "a2", "a3"} {
+			w.entries = append(w.entries, &entry{w: w, name: name, zone: "a", ready: true})
+		}
+		const flows = 1000
+		kept := 0
+		for port := range uint16(flows) {
+			key := packet.FlowKey{Caller: netip.AddrPortFrom(netip.MustParseAddr("127.60.0.1"), port)}
+			w.entries[3].ready = true
+			before := w.route("a", key)
+			w.entries[3].ready = false
+			if w.route("a", key) == before {
+				kept++
+			}
+		}
+		So(kept, ShouldBeLessThan, flows/2)
+	})
 }
