Reset no flow whose packets came long ago

A daemon kept the earlier flow's record, the later flow went by way of another daemon, and the reset of the earlier flow's target, which had died, went to both.

Cause: a record counts for the flow's being here for 15 s after its last packet.

Ruled out: to drop records sooner: they are evidence of the targets. To reset nothing idle: callers' next requests would go to a dead target. That callers take no notice of such a number may be: the users' pages say that a reset of an open flow must be near the caller's last acknowledgement.

Before and after: TestOldRecordResetsNothing failed (10 old flows reset) and passes. The difference of times is signed now: a tick may carry an earlier time than a packet.

--- a/core/tag_reset_test.go
+++ b/core/tag_reset_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"github.com/fireflypin/fireflypin/model"
@@ -241,6 +242,28 @@
 	})
 }
 
+func TestOldRecordResetsNothing(t *testing.T) {
+	Convey("A flow whose packets came long ago is left alone when its target dies: other daemons may have it", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		old := s.ofDead()
+		s.now = s.now.Add(recordFor)
+		recent := s.caller(safeAddr).open(s.engine)
+		for recent.target != s.dead {
+			recent = s.caller(safeAddr).open(s.engine)
+		}
+		s.repeat([]*caller{recent}, firstRepeat)
+		s.engine.Probed(s.now, s.dead, false)
+		resets := s.tick(s.engine)
+		So(len(resets), ShouldBeLessThan, len(old))
+		for _, r := range resets {
+			for _, c := range old {
+				So(r.Caller, ShouldNotEqual, c.src)
+			}
+		}
+		So(lo.ContainsBy(resets, func(r TagReset) bool { return r.Caller == recent.src }), ShouldBeTrue)
+	})
+}
+
 func TestResetWaitsForItsProbe(t *testing.T) {
 	Convey("A target that dies just after a probe found it", t, func() {
 		s := newProbedSilence(safeAddr, 40)
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -59,6 +59,10 @@
 	// idleAfter is how long a caller that waits for nothing has sent nothing: data without an answer is
 	// repeated sooner.
 	idleAfter = 300 * time.Millisecond
+	// recordFor is how long after its last packet here a flow is reset in its target's place: half of the time that records
+	// are kept, and longer than callers mostly pause. Later the flow may go on by way of another daemon, or have ended and
+	// its ends be used by another one.
+	recordFor = defaultTagIdleTimeout / 2
 	// silentFor is how long misses without a probe count; a live target answers its next packet.
 	silentFor = 10 * time.Second
 )
@@ -338,7 +342,11 @@
 	if route == nil {
 		return false
 	}
-	idle := f.repeats == 0 && e.flows.millis(now)-f.last >= uint32(idleAfter/time.Millisecond)
+	since := time.Duration(int32(e.flows.millis(now)-f.last)) * time.Millisecond
+	if since > recordFor {
+		return false
+	}
+	idle := f.repeats == 0 && since >= idleAfter
 	return ended || idle || route.Kind.Idempotent()
 }
 
