Hold tag steering against its promise in random runs

Cause: nothing checked the promise of flow tags, that packets of an open flow reach its own target and that nobody else resets it while that one lives.

A simulated site in virtual time: six daemons around core.TagEngine in two zones, targets and callers as the protocol says, packets that get lost and overtake each other, probes and sockets as package edge has them, and up to 22 faults in 9 s. One run is a function of one seed (tested). Each rule has a test of its own, and each failure a small deterministic one.

No code but tests changed.

--- /dev/null
+++ b/core/tag_promise_test.go
@@ -0,0 +1,150 @@
+package core
+
+import (
+	"flag"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/fireflypin/fireflypin/internal/proptest"
+)
+
+// These tests hold simulated sites against the promise that open flows have. One run is one seed, so a failure says which
+// seed plays it again, and prints what happened to the flow. More runs by hand, with a search for the smallest case:
+//
+//	go test ./core -run 'TestFlowsOfLivingTargetsAreNotReset/seed_1$' -rapid.checks=1000 -rapid.shrinktime=60s
+
+const simLength = 13 * time.Second
+
+// simVariant is what a property fixes of its sites.
+type simVariant struct {
+	strict, reuse, calm bool
+	losses              []float64
+}
+
+var (
+	// soundLoss is the loss of links that count as sound, anyLoss adds that of links that do not.
+	soundLoss = []float64{0.002}
+	anyLoss   = []float64{0.002, 0.01, 0.03}
+	heavyLoss = []float64{0.01, 0.03}
+)
+
+// simOf draws a site. Its faults end some seconds before it does, so that what they leave behind is seen.
+func simOf(t *rapid.T, v simVariant) simConfig {
+	counts := []int{2, 3, 4, 5, 6}
+	cfg := simConfig{
+		strict: v.strict,
+		reuse:  v.reuse,
+		length: simLength,
+		seed:   rapid.Uint64().Draw(t, "seed"),
+		loss:   rapid.SampledFrom(v.losses).Draw(t, "loss"),
+		targets: [2]int{
+			rapid.SampledFrom(counts).Draw(t, "targets in a"),
+			rapid.SampledFrom(counts).Draw(t, "targets in b"),
+		},
+	}
+	if !v.calm {
+		cfg.faults = simFaultsOf(t, cfg.seed)
+	}
+	return cfg
+}
+
+// checkSims plays one site for each seed and lets a property judge it. Unless the command line says otherwise there is
+// no search for a smaller case: it takes a minute where most sites fail, and the trace tells one flow's story anyway.
+func checkSims(t *testing.T, v simVariant, judge func(*rapid.T, *sim), seeds ...int) {
+	t.Helper()
+	if f := flag.Lookup("rapid.shrinktime"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("0s")
+		t.Cleanup(func() { _ = f.Value.Set(f.DefValue) })
+	}
+	for _, seed := range seeds {
+		proptest.CheckOne(t, seed, func(t *rapid.T) { judge(t, newSim(simOf(t, v))) })
+	}
+}
+
+// keeps returns the property that nothing breaks a rule. simStrayReset has no test: a daemon with an old record cannot know
+// of a later flow, and the number of its reset tells the caller that it is not meant.
+func keeps(rule simRule) func(*rapid.T, *sim) {
+	return func(t *rapid.T, w *sim) {
+		if b := w.run(rule).first(rule); b != nil {
+			t.Fatal(w.trace(b))
+		}
+	}
+}
+
+func TestSimulatedSiteServes(t *testing.T) {
+	checkSims(t, simVariant{calm: true, losses: soundLoss}, func(t *rapid.T, w *sim) {
+		c := w.run().counts
+		if c.flows < 400 || c.opened < c.flows*97/100 || c.answered < c.requests*95/100 {
+			t.Fatalf("too little is served: %+v", c)
+		}
+		if len(w.breaches) > 0 {
+			t.Fatal(w.trace(&w.breaches[0]))
+		}
+	}, 1)
+}
+
+func TestSimulatedSiteMeetsItsFaults(t *testing.T) {
+	checkSims(t, simVariant{losses: soundLoss}, func(t *rapid.T, w *sim) {
+		if c := w.run().counts; c.moved == 0 || c.learned < 20 || c.absent == 0 || c.opened < c.flows*80/100 {
+			t.Fatalf("the faults do not do what they are for: %+v", c)
+		}
+	}, 1)
+}
+
+func TestSimulatedSiteRepeats(t *testing.T) {
+	checkSims(t, simVariant{reuse: true, strict: true, losses: anyLoss}, func(t *rapid.T, w *sim) {
+		w.run()
+		again := newSim(w.cfg).run()
+		if again.counts != w.counts || !reflect.DeepEqual(whatOf(again), whatOf(w)) {
+			t.Fatalf("one configuration gave %+v and %+v", w.counts, again.counts)
+		}
+	}, 1)
+}
+
+func whatOf(w *sim) []string {
+	var all []string
+	for _, b := range w.breaches {
+		all = append(all, b.at.String()+" "+b.what)
+	}
+	return all
+}
+
+func TestPacketsOfOpenFlowsReachTheirTarget(t *testing.T) {
+	checkSims(t, simVariant{losses: anyLoss}, keeps(simAstray), 1, 2)
+}
+
+func TestTagOfSecondAnswerMovesNoFlow(t *testing.T) {
+	checkSims(t, simVariant{strict: true, losses: anyLoss}, keeps(simAstray), 2)
+}
+
+func TestRecordOfEarlierFlowMovesNoFlow(t *testing.T) {
+	checkSims(t, simVariant{reuse: true, losses: anyLoss}, keeps(simAstray), 1)
+}
+
+func TestRecordOfEarlierFlowResetsNoFlow(t *testing.T) {
+	checkSims(t, simVariant{reuse: true, losses: anyLoss}, keeps(simRecordReset), 1, 46)
+}
+
+func TestCopiesOfOpenFlowsReachNoOtherTarget(t *testing.T) {
+	checkSims(t, simVariant{losses: anyLoss}, keeps(simCopyAstray), 1, 67)
+}
+
+func TestCopiesOfOpenFlowsAreNotRefused(t *testing.T) {
+	checkSims(t, simVariant{losses: anyLoss}, keeps(simCopyRefused), 1)
+}
+
+func TestOtherTargetsResetNoOpenFlow(t *testing.T) {
+	checkSims(t, simVariant{losses: anyLoss}, keeps(simTargetReset), 1, 301)
+}
+
+// Seed 1903 reset a flow on a probe of long ago, 6916 on misses without a probe, 6528 and 9703 after a registration ended.
+func TestFlowsOfLivingTargetsAreNotReset(t *testing.T) {
+	checkSims(t, simVariant{losses: soundLoss}, keeps(simDaemonReset), 1, 1903, 6528, 6916, 9703)
+}
+
+func TestLossAloneResetsNoFlow(t *testing.T) {
+	checkSims(t, simVariant{calm: true, losses: heavyLoss}, keeps(simDaemonReset), 1, 67)
+}
--- /dev/null
+++ b/core/tag_regress_test.go
@@ -0,0 +1,193 @@
+package core
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// The tests of this file are the smallest cases of what the random tests in tag_promise_test.go found.
+
+// copyOf sends the n-th copy of the flow's SYN; it leaves the caller's target and tag alone.
+func (c *caller) copyOf(e *TagEngine, isn uint32, n uint32) TagVerdict {
+	m := c.meta(packet.SYN, 0)
+	m.Seq, m.Ack = isn, n
+	return e.FromCaller(c.site.now, m, 0)
+}
+
+// staysWith asserts that a verdict sends a packet to no other target; to drop it is no harm.
+func staysWith(v TagVerdict, id model.TargetID) {
+	So(v.Op, ShouldNotEqual, OpReset)
+	if v.Op == OpForward {
+		So(v.Target.ID, ShouldEqual, id)
+	}
+}
+
+func TestSYNAndCopyThatWaitedTogetherReachOneTarget(t *testing.T) {
+	Convey("A SYN and its copy that waited in one socket go to one target: a second one may refuse the copy when the flow is open", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		c := s.caller(safeAddr)
+		c.syn(e)
+		staysWith(c.copyOf(e, c.seq, 1), c.target)
+	})
+}
+
+func TestTagOfSecondAnswerReachesNoOtherTarget(t *testing.T) {
+	Convey("A flow whose SYN two targets answered stays with the first, through a daemon without a record too", t, func() {
+		s := newTagSite(8)
+		first := s.engine()
+		c := s.caller(safeAddr)
+		c.syn(first)
+		s.now = s.now.Add(200 * time.Millisecond)
+		second := c.copyOf(first, c.seq, 1)
+		c.answered(first)
+		if second.Op == OpForward {
+			c.tag = second.Tag // the caller heard that answer last
+		}
+		staysWith(c.send(first, 100), c.target)
+		staysWith(c.send(s.engine(), 100), c.target)
+	})
+}
+
+func TestCopyOfOpenFlowReachesNoOtherTarget(t *testing.T) {
+	Convey("A copy of the SYN that comes when the flow is open goes to no other target, and the record stays", t, func() {
+		s := newTagSite(8)
+		opener := s.engine()
+		for range 40 {
+			e := s.engine()
+			c := s.caller(safeAddr)
+			isn := c.seq
+			c.open(opener)
+			c.send(e, 0) // this daemon knows the flow as open
+			for range 3 {
+				s.caller(safeAddr).open(e) // and has placed others since
+			}
+			staysWith(c.copyOf(e, isn, 1), c.target)
+			So(c.send(e, 100).Reason, ShouldEqual, TagSteered)
+		}
+	})
+}
+
+func TestRecordOfEarlierFlowMovesNoLaterOne(t *testing.T) {
+	Convey("A daemon that did not see the end of a flow sends a later one between the same ends to its own target", t, func() {
+		s := newTagSite(8)
+		old, other := s.engine(), s.engine()
+		c := s.caller(safeAddr).open(old)
+		before := c.target
+		for c.target == before {
+			s.now = s.now.Add(time.Second)
+			c.seq += 1 << 24 // a new flow from the same port
+			s.caller(safeAddr).open(other)
+			c.open(other)
+		}
+		c.ack = 1 << 30
+		v := c.send(old, 100)
+		staysWith(v, c.target)
+	})
+}
+
+// slowRequest sends a request that takes a while, through a daemon that hears of other targets meanwhile. It returns the
+// verdicts of the repetitions after 200 ms and 600 ms.
+func (s *silence) slowRequest(c *caller) [2]TagVerdict {
+	var out [2]TagVerdict
+	c.send(s.engine, 100)
+	for i, wait := range []time.Duration{200, 400} {
+		start := s.now
+		s.others()
+		s.now = start.Add(wait * time.Millisecond)
+		out[i] = c.send(s.engine, 100)
+	}
+	return out
+}
+
+func TestOldProbeResetsNothing(t *testing.T) {
+	Convey("A target that a probe did not find long ago, and that serves again", t, func() {
+		s := newSilence(safeAddr, 40)
+		s.now = s.now.Add(500 * time.Millisecond)
+		s.engine.NotFound(s.now, s.dead)
+		s.now = s.now.Add(8 * time.Second)
+		other := s.tagSite.engine()
+		var flow *caller
+		for flow == nil || flow.target != s.dead {
+			flow = s.caller(safeAddr).open(other)
+		}
+		s.others()
+		So(flow.send(s.engine, 100).Op, ShouldEqual, OpForward)
+		s.now = s.now.Add(200 * time.Millisecond)
+		v := flow.send(s.engine, 100)
+		So(v.Kind, ShouldEqual, errkind.None)
+		So(v.Op, ShouldEqual, OpForward)
+		So(s.tick(s.engine), ShouldBeEmpty)
+	})
+}
+
+func TestEndedRegistrationAloneResetsNothing(t *testing.T) {
+	for _, route := range []struct {
+		name string
+		addr netip.AddrPort
+	}{
+		{"a request that may run again", safeAddr},
+		{"a request that must run once", unsafeAddr},
+	} {
+		Convey("A target whose registration ended and that works on "+route.name, t, func() {
+			s := newSilence(route.addr, 40)
+			s.directory.End(s.now, s.engine.Target(s.dead).Name)
+			s.publish(s.engine)
+			Convey("keeps a flow that repeats twice", func() {
+				for _, v := range s.slowRequest(s.ofDead()[0]) {
+					So(v.Op, ShouldEqual, OpForward)
+				}
+			})
+			Convey("keeps two flows that repeat once each", func() {
+				a, b := s.ofDead()[0], s.ofDead()[1]
+				a.send(s.engine, 100)
+				s.now = s.now.Add(160 * time.Millisecond)
+				b.send(s.engine, 100)
+				start := s.now
+				s.others()
+				s.now = start.Add(40 * time.Millisecond)
+				So(a.send(s.engine, 100).Op, ShouldEqual, OpForward)
+				s.now = start.Add(200 * time.Millisecond)
+				So(b.send(s.engine, 100).Op, ShouldEqual, OpForward)
+			})
+		})
+	}
+}
+
+func TestLostSYNsAloneResetNothing(t *testing.T) {
+	Convey("Two lost SYNs to one target, which no probe has missed yet, reset none of its flows", t, func() {
+		s := &silence{tagSite: newTagSite(4)}
+		s.engine = s.engineIn("a", func(*model.Target) {})
+		for range 60 {
+			s.flows = append(s.flows, s.caller(safeAddr).open(s.engine))
+		}
+		s.dead = s.flows[0].target
+		s.now = s.now.Add(time.Second)
+		s.tick(s.engine)
+		var lost []*caller
+		for len(lost) < 2 {
+			c := s.caller(safeAddr)
+			if c.syn(s.engine); c.target == s.dead {
+				lost = append(lost, c)
+				continue
+			}
+			c.answered(s.engine)
+		}
+		start := s.now
+		s.others()
+		s.now = start.Add(70 * time.Millisecond)
+		So(s.tick(s.engine), ShouldBeEmpty)
+		s.now = start.Add(210 * time.Millisecond)
+		lost[0].copyOf(s.engine, lost[0].seq, 1)
+		s.now = start.Add(290 * time.Millisecond)
+		lost[1].copyOf(s.engine, lost[1].seq, 1)
+		So(s.engine.Tick(s.now), ShouldBeEmpty)
+	})
+}
--- /dev/null
+++ b/core/tagsim_caller_test.go
@@ -0,0 +1,248 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// simFlow is a flow with its caller.
+type simFlow struct {
+	w        *sim
+	src, dst netip.AddrPort
+	zone     string
+	isn      uint32
+	tag      uint32
+	// chosen is the target whose answer the caller took first, life which of its lives; nil before.
+	chosen *simTarget
+	life   int
+	// open is true once that target has the end of the handshake, closed once both ends have sent a FIN, over once the
+	// caller has done with the flow.
+	open, closed, over bool
+	finSent, finGot    bool
+	requests           int
+	asked              int
+	out                simSender
+	in                 simReceiver
+	notes              []simNote
+}
+
+// keepOpening lets callers of a zone open flows all the time.
+func (w *sim) keepOpening(zone string) {
+	w.after(w.between(0, 2*simFlowsEvery), func() {
+		w.openFlow(zone)
+		w.keepOpening(zone)
+	})
+}
+
+// callerEnd returns a port of its own for a flow, or one whose flow has ended.
+func (w *sim) callerEnd(zone string) netip.AddrPort {
+	if free := w.free[zone]; w.cfg.reuse && len(free) > 0 {
+		i := w.rand.IntN(len(free))
+		src := free[i]
+		w.free[zone] = append(free[:i:i], free[i+1:]...)
+		return src
+	}
+	w.site.port++
+	host := netip.AddrFrom4([4]byte{100, 64, 0, zone[0]})
+	return netip.AddrPortFrom(host, w.site.port)
+}
+
+func (w *sim) openFlow(zone string) {
+	f := &simFlow{w: w, zone: zone, src: w.callerEnd(zone), dst: safeAddr, isn: w.rand.Uint32()}
+	if w.chance(0.3) {
+		f.dst = unsafeAddr
+	}
+	f.requests = 1 + w.rand.IntN(4)
+	if w.chance(0.15) {
+		f.requests += 8
+	}
+	f.out = simSender{w: w, next: f.isn + 1, send: f.sendSegment}
+	w.ports[f.src] = f
+	w.counts.flows++
+	for copies, at := range []time.Duration{0, 200, 600} {
+		w.after(at*time.Millisecond, func() { f.sendSYN(uint32(copies)) })
+	}
+	w.after(1400*time.Millisecond, func() {
+		if f.chosen == nil {
+			f.end("gives up opening")
+		}
+	})
+}
+
+func (f *simFlow) sendSYN(copies uint32) {
+	if f.chosen == nil && !f.over {
+		f.transmit(packet.Meta{Flags: packet.SYN, Seq: f.isn, Ack: copies})
+	}
+}
+
+func (f *simFlow) sendSegment(g simSegment) {
+	f.in.pending = 0
+	f.transmit(packet.Meta{Flags: g.flags | packet.ACK, Seq: g.seq, Ack: f.in.next, PayloadLen: g.n})
+}
+
+func (f *simFlow) sendACK() {
+	f.in.pending = 0
+	f.transmit(packet.Meta{Flags: packet.ACK, Seq: f.out.next, Ack: f.in.next})
+}
+
+// transmit sends a packet to the daemon that the routers choose now.
+func (f *simFlow) transmit(m packet.Meta) {
+	m.Src, m.Dst = f.src, f.dst
+	p := simPacket{flow: f, meta: m, tag: f.tag}
+	if m.Flags.Has(packet.SYN) {
+		p.tag = 0
+	}
+	f.w.carry(f.zone, f.zone, func() {
+		if d := f.w.route(f); d != nil {
+			d.arrive(p)
+		}
+	})
+}
+
+// toCaller brings a packet to whoever has a port now.
+func (w *sim) toCaller(from string, a simAnswer) {
+	src := a.meta.Dst
+	zone := string(rune(src.Addr().As4()[3]))
+	w.carry(from, zone, func() {
+		if f := w.ports[src]; f != nil {
+			f.take(a)
+		}
+	})
+}
+
+func (f *simFlow) take(a simAnswer) {
+	if f.over {
+		f.takeLate(a)
+		return
+	}
+	own := f.chosen != nil && a.from == f.chosen && a.life == f.life
+	switch {
+	case a.meta.Flags.Has(packet.RST):
+		f.takeReset(&a)
+	case a.meta.Flags.Has(packet.SYN):
+		f.takeSYNACK(a, own)
+	case own:
+		f.tag = a.tag
+		f.takeSegment(&a.meta)
+	}
+}
+
+// simResetWindow is how far the number of a daemon's reset may be from the caller's last acknowledgement on an open flow.
+const simResetWindow = 76_800
+
+func (f *simFlow) takeReset(a *simAnswer) {
+	f.note("caller gets a reset of "+a.sender(), &a.meta, a.tag)
+	ahead := int32(a.meta.Seq - f.in.next)
+	stray := a.from == nil && f.chosen != nil && max(ahead, -ahead) > simResetWindow
+	f.w.judgeReset(f, a, stray)
+	if !stray {
+		f.end("is reset")
+	}
+}
+
+// takeLate acknowledges the FIN of a target that missed the acknowledgement of its FIN.
+func (f *simFlow) takeLate(a simAnswer) {
+	if f.finGot && a.from == f.chosen && a.meta.Flags.Has(packet.FIN) {
+		f.sendACK()
+	}
+}
+
+func (f *simFlow) takeSYNACK(a simAnswer, own bool) {
+	if a.meta.Ack != f.isn+1 {
+		return // of an earlier flow
+	}
+	switch {
+	case f.chosen == nil:
+		f.chosen, f.life, f.tag = a.from, a.life, a.tag
+		f.in.next = a.meta.Seq + 1
+		f.note("caller takes the answer of "+a.sender(), &a.meta, a.tag)
+		f.sendACK()
+		f.ask()
+	case own:
+		f.tag = a.tag
+		f.sendACK()
+	default:
+		f.note("caller hears "+a.sender()+" too", &a.meta, a.tag)
+		if f.w.cfg.strict {
+			f.tag = a.tag
+		}
+	}
+}
+
+func (f *simFlow) takeSegment(m *packet.Meta) {
+	f.out.acked(m.Ack)
+	if m.SegmentLen() == 0 {
+		return
+	}
+	done, known := f.in.take(simSegment{seq: m.Seq, n: m.PayloadLen, flags: m.Flags})
+	answered := false
+	for _, g := range done {
+		answered = answered || g.flags.Has(packet.PSH)
+		f.finGot = f.finGot || g.flags.Has(packet.FIN)
+	}
+	if known || answered || f.finGot || f.in.pending >= 2 {
+		f.sendACK()
+	}
+	if answered {
+		f.w.counts.answered++
+	}
+	switch {
+	case f.finGot:
+		f.close()
+		f.end("has ended")
+	case answered:
+		f.w.after(f.pause(), f.ask)
+	}
+}
+
+// pause is the time to a caller's next request.
+func (f *simFlow) pause() time.Duration {
+	if f.w.chance(0.5) {
+		return f.w.between(time.Millisecond, 100*time.Millisecond)
+	}
+	return f.w.between(100*time.Millisecond, 2500*time.Millisecond)
+}
+
+// ask sends the next request, or ends the flow after the last.
+func (f *simFlow) ask() {
+	if f.over || f.finGot {
+		return
+	}
+	if f.requests == 0 {
+		f.close()
+		return
+	}
+	f.requests--
+	f.asked++
+	f.w.counts.requests++
+	f.out.pushAll(1+f.w.rand.IntN(3), 200)
+	asked := f.asked
+	f.w.after(f.w.between(2*time.Second, 5*time.Second), func() {
+		if f.asked == asked && len(f.out.waiting) > 0 {
+			f.end("gives up")
+		}
+	})
+}
+
+func (f *simFlow) close() {
+	if !f.finSent {
+		f.finSent = true
+		f.out.push(0, packet.FIN|packet.ACK)
+	}
+}
+
+// end is the end of a flow at its caller. Its port may be used again some time later.
+func (f *simFlow) end(how string) {
+	if f.over {
+		return
+	}
+	f.over, f.out.over = true, true
+	f.note("flow "+how, nil, 0)
+	if f.w.cfg.reuse {
+		f.w.after(f.w.between(20*time.Millisecond, time.Second), func() {
+			f.w.free[f.zone] = append(f.w.free[f.zone], f.src)
+		})
+	}
+}
--- /dev/null
+++ b/core/tagsim_probe_test.go
@@ -0,0 +1,177 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// simWhy is why a target is probed.
+type simWhy uint8
+
+const (
+	simMissed simWhy = iota // flows of this daemon miss answers
+	simTold                 // another daemon did not find it
+	simNear                 // others of its zone died
+)
+
+const (
+	simProbeTimeout = 130 * time.Millisecond
+	simProbeSpacing = 60 * time.Millisecond
+	simProbeEvery   = 400 * time.Millisecond
+	simToldEvery    = 4 * time.Second
+	simMassDeaths   = 3
+	simMassTime     = time.Second
+)
+
+// simProbes are a daemon's probes, as in package edge.
+type simProbes struct {
+	last, told map[model.TargetID]time.Duration
+	deaths     []time.Duration
+	searched   time.Duration
+}
+
+func newSimProbes() simProbes {
+	return simProbes{
+		last: make(map[model.TargetID]time.Duration), told: make(map[model.TargetID]time.Duration), searched: -simToldEvery,
+	}
+}
+
+// recently reports whether a time is noted for a target less than a span ago, and notes now where it is not.
+func recently(times map[model.TargetID]time.Duration, id model.TargetID, now, span time.Duration) bool {
+	if before, noted := times[id]; noted && now-before < span {
+		return true
+	}
+	times[id] = now
+	return false
+}
+
+// simSight is what one connection to a target meets.
+type simSight uint8
+
+const (
+	simSilence simSight = iota
+	simFound
+	simRefused
+)
+
+// see tries a connection to a target.
+func (d *simDaemon) see(t *simTarget) simSight {
+	switch {
+	case t.dark || d.w.cut.parts(d.zone, t.zone) || d.w.chance(2*d.w.cfg.loss):
+		return simSilence
+	case !t.up:
+		return simRefused
+	}
+	return simFound
+}
+
+// probe looks for a target. What a stall or a restart interrupts tells nothing.
+func (d *simDaemon) probe(id model.TargetID, why simWhy) {
+	every, tries := simProbeEvery, 2
+	if why == simTold {
+		every, tries = simToldEvery, 1
+	}
+	if recently(d.probes.last, id, d.w.at, every) {
+		return
+	}
+	t := d.w.targets[id]
+	trip := 2 * d.w.delay(t.zone != d.zone)
+	first := d.see(t)
+	switch {
+	case first == simFound || first == simRefused && tries == 1:
+		d.conclude(trip, func() { d.handIn(t, why, first == simFound) })
+	case first == simRefused:
+		d.conclude(2*trip, func() { d.handIn(t, why, d.see(t) == simFound) })
+	default:
+		d.conclude(simProbeSpacing, func() { d.probeAgain(t, why, tries) })
+	}
+}
+
+// probeAgain is the second half of a probe that met silence: silence counts where another target of the zone is found.
+func (d *simDaemon) probeAgain(t *simTarget, why simWhy, tries int) {
+	if tries > 1 && d.see(t) == simFound {
+		d.conclude(2*d.w.delay(t.zone != d.zone), func() { d.handIn(t, why, true) })
+		return
+	}
+	other, ok := d.engine.Loads().LatestAnswer(model.Zone{Name: d.zone}, t.id)
+	reached := ok && d.reaches(d.w.targets[other])
+	d.conclude(simProbeTimeout-simProbeSpacing, func() {
+		if reached {
+			d.handIn(t, why, false)
+		}
+	})
+}
+
+// reaches reports whether one of two connections to a target comes about.
+func (d *simDaemon) reaches(t *simTarget) bool {
+	for range 2 {
+		if d.see(t) == simFound {
+			return true
+		}
+	}
+	return false
+}
+
+// conclude does something later, unless the daemon does not get its turn then or has started again.
+func (d *simDaemon) conclude(in time.Duration, do func()) {
+	life := d.life
+	d.w.after(in, func() {
+		if d.life == life && !d.blocked {
+			do()
+		}
+	})
+}
+
+// handIn gives the engine what a probe found, and tells others of a target that is absent.
+func (d *simDaemon) handIn(t *simTarget, why simWhy, found bool) {
+	switch {
+	case why == simMissed:
+		d.engine.Probed(d.w.now(), t.id, found)
+	case !found:
+		d.engine.NotFound(d.w.now(), t.id)
+	}
+	if found {
+		return
+	}
+	d.w.counts.absent++
+	if why != simTold {
+		d.tellAbsent(t, why)
+	}
+}
+
+func (d *simDaemon) tellAbsent(t *simTarget, why simWhy) {
+	if !recently(d.probes.told, t.id, d.w.at, simToldEvery) {
+		for _, peer := range d.w.daemons {
+			if peer != d && peer.zone == d.zone {
+				d.w.after(d.w.delay(false), func() { peer.soon(func() { peer.probe(t.id, simTold) }) })
+			}
+		}
+	}
+	if why == simMissed && d.died() {
+		d.search(t)
+	}
+}
+
+// died notes that a target was found absent, and reports whether more of its zone are to be looked for.
+func (d *simDaemon) died() bool {
+	p := &d.probes
+	p.deaths = append(p.deaths, d.w.at)
+	p.deaths = p.deaths[max(len(p.deaths)-simMassDeaths, 0):]
+	if len(p.deaths) < simMassDeaths || d.w.at-p.deaths[0] > simMassTime || d.w.at-p.searched < simToldEvery {
+		return false
+	}
+	p.searched = d.w.at
+	return true
+}
+
+func (d *simDaemon) search(dead *simTarget) {
+	for _, svc := range d.engine.Lists().Services {
+		for _, t := range slices.Clone(svc.Targets) {
+			if t.Zone.Name == dead.zone && !t.Lapsed && t.ID != dead.id && d.engine.Loads().Open(t.ID) > 0 {
+				d.probe(t.ID, simNear)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/tagsim_target_test.go
@@ -0,0 +1,200 @@
+package core
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/directory"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// simTarget is a target as the protocol says.
+type simTarget struct {
+	w            *sim
+	name, zone   string
+	id           model.TargetID
+	registration directory.Registration
+	// up is true while it serves; otherwise its machine refuses what comes, or is dark.
+	up, dark bool
+	draining bool
+	life     int
+	// unsound is until when something was wrong with it or its links.
+	unsound time.Duration
+	conns   map[simEnds]*simConn
+}
+
+// simEnds are the ends of a flow.
+type simEnds struct{ src, dst netip.AddrPort }
+
+// simConn is a target's end of a flow.
+type simConn struct {
+	t    *simTarget
+	flow *simFlow
+	life int
+	// isn is the number of the caller's SYN, first that of the answer.
+	isn, first uint32
+	tag        uint32
+	finGot     bool
+	// ended is true once both ends have sent a FIN.
+	ended, finSent bool
+	out            simSender
+	in             simReceiver
+}
+
+func (w *sim) addTarget(zone string) *simTarget {
+	r := w.site.registration("booking", len(w.order))
+	r.Zone = zone
+	t := &simTarget{
+		w: w, name: r.Name, zone: zone, id: model.TargetIDOf(r.Name), registration: r,
+		up: true, life: 1, conns: make(map[simEnds]*simConn),
+	}
+	w.targets[t.id] = t
+	w.order = append(w.order, t)
+	w.site.directory.Register(w.now(), r)
+	return t
+}
+
+// take gets a packet of a caller that a daemon sent here with a tag.
+func (t *simTarget) take(p simPacket, tag uint32) {
+	if t.dark {
+		return
+	}
+	ends := simEnds{p.meta.Src, p.meta.Dst}
+	c := t.conns[ends]
+	switch {
+	case !t.up:
+		t.refuse(p, tag)
+	case p.meta.Flags.Has(packet.SYN):
+		t.takeSYN(c, ends, p, tag)
+	case c == nil || !c.owns(p.meta.Ack):
+		t.refuse(p, tag)
+	default:
+		c.take(p, tag)
+	}
+}
+
+// refuse answers with a reset.
+func (t *simTarget) refuse(p simPacket, tag uint32) {
+	p.flow.note("refused by target "+t.name, &p.meta, tag)
+	t.send(simAnswer{life: t.life, tag: tag, meta: packet.Meta{
+		Src: p.meta.Dst, Dst: p.meta.Src, Flags: packet.RST, Seq: p.meta.Ack,
+	}})
+}
+
+func (t *simTarget) send(a simAnswer) {
+	a.from = t
+	if !t.dark {
+		t.w.toCaller(t.zone, a)
+	}
+}
+
+func (t *simTarget) takeSYN(c *simConn, ends simEnds, p simPacket, tag uint32) {
+	if c != nil && c.isn == p.meta.Seq {
+		c.tag = tag
+		if !c.ended {
+			c.sendSegment(simSegment{seq: c.first, flags: packet.SYN})
+		}
+		return
+	}
+	if c != nil {
+		c.out.over = true
+	}
+	c = &simConn{t: t, flow: p.flow, life: t.life, isn: p.meta.Seq, first: t.w.rand.Uint32(), tag: tag}
+	c.in.next = p.meta.Seq + 1
+	c.out = simSender{w: t.w, next: c.first, send: c.sendSegment, giveUp: c.drop}
+	t.conns[ends] = c
+	c.out.push(0, packet.SYN|packet.ACK)
+}
+
+// drop forgets a flow.
+func (c *simConn) drop() {
+	c.out.over = true
+	if ends := (simEnds{c.flow.src, c.flow.dst}); c.t.conns[ends] == c {
+		delete(c.t.conns, ends)
+	}
+}
+
+// owns reports whether an acknowledgement is one of the numbers that this end has sent.
+func (c *simConn) owns(ack uint32) bool {
+	return newer(ack, c.first) && !newer(ack, c.out.next)
+}
+
+func (c *simConn) sendSegment(g simSegment) {
+	if c.life != c.t.life || !c.t.up {
+		c.out.over = true
+		return
+	}
+	c.in.pending = 0
+	c.t.send(simAnswer{life: c.life, tag: c.tag, meta: packet.Meta{
+		Src: c.flow.dst, Dst: c.flow.src, Flags: g.flags | packet.ACK, Seq: g.seq, Ack: c.in.next, PayloadLen: g.n,
+	}})
+}
+
+func (c *simConn) sendACK() { c.sendSegment(simSegment{seq: c.out.next, flags: packet.ACK}) }
+
+func (c *simConn) take(p simPacket, tag uint32) {
+	c.tag = tag
+	c.out.acked(p.meta.Ack)
+	c.t.w.opens(c, p.flow)
+	if p.meta.SegmentLen() == 0 {
+		return
+	}
+	if c.ended {
+		c.takeAfterEnd(p, tag)
+		return
+	}
+	done, known := c.in.take(simSegment{seq: p.meta.Seq, n: p.meta.PayloadLen, flags: p.meta.Flags})
+	asked := false
+	for _, g := range done {
+		asked = asked || g.flags.Has(packet.PSH)
+		c.finGot = c.finGot || g.flags.Has(packet.FIN)
+	}
+	if asked {
+		c.t.w.after(c.work(), c.answer)
+	}
+	if known || c.in.pending >= 2 || c.finGot && c.finSent {
+		c.sendACK()
+	}
+	if c.finGot {
+		c.close()
+	}
+}
+
+func (c *simConn) takeAfterEnd(p simPacket, tag uint32) {
+	if p.meta.PayloadLen > 0 && !newer(c.in.next, p.meta.Seq) {
+		c.t.refuse(p, tag)
+		return
+	}
+	c.sendACK()
+}
+
+// work is how long a request takes.
+func (c *simConn) work() time.Duration {
+	if c.t.w.chance(0.15) {
+		return c.t.w.between(200*time.Millisecond, 700*time.Millisecond)
+	}
+	return c.t.w.between(20*time.Millisecond, 100*time.Millisecond)
+}
+
+func (c *simConn) answer() {
+	if c.out.over || c.life != c.t.life || !c.t.up || c.finSent {
+		return
+	}
+	c.out.pushAll(1+c.t.w.rand.IntN(4), 1200)
+	if c.t.draining {
+		c.close()
+	}
+}
+
+// close sends this end's FIN.
+func (c *simConn) close() {
+	if !c.finSent {
+		c.finSent = true
+		c.out.push(0, packet.FIN|packet.ACK)
+	}
+	if c.finGot {
+		c.ended = true
+		c.flow.closed = c.flow.closed || c.flow.chosen == c.t
+	}
+}
--- /dev/null
+++ b/core/tagsim_test.go
@@ -0,0 +1,245 @@
+package core
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/fireflypin/fireflypin/internal/directory"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
+)
+
+// simConfig says what a simulated site is like and what happens there.
+type simConfig struct {
+	seed uint64
+	// strict lets callers return the tag of any answer to their SYN; otherwise that of their own target alone.
+	strict bool
+	// reuse lets callers use a port again once they know that its flow has ended.
+	reuse bool
+	// loss is the share of packets that get lost on each way.
+	loss float64
+	// targets are the numbers of targets in the two zones.
+	targets [2]int
+	faults  []simFault
+	length  time.Duration
+}
+
+const (
+	simDaemonsPerZone = 3
+	// simFlowsEvery is the mean time between two new flows of a zone.
+	simFlowsEvery = 50 * time.Millisecond
+)
+
+var simZones = [2]string{"a", "b"}
+
+// sim is a site in virtual time: what happens is a function of its simConfig alone.
+type sim struct {
+	cfg    simConfig
+	rand   *rand.Rand
+	site   *tagSite
+	at     time.Duration
+	queue  simQueue
+	events int
+
+	daemons []*simDaemon
+	targets map[model.TargetID]*simTarget
+	order   []*simTarget
+	cut     simCut
+	lists   *model.Snapshot
+	version int
+
+	// ports holds the latest flow of each caller's end, free the ends that may be used again.
+	ports    map[netip.AddrPort]*simFlow
+	free     map[string][]netip.AddrPort
+	breaches []simBreach
+	counts   simCounts
+}
+
+// simCounts tell that a run did what it is for.
+type simCounts struct {
+	flows, opened, requests, answered int
+	moved, learned, absent            int
+}
+
+func newSim(cfg simConfig) *sim {
+	w := &sim{
+		cfg:     cfg,
+		rand:    rand.New(rand.NewPCG(cfg.seed, 0)),
+		site:    newTagSite(0),
+		targets: make(map[model.TargetID]*simTarget),
+		ports:   make(map[netip.AddrPort]*simFlow),
+		free:    make(map[string][]netip.AddrPort),
+	}
+	for z, n := range cfg.targets {
+		for range n {
+			w.addTarget(simZones[z])
+		}
+	}
+	w.lists = w.site.directory.Snapshot(w.now())
+	for _, zone := range simZones {
+		for range simDaemonsPerZone {
+			w.addDaemon(zone)
+		}
+		w.keepOpening(zone)
+	}
+	for _, f := range cfg.faults {
+		w.after(f.at, func() { w.apply(f) })
+	}
+	return w
+}
+
+// run lets the time of the configuration pass, or as much of it as until one of some rules is broken.
+func (w *sim) run(until ...simRule) *sim {
+	for len(w.queue) > 0 && w.queue[0].at <= w.cfg.length && w.first(until...) == nil {
+		e := heap.Pop(&w.queue).(simEvent)
+		w.at = e.at
+		e.do()
+	}
+	return w
+}
+
+func (w *sim) now() time.Time { return w.site.now.Add(w.at) }
+
+// after does something later.
+func (w *sim) after(d time.Duration, do func()) {
+	w.events++
+	heap.Push(&w.queue, simEvent{at: w.at + d, n: w.events, do: do})
+}
+
+// between returns a time within bounds at random.
+func (w *sim) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.rand.Int64N(int64(high-low)+1))
+}
+
+func (w *sim) chance(p float64) bool { return w.rand.Float64() < p }
+
+// delay returns how long a packet takes: mostly about as long as the one before, now and then longer, so that later ones
+// overtake it.
+func (w *sim) delay(far bool) time.Duration {
+	low, high := 100*time.Microsecond, time.Millisecond
+	if far {
+		low, high = time.Millisecond, 3*time.Millisecond
+	}
+	if w.chance(0.05) {
+		high = 7 * time.Millisecond
+	}
+	return w.between(low, high)
+}
+
+// carry brings a packet from one zone to another, or loses it.
+func (w *sim) carry(from, to string, arrive func()) {
+	if w.cut.parts(from, to) || w.chance(w.cfg.loss) {
+		return
+	}
+	w.after(w.delay(from != to), arrive)
+}
+
+// route returns the daemon that the routers choose for a flow: a steady hash over the zone's daemons in rotation, over
+// all of them where fewer than half are.
+func (w *sim) route(f *simFlow) *simDaemon {
+	inRotation := 0
+	for _, d := range w.daemons {
+		if d.zone == f.zone && d.rotated() {
+			inRotation++
+		}
+	}
+	var best *simDaemon
+	var bestDraw uint64
+	for _, d := range w.daemons {
+		if d.zone != f.zone || 2*inRotation >= simDaemonsPerZone && !d.rotated() {
+			continue
+		}
+		draw := uint64((packet.FlowKey{Caller: f.src, Service: d.address}).Hash())
+		if best == nil || draw > bestDraw {
+			best, bestDraw = d, draw
+		}
+	}
+	return best
+}
+
+// publish hands what is registered to the daemons, each after a time of its own.
+func (w *sim) publish() {
+	w.version++
+	version := w.version
+	w.lists = w.site.directory.Snapshot(w.now())
+	lists := w.lists
+	for _, d := range w.daemons {
+		w.after(w.between(20*time.Millisecond, 150*time.Millisecond), func() {
+			d.soon(func() { d.adopt(version, lists) })
+		})
+	}
+}
+
+func (w *sim) register(r directory.Registration) {
+	w.site.directory.Register(w.now(), r)
+	w.publish()
+}
+
+// deregister ends a target's registration; a while later it counts as a last resort no more.
+func (w *sim) deregister(name string) {
+	const lapse = 2501 * time.Millisecond
+	w.site.directory.End(w.now(), name)
+	w.publish()
+	w.after(lapse, w.publish)
+}
+
+// simEvent is something that happens at a time; n orders events of one time.
+type simEvent struct {
+	at time.Duration
+	n  int
+	do func()
+}
+
+// simQueue is a heap of events.
+type simQueue []simEvent
+
+func (q simQueue) Len() int      { return len(q) }
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].n < q[j].n
+}
+func (q *simQueue) Push(e any) { *q = append(*q, e.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+// simCut is two zones that do not reach each other until a time.
+type simCut struct {
+	on bool
+	// over is when the last cut ended.
+	over time.Duration
+}
+
+func (c simCut) parts(a, b string) bool { return c.on && a != b }
+
+// simPacket is a packet of a caller.
+type simPacket struct {
+	flow *simFlow
+	meta packet.Meta
+	tag  uint32
+}
+
+// simAnswer is a packet for a caller.
+type simAnswer struct {
+	// from is the target that sends it, in which of its lives; nil for a daemon, which by names.
+	from *simTarget
+	life int
+	by   string
+	// about is the target in whose place a daemon resets; nil where it refuses a SYN.
+	about *simTarget
+	meta  packet.Meta
+	tag   uint32
+}
+
+func (a *simAnswer) sender() string {
+	if a.from == nil {
+		return "daemon " + a.by
+	}
+	return fmt.Sprintf("target %s life %d", a.from.name, a.life)
+}
