Forget what misses and probes told of a target's earlier life

What callers could see: a reset of an open flow whose target serves it. A target that was found absent starts again under its name; a flow that another daemon opens there comes to a daemon that had found the earlier life absent, and its first repeated packet, or the next tick, resets it for up to 0.7 s after that probe. With a probe that had waited, or was under way, while the target moved to another address, for up to 0.7 s after its return.

Cause: evidence is kept by name and outlived the process that it was about, and a suspect kept the address at which it was suspected.

Ruled out: to drop evidence when a registration ends: a target that the store lost goes on, and so does what is known of it. To tell lives by the start alone: it may be missing in a registration, so another address counts as well.

Before and after: TestProbeOfAnEarlierLifeResetsNothing and TestProbeOfATargetThatStartedAgain fail on in all four cases and pass.

A daemon whose lists do not know of the new address yet is not covered.

--- /dev/null
+++ b/core/tag_review_test.go
@@ -0,0 +1,50 @@
+package core
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// restart registers the target again under its name: a later start at another address.
+func (s *tagSite) restart(id model.TargetID) {
+	for i := range 8 {
+		r := s.registration("booking", i)
+		if model.TargetIDOf(r.Name) == id {
+			r.Born = r.Born.Add(time.Hour)
+			r.Address = netip.AddrPortFrom(r.Address.Addr(), r.Address.Port()+1)
+			s.directory.Register(s.now, r)
+			return
+		}
+	}
+	panic("no such target")
+}
+
+// A probe of a target's earlier life says nothing of the one that started again under its name.
+func TestProbeOfAnEarlierLifeResetsNothing(t *testing.T) {
+	Convey("A target that a probe did not find starts again under its name; a flow that another daemon opened there comes here", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		s.pass(0)
+		s.engine.Probed(s.now, s.dead, false)
+		s.tick(s.engine)
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.restart(s.dead)
+		s.publish(s.engine)
+		flow := s.fromElsewhere(safeAddr)
+		Convey("and its first repeat is not answered with a reset", func() {
+			So(flow.send(s.engine, 100).Op, ShouldEqual, OpForward)
+			s.pass(firstRepeat)
+			So(flow.send(s.engine, 100).Op, ShouldEqual, OpForward)
+		})
+		Convey("and the outcome of a probe of before that is handed in late resets nothing", func() {
+			So(flow.send(s.engine, 100).Op, ShouldEqual, OpForward)
+			s.engine.Probed(s.now.Add(-110*time.Millisecond), s.dead, false)
+			So(s.tick(s.engine), ShouldBeEmpty)
+		})
+	})
+}
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -132,6 +132,7 @@
 
 // probe looks for a suspected target and acts on what it finds.
 func (d *Daemon) probe(ctx context.Context, s suspect) {
+	s.target = d.latest(s.target)
 	start := time.Now()
 	tries := probeTries
 	if s.why == suspectTold {
@@ -145,7 +146,7 @@
 	d.metrics.probes.Inc(1)
 	d.log.Info("target probed", "op", "targets", "event", "probed", "target", s.target.Name, "address", s.target.Data,
 		"connected", found == targetFound, "conclusive", found != targetUnknown, "why", s.why, "took_ms", now.Sub(start).Milliseconds())
-	if found == targetUnknown {
+	if found == targetUnknown || d.latest(s.target).Data != s.target.Data {
 		return
 	}
 	d.handIn(start, s, found == targetFound)
@@ -154,6 +155,14 @@
 	}
 }
 
+// latest returns a target as the lists in force have it: it may have started again at another address since it was suspected.
+func (d *Daemon) latest(t *model.Target) *model.Target {
+	if known := d.engine.Target(t.ID); known != nil {
+		return known
+	}
+	return t
+}
+
 // handIn gives the engine what a probe found that began at a time. What flows tell meanwhile is newer.
 func (d *Daemon) handIn(began time.Time, s suspect, connected bool) {
 	if s.why == suspectMissed || connected {
--- /dev/null
+++ b/internal/edge/probes_restart_test.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/core"
+	"github.com/fireflypin/fireflypin/internal/admission"
+	"github.com/fireflypin/fireflypin/internal/directory"
+	"github.com/fireflypin/fireflypin/internal/metrics"
+	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
+)
+
+// places is a prober for which targets are where they are listed; refused is called with each one that is not.
+type places struct {
+	at      netip.AddrPort
+	refused func()
+}
+
+func (p *places) Present(_ context.Context, t *model.Target) bool {
+	if t.Data != p.at {
+		p.refused()
+		return false
+	}
+	return true
+}
+
+// A target that waits to be probed may start again under its name meanwhile; nobody is at its earlier address then.
+func TestProbeOfATargetThatStartedAgain(t *testing.T) {
+	before, after := netip.MustParseAddrPort("10.1.0.1:8080"), netip.MustParseAddrPort("10.1.0.2:8080")
+	listed := directory.New(directory.Config{})
+	listed.SetPlan(&directory.Plan{Version: 1, Services: []directory.ServiceSpec{{Name: "booking"}}})
+	for _, c := range []struct {
+		name  string
+		while bool
+	}{
+		{"while it waits for its probe", false},
+		{"while it is probed", true},
+	} {
+		Convey("A target that starts again at another address "+c.name+" is not taken for absent", t, func() {
+			d := &Daemon{
+				engine:  core.NewTagEngine(core.TagConfig{Policy: placement.NewNearest(placement.NearestConfig{}), Epoch: time.Now()}),
+				metrics: newMeters(metrics.NewSet()), log: log.New(io.Discard), probes: newProbes(), events: make(chan event, 1),
+			}
+			register := func(at netip.AddrPort) {
+				listed.Register(time.Now(), directory.Registration{Name: "booking-01", Service: "booking", Address: at, Slots: 1})
+				s := listed.Snapshot(time.Now())
+				d.engine.Adopt(time.Now(), s, admission.NewTable(s))
+			}
+			register(before)
+			suspected := d.engine.Target(model.TargetIDOf("booking-01"))
+			p := &places{at: after, refused: func() {}}
+			if c.while {
+				p.refused = func() { register(after) }
+			} else {
+				register(after)
+			}
+			d.prober = p
+			d.probe(t.Context(), suspect{target: suspected})
+			ev := d.engine.Loads().Evidence(suspected.ID)
+			So(ev.Connected || ev.ProbedAt.IsZero(), ShouldBeTrue)
+			So(d.events, ShouldBeEmpty)
+		})
+	}
+}
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -25,6 +25,9 @@
 	ProbedAt   time.Time
 	Connected  bool
 	lastMissed model.FlowHash
+	// since is when this daemon learned of the target's present life; zero for the first one. Probes that began before
+	// tell of another.
+	since time.Time
 }
 
 // Probed reports whether a probe began since the first miss, so that it tells of the target in its silence.
@@ -61,7 +64,7 @@
 
 // probed notes a probe that began at a time. Answers of probes may come in another order than they began.
 func (e *Evidence) probed(began time.Time, connected bool) {
-	if began.Before(e.ProbedAt) {
+	if began.Before(e.ProbedAt) || began.Before(e.since) {
 		return
 	}
 	e.ProbedAt, e.Connected = began, connected
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,8 +86,11 @@
 }
 
 type targetLoad struct {
-	zone       model.Zone
-	mu         sync.Mutex
+	zone model.Zone
+	mu   sync.Mutex
+	// born and data tell the target's present life from an earlier one under its name.
+	born       time.Time
+	data       netip.AddrPort
 	open       int
 	recent     float64
 	recentAt   time.Time
@@ -131,15 +135,28 @@
 
 func joined(old map[model.TargetID]*targetLoad, t *model.Target, now time.Time) *targetLoad {
 	if load := old[t.ID]; load != nil {
+		load.live(now, t)
 		return load
 	}
-	load := &targetLoad{zone: t.Zone}
+	load := &targetLoad{zone: t.Zone, born: t.Born, data: t.Data}
 	if len(old) > 0 {
 		load.since = now
 	}
 	return load
 }
 
+// live forgets what attempts met where the target has started again under its name: it tells of an earlier life.
+func (t *targetLoad) live(now time.Time, target *model.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.born.Equal(target.Born) && t.data == target.Data {
+		return
+	}
+	t.born, t.data = target.Born, target.Data
+	t.evidence = Evidence{since: now}
+	t.unanswered, t.handshake = 0, 0
+}
+
 // SetOwners sets the number of daemons that place flows on the targets of the owner's zone.
 func (l *LoadTable) SetOwners(n int) {
 	l.owners.Store(int32(max(n, 1)))
