Keep a copied SYN with a target that answered after a failed probe

What callers could see: two targets answer one SYN. A probe after the SYN did not find the target, an answer of it on another flow came after the probe, and the copy of the SYN went to a second target all the same.

Cause: a copy went by the probe's outcome alone, where resets take an answer after it for the newer word.

Ruled out: to ask for a miss before the probe, as resets do: the word of another daemon brings probes without one.

Before and after: TestCopyStaysWithATargetThatAnsweredSinceTheProbe fails on (the copy went to another target) and passes, with the tests of steering and resets unchanged.

--- a/core/tag_review_test.go
+++ b/core/tag_review_test.go
@@ -48,3 +48,26 @@
 		})
 	})
 }
+
+// One flow is offered to one target while that one lives: an answer after the probe shows that it does.
+func TestCopyStaysWithATargetThatAnsweredSinceTheProbe(t *testing.T) {
+	Convey("A probe since the SYN did not find the target, which has answered another flow since", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Target.ID
+		other := s.caller(safeAddr)
+		for other.target != first {
+			other = s.caller(safeAddr).open(e)
+		}
+		s.now = s.now.Add(50 * time.Millisecond)
+		e.Probed(s.now, first, false)
+		s.now = s.now.Add(50 * time.Millisecond)
+		other.ask(e)
+		So(e.Loads().Evidence(first).LastAnswer, ShouldHappenAfter, e.Loads().Evidence(first).ProbedAt)
+		s.now = s.now.Add(60 * time.Millisecond)
+		again := flow.syn(e)
+		So(again.Target.ID, ShouldEqual, first)
+		So(again.Reason, ShouldEqual, TagRepeated)
+	})
+}
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -121,10 +121,10 @@
 	return TagVerdict{Op: OpForward, Reason: TagRepeated, Target: target, Tag: f.tag, Route: route}
 }
 
-// goneSince reports whether a probe since the flow's SYN has not found its target.
+// goneSince reports whether a probe since the flow's SYN has not found its target, which has answered nothing since.
 func (e *TagEngine) goneSince(f tagFlow) bool {
 	ev := e.loads.Evidence(f.target)
-	return !ev.ProbedAt.IsZero() && !newer(f.at, e.flows.millis(ev.ProbedAt)) && !ev.Connected
+	return !ev.ProbedAt.IsZero() && !newer(f.at, e.flows.millis(ev.ProbedAt)) && !ev.Connected && !ev.LastAnswer.After(ev.ProbedAt)
 }
 
 // move gives an opening flow another target, if there is one.
