Note the word of another daemon and its own probe in one step

What callers could see: idle flows of a target reset, and those whose requests may run again, though the target has just answered one of them. The other daemon's word sets the first miss back to the beginning of the probe; an answer between that and the question whether there was one since was lost.

Cause: the question and the note took the target's lock one after the other, and packets are handled meanwhile.

Ruled out: to take the time of the word for that of the miss: the probe would have begun before the miss then and count for nothing.

--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -232,11 +232,9 @@
 // other stands for a miss, unless the target has answered since. It answers the load pattern of many daemons with few
 // flows each, of which every one would have to lose some to a dead target before it knows.
 func (e *TagEngine) NotFound(began time.Time, id model.TargetID) {
-	if e.loads.Evidence(id).LastAnswer.After(began) {
-		return
+	if e.loads.NotFound(began, id, elsewhere) {
+		e.suspects.add(id)
 	}
-	e.loads.Missed(began, id, elsewhere, true)
-	e.Probed(began, id, false)
 }
 
 // elsewhere stands for the flows of other daemons among misses.
--- /dev/null
+++ b/placement/evidence_test.go
@@ -0,0 +1,45 @@
+package placement
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// An answer may come while the word of another daemon is checked: whichever is noted first, the target counts as answering.
+func TestAnswerWhileAProbeIsHandedIn(t *testing.T) {
+	Convey("A target that answers while a probe that did not find it is handed in is not absent", t, func() {
+		targets := fourteen()
+		id := targets[0].ID
+		for i := range 20_000 {
+			_, _, l := loaded(targets)
+			began := start.Add(time.Duration(i) * time.Second)
+			var both sync.WaitGroup
+			both.Go(func() { l.Alive(began.Add(time.Millisecond), id) })
+			both.Go(func() { l.NotFound(began, id, 1) })
+			both.Wait()
+			ev := l.Evidence(id)
+			if ev.absent() {
+				t.Fatalf("round %d: absent with %d misses, answered %v after the probe began", i, ev.MissesInRow, ev.LastAnswer.Sub(ev.ProbedAt))
+			}
+		}
+	})
+	Convey("A probe of before an answer, or of an earlier life, leaves no miss", t, func() {
+		targets := fourteen()
+		_, _, l := loaded(targets)
+		l.Alive(start.Add(time.Millisecond), targets[0].ID)
+		So(l.NotFound(start, targets[0].ID, 1), ShouldBeFalse)
+		So(l.Evidence(targets[0].ID).MissesInRow, ShouldEqual, 0)
+		again := *targets[1]
+		again.Born = start
+		table, _ := tableOf([]*model.Target{&again}, "a")
+		l.SetTable(start.Add(time.Millisecond), table)
+		So(l.NotFound(start, again.ID, 1), ShouldBeFalse)
+		So(l.NotFound(start.Add(2*time.Millisecond), again.ID, 1), ShouldBeTrue)
+		So(l.Evidence(again.ID).MissesInRow, ShouldEqual, 1)
+	})
+}
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -260,6 +260,23 @@
 	l.with(id, func(t *targetLoad) { t.evidence.probed(began, connected) })
 }
 
+// NotFound notes that a probe that began at a time did not find the target, and a miss of then on a flow, unless the target has
+// answered since or the probe was one of its earlier life. It reports whether it did; an answer that comes meanwhile is
+// noted either before or after both.
+func (l *LoadTable) NotFound(began time.Time, id model.TargetID, h model.FlowHash) bool {
+	noted := false
+	l.with(id, func(t *targetLoad) {
+		if t.evidence.LastAnswer.After(began) || began.Before(t.evidence.since) {
+			return
+		}
+		t.noteAttempt(began, 1)
+		t.evidence.missed(began, h, true)
+		t.evidence.probed(began, false)
+		noted = true
+	})
+	return noted
+}
+
 // Evidence returns what own connection attempts to the target met.
 func (l *LoadTable) Evidence(id model.TargetID) Evidence {
 	var e Evidence
