Put the first lists in force when they are whole

What callers could see: new flows refused, and packets of open flows dropped, by a daemon that has just started. A change of the configuration that another daemon told of, before the platform or another daemon had given everything, came into force alone: with its routes and no targets. The daemon said that it was ready, so the fabric sent it flows.

Cause: the first lists came into force with the first change that made them possible.

Ruled out: to leave out what others tell before: it may be newer than the first read.

Before and after: TestStartingDaemonWaitsForWholeLists failed (the daemon was ready 150 ms after the change was told, while its read waited) and passes.

--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -67,9 +67,15 @@
 	c.d.log.Info("target changed", "op", "targets", "event", "ended", "target", name, "revision", revision)
 }
 
-// adopt puts gathered changes in force once they are due.
+// adopt puts gathered changes in force once they are due, the first ones once everything that is published was read: what other
+// daemons tell before is a part of it.
 func (c *control) adopt(now time.Time) {
-	if c.adoptAt.IsZero() || now.Before(c.adoptAt) {
+	first := c.d.engine.Lists() == nil
+	switch {
+	case first && !c.news.Filled():
+		c.adoptAt = time.Time{}
+		return
+	case !first && (c.adoptAt.IsZero() || now.Before(c.adoptAt)):
 		return
 	}
 	c.adoptAt = time.Time{}
@@ -77,7 +83,6 @@
 	if s == nil {
 		return
 	}
-	first := c.d.engine.Lists() == nil
 	c.d.engine.Adopt(now, s, admission.NewTable(s))
 	if first {
 		close(c.d.adopted)
--- a/internal/news/engine.go
+++ b/internal/news/engine.go
@@ -91,6 +91,11 @@
 	return e.replica.complete
 }
 
+// Filled reports whether everything that is published was read once, here or from another daemon.
+func (e *Engine) Filled() bool {
+	return e.replica.filled
+}
+
 // Digest sums up the items that stand.
 func (e *Engine) Digest() uint64 {
 	return e.replica.digest
