Test the first packet that comes a moment after a stall

Ruled out: to ask the same of those tests: they look 0.2 s after the packet that waited, while the doubt lasts 0.2 s from the look that notices the stall, up to 0.05 s later.

Before and after: no logic changed.

--- a/internal/edge/stall_test.go
+++ b/internal/edge/stall_test.go
@@ -82,3 +82,22 @@
 		})
 	}
 }
+
+// A read waits for a packet, so the first one after a stall may come long after what waited was read.
+func TestFirstPacketAMomentAfterAStall(t *testing.T) {
+	run(t, func(ctx context.Context, f *fleet) {
+		one := f.target(1)
+		defer one.conn.Close()
+		caller := f.client()
+		defer caller.conn.Close()
+		a := f.start(ctx, 1)
+		time.Sleep(3 * time.Second)
+		f.mu.Lock()
+		a.suspended = 600 * time.Millisecond
+		f.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		caller.send(a, caller.packetOf(2999, 1, wireSYN, 100, 0, 0, 0))
+		time.Sleep(5 * time.Millisecond)
+		So(one.take(), ShouldHaveLength, 1)
+	})
+}
