Judge targets that left the lists by their flows too

What callers saw: flows that wait until their time is up for a dead target whose registration ended more than 2.5 s ago, at a daemon that had no flow of it then. Their repeated packets asked for a probe each time, and its outcome was lost.

Cause: the table of what is known of targets held those of the lists and those with open flows here; a flow that another daemon opened does not bring back the others, whose misses and probes then went nowhere.

Ruled out: to add a target with its first packet: the packets of all others would look for it.

Before and after: TestFormerTargetWithoutFlowsHere failed (the repeated packet was passed on after the probe) and passes.

--- a/core/tag_review_test.go
+++ b/core/tag_review_test.go
@@ -71,3 +71,33 @@
 		So(again.Reason, ShouldEqual, TagRepeated)
 	})
 }
+
+// Callers of a dead target that left the lists some seconds ago learn of it, whichever daemon their flows come to.
+func TestFormerTargetWithoutFlowsHere(t *testing.T) {
+	Convey("A dead target whose registration ended 5 s ago, at a daemon that had no flow of it then", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		flow := s.fromElsewhere(safeAddr)
+		here := s.engineIn("a", s.engine.cfg.Suspect)
+		for _, c := range s.flows {
+			if c.target != s.dead {
+				c.ask(here) // others answer
+			}
+		}
+		s.engine = here
+		for range 30 { // the daemon has had answers enough to ask for probes
+			s.caller(safeAddr).open(here)
+		}
+		s.now = s.now.Add(20 * time.Second)
+		for range 8 {
+			s.tick(here)
+			s.now = s.now.Add(50 * time.Millisecond)
+		}
+		s.endRegistration(5 * time.Second)
+		So(here.Loads().Open(s.dead), ShouldEqual, 0)
+		s.repeat([]*caller{flow}, firstRepeat)
+		So(s.asked, ShouldNotBeEmpty)
+		s.engine.Probed(s.now, s.dead, false)
+		s.pass(secondRepeat)
+		So(flow.send(here, 100).Op, ShouldEqual, OpReset)
+	})
+}
--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -98,7 +98,7 @@
 	for _, t := range published {
 		w.targets[t.ID] = t
 	}
-	e.loads.SetTable(now, w.table)
+	e.loads.SetTable(now, w.table, s.Former...)
 	e.world.Store(w)
 }
 
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -112,10 +112,10 @@
 	return l
 }
 
-// SetTable makes the table hold the targets of t. Targets that stay keep their counts; targets that
-// join an already filled table start their ramp at now; targets that are gone are forgotten once
-// they have no open flow.
-func (l *LoadTable) SetTable(now time.Time, t *Table) {
+// SetTable makes the table hold the targets of t, and former ones that open flows may lead to. Targets that stay keep
+// their counts; targets that join an already filled table start their ramp at now; targets that are gone are forgotten
+// once they have no open flow.
+func (l *LoadTable) SetTable(now time.Time, t *Table, former ...*model.Target) {
 	l.update.Lock()
 	defer l.update.Unlock()
 	old := *l.targets.Load()
@@ -130,6 +130,11 @@
 			next[target.ID] = joined(old, target, now)
 		}
 	})
+	for _, target := range former {
+		if next[target.ID] == nil {
+			next[target.ID] = joined(old, target, now)
+		}
+	}
 	l.targets.Store(&next)
 }
 
