Test either number of a later flow, and how long suspicion lasts

Cause: changes of the code that no test noticed: to compare one number alone of a flow and its record, to take a SYN with another number for a copy while the flow is not open, to go on probing a target that was found, and to lose the outcome of a probe that ends when its target is no suspect any longer.

Ruled out: the least time between two probes in ask, which no test misses: the time of the last question bounds them as well.

Before and after: no logic changed.

--- a/core/tag_review_test.go
+++ b/core/tag_review_test.go
@@ -101,3 +101,71 @@
 		So(flow.send(here, 100).Op, ShouldEqual, OpReset)
 	})
 }
+
+// Either number tells a later flow between the same ends from the recorded one.
+func TestOneNumberOfALaterFlow(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		seq, ack uint32
+	}{
+		{"what it sent", 1 << 30, 5100},
+		{"what it has acknowledged", 1100, 1 << 29},
+	} {
+		Convey("A later flow whose numbers differ in "+c.name+" goes to its own target", t, func() {
+			s := newTagSite(8)
+			known, other := s.engine(), s.engine()
+			earlier := s.caller(safeAddr).open(known)
+			later := s.caller(safeAddr)
+			for later.target == earlier.target || later.target == 0 {
+				later = s.caller(safeAddr)
+				later.syn(other)
+			}
+			later.src, later.seq, later.ack = earlier.src, c.seq, c.ack
+			So(later.send(known, 100).Target.ID, ShouldEqual, later.target)
+		})
+	}
+	Convey("A SYN with another number on the ends of a flow that is not open yet opens a flow of its own", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		earlier := s.caller(safeAddr)
+		earlier.syn(e)
+		earlier.seq = 1 << 30
+		v := earlier.syn(e)
+		So(v.Reason, ShouldEqual, TagPlaced)
+		So(v.Replaced, ShouldBeTrue)
+		So(e.OpenFlows(), ShouldEqual, 1)
+	})
+}
+
+// A probe may end when its target has ceased to be a suspect, as no further packet was missed.
+func TestProbeThatEndsAfterTheSuspicion(t *testing.T) {
+	Convey("A dead target whose only caller gave up loses its idle flows with the probe's end", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		flows := len(s.ofDead())
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		s.pass(absentFor)
+		began := s.now
+		s.now = s.now.Add(100 * time.Millisecond)
+		So(s.tick(s.engine), ShouldBeEmpty)
+		s.pass(0)
+		s.engine.Probed(began, s.dead, false)
+		So(s.tick(s.engine), ShouldHaveLength, flows)
+	})
+}
+
+// Probes cost connections.
+func TestProbesOfATargetThatWasFound(t *testing.T) {
+	Convey("A target that a probe found is probed again for a later miss alone", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		So(s.asked, ShouldHaveLength, 1)
+		s.engine.Probed(s.now, s.dead, true)
+		for range 14 {
+			s.pass(50 * time.Millisecond)
+			s.tick(s.engine)
+		}
+		So(s.asked, ShouldHaveLength, 1)
+		s.repeat(s.ofDead()[1:2], firstRepeat)
+		So(s.asked, ShouldHaveLength, 2)
+	})
+}
