--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -102,8 +102,8 @@
 	e.world.Store(w)
 }
 
-// SetCurrent says whether the lists in force may be acted on. While they may not, new flows get no answer,
-// so that the caller's retransmission is decided on newer ones; open flows go on.
+// SetCurrent says whether the lists in force may be acted on. While they may not, new flows get no answer; open flows go
+// on. On transports that mark repeated SYNs these are dropped as well, so the caller opens another flow.
 func (e *TagEngine) SetCurrent(current bool) {
 	e.current.Store(current)
 }
@@ -171,7 +171,7 @@
 	TagRepeated
 	// TagLearned is the first packet that this daemon sees of a flow which another one opened.
 	TagLearned
-	// TagMoved is a repeated first packet that goes to another target, since the first one is silent.
+	// TagMoved is a repeated first packet that goes to another target, since a probe did not find the first one.
 	TagMoved
 )
 
