--- /dev/null
+++ b/core/tag_review_test.go
@@ -0,0 +1,171 @@
+package core
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+// restart registers the target again under its name: a later start at another address.
+func (s *tagSite) restart(id model.TargetID) {
+	for i := range 8 {
+		r := s.registration("booking", i)
+		if model.TargetIDOf(r.Name) == id {
+			r.Born = r.Born.Add(time.Hour)
+			r.Address = netip.AddrPortFrom(r.Address.Addr(), r.Address.Port()+1)
+			s.directory.Register(s.now, r)
+			return
+		}
+	}
+	panic("no such target")
+}
+
+// A probe of a target's earlier life says nothing of the one that started again under its name.
+func TestProbeOfAnEarlierLifeResetsNothing(t *testing.T) {
+	Convey("A target that a probe did not find starts again under its name; a flow that another daemon opened there comes here", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		s.pass(0)
+		s.engine.Probed(s.now, s.dead, false)
+		s.tick(s.engine)
+		s.now = s.now.Add(100 * time.Millisecond)
+		s.restart(s.dead)
+		s.publish(s.engine)
+		flow := s.fromElsewhere(safeAddr)
+		Convey("and its first repeat is not answered with a reset", func() {
+			So(flow.send(s.engine, 100).Op, ShouldEqual, OpForward)
+			s.pass(firstRepeat)
+			So(flow.send(s.engine, 100).Op, ShouldEqual, OpForward)
+		})
+		Convey("and the outcome of a probe of before that is handed in late resets nothing", func() {
+			So(flow.send(s.engine, 100).Op, ShouldEqual, OpForward)
+			s.engine.Probed(s.now.Add(-110*time.Millisecond), s.dead, false)
+			So(s.tick(s.engine), ShouldBeEmpty)
+		})
+	})
+}
+
+// One flow is offered to one target while that one lives: an answer after the probe shows that it does.
+func TestCopyStaysWithATargetThatAnsweredSinceTheProbe(t *testing.T) {
+	Convey("A probe since the SYN did not find the target, which has answered another flow since", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		flow := s.caller(safeAddr)
+		first := flow.syn(e).Target.ID
+		other := s.caller(safeAddr)
+		for other.target != first {
+			other = s.caller(safeAddr).open(e)
+		}
+		s.now = s.now.Add(50 * time.Millisecond)
+		e.Probed(s.now, first, false)
+		s.now = s.now.Add(50 * time.Millisecond)
+		other.ask(e)
+		So(e.Loads().Evidence(first).LastAnswer, ShouldHappenAfter, e.Loads().Evidence(first).ProbedAt)
+		s.now = s.now.Add(60 * time.Millisecond)
+		again := flow.syn(e)
+		So(again.Target.ID, ShouldEqual, first)
+		So(again.Reason, ShouldEqual, TagRepeated)
+	})
+}
+
+// Callers of a dead target that left the lists some seconds ago learn of it, whichever daemon their flows come to.
+func TestFormerTargetWithoutFlowsHere(t *testing.T) {
+	Convey("A dead target whose registration ended 5 s ago, at a daemon that had no flow of it then", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		flow := s.fromElsewhere(safeAddr)
+		here := s.engineIn("a", s.engine.cfg.Suspect)
+		for _, c := range s.flows {
+			if c.target != s.dead {
+				c.ask(here) // others answer
+			}
+		}
+		s.engine = here
+		for range 30 { // the daemon has had answers enough to ask for probes
+			s.caller(safeAddr).open(here)
+		}
+		s.now = s.now.Add(20 * time.Second)
+		for range 8 {
+			s.tick(here)
+			s.now = s.now.Add(50 * time.Millisecond)
+		}
+		s.endRegistration(5 * time.Second)
+		So(here.Loads().Open(s.dead), ShouldEqual, 0)
+		s.repeat([]*caller{flow}, firstRepeat)
+		So(s.asked, ShouldNotBeEmpty)
+		s.engine.Probed(s.now, s.dead, false)
+		s.pass(secondRepeat)
+		So(flow.send(here, 100).Op, ShouldEqual, OpReset)
+	})
+}
+
+// Either number tells a later flow between the same ends from the recorded one.
+func TestOneNumberOfALaterFlow(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		seq, ack uint32
+	}{
+		{"what it sent", 1 << 30, 5100},
+		{"what it has acknowledged", 1100, 1 << 29},
+	} {
+		Convey("A later flow whose numbers differ in "+c.name+" goes to its own target", t, func() {
+			s := newTagSite(8)
+			known, other := s.engine(), s.engine()
+			earlier := s.caller(safeAddr).open(known)
+			later := s.caller(safeAddr)
+			for later.target == earlier.target || later.target == 0 {
+				later = s.caller(safeAddr)
+				later.syn(other)
+			}
+			later.src, later.seq, later.ack = earlier.src, c.seq, c.ack
+			So(later.send(known, 100).Target.ID, ShouldEqual, later.target)
+		})
+	}
+	Convey("A SYN with another number on the ends of a flow that is not open yet opens a flow of its own", t, func() {
+		s := newTagSite(8)
+		e := s.engine()
+		earlier := s.caller(safeAddr)
+		earlier.syn(e)
+		earlier.seq = 1 << 30
+		v := earlier.syn(e)
+		So(v.Reason, ShouldEqual, TagPlaced)
+		So(v.Replaced, ShouldBeTrue)
+		So(e.OpenFlows(), ShouldEqual, 1)
+	})
+}
+
+// A probe may end when its target has ceased to be a suspect, as no further packet was missed.
+func TestProbeThatEndsAfterTheSuspicion(t *testing.T) {
+	Convey("A dead target whose only caller gave up loses its idle flows with the probe's end", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		flows := len(s.ofDead())
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		s.pass(absentFor)
+		began := s.now
+		s.now = s.now.Add(100 * time.Millisecond)
+		So(s.tick(s.engine), ShouldBeEmpty)
+		s.pass(0)
+		s.engine.Probed(began, s.dead, false)
+		So(s.tick(s.engine), ShouldHaveLength, flows)
+	})
+}
+
+// Probes cost connections.
+func TestProbesOfATargetThatWasFound(t *testing.T) {
+	Convey("A target that a probe found is probed again for a later miss alone", t, func() {
+		s := newProbedSilence(safeAddr, 40)
+		s.repeat(s.ofDead()[:1], firstRepeat)
+		So(s.asked, ShouldHaveLength, 1)
+		s.engine.Probed(s.now, s.dead, true)
+		for range 14 {
+			s.pass(50 * time.Millisecond)
+			s.tick(s.engine)
+		}
+		So(s.asked, ShouldHaveLength, 1)
+		s.repeat(s.ofDead()[1:2], firstRepeat)
+		So(s.asked, ShouldHaveLength, 2)
+	})
+}
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -39,11 +39,9 @@
 	lateTick = 100 * time.Millisecond
 	// probeEvery is the least time between two probes of one target.
 	probeEvery = 500 * time.Millisecond
-	// probeTime is how long a probe takes at most, with the wait for the next tick: 130 and 50 ms, and some turns.
-	probeTime = 200 * time.Millisecond
-	// absentFor is how long a probe that did not find a target counts, from its beginning: until that of the next one may
-	// be known.
-	absentFor = probeEvery + probeTime
+	// absentFor is how long a probe that did not find a target counts, from its beginning: the half second for which a
+	// target must be silent, and some ticks. The next one then has to tell.
+	absentFor = 700 * time.Millisecond
 	// heardFor is how far back answers of other targets count against the cause being here: longer than the longest time
 	// between two retransmissions, 1.6 s.
 	heardFor = 2 * time.Second
@@ -236,11 +234,9 @@
 // other stands for a miss, unless the target has answered since. It answers the load pattern of many daemons with few
 // flows each, of which every one would have to lose some to a dead target before it knows.
 func (e *TagEngine) NotFound(began time.Time, id model.TargetID) {
-	if e.loads.Evidence(id).LastAnswer.After(began) {
-		return
+	if e.loads.NotFound(began, id, elsewhere) {
+		e.suspects.add(id)
 	}
-	e.loads.Missed(began, id, elsewhere, true)
-	e.Probed(began, id, false)
 }
 
 // elsewhere stands for the flows of other daemons among misses.
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,8 +86,11 @@
 }
 
 type targetLoad struct {
-	zone       model.Zone
-	mu         sync.Mutex
+	zone model.Zone
+	mu   sync.Mutex
+	// born and data tell the target's present life from an earlier one under its name.
+	born       time.Time
+	data       netip.AddrPort
 	open       int
 	recent     float64
 	recentAt   time.Time
@@ -108,10 +112,10 @@
 	return l
 }
 
-// SetTable makes the table hold the targets of t. Targets that stay keep their counts; targets that
-// join an already filled table start their ramp at now; targets that are gone are forgotten once
-// they have no open flow.
-func (l *LoadTable) SetTable(now time.Time, t *Table) {
+// SetTable makes the table hold the targets of t, and former ones that open flows may lead to. Targets that stay keep
+// their counts; targets that join an already filled table start their ramp at now; targets that are gone are forgotten
+// once they have no open flow.
+func (l *LoadTable) SetTable(now time.Time, t *Table, former ...*model.Target) {
 	l.update.Lock()
 	defer l.update.Unlock()
 	old := *l.targets.Load()
@@ -126,20 +130,38 @@
 			next[target.ID] = joined(old, target, now)
 		}
 	})
+	for _, target := range former {
+		if next[target.ID] == nil {
+			next[target.ID] = joined(old, target, now)
+		}
+	}
 	l.targets.Store(&next)
 }
 
 func joined(old map[model.TargetID]*targetLoad, t *model.Target, now time.Time) *targetLoad {
 	if load := old[t.ID]; load != nil {
+		load.live(now, t)
 		return load
 	}
-	load := &targetLoad{zone: t.Zone}
+	load := &targetLoad{zone: t.Zone, born: t.Born, data: t.Data}
 	if len(old) > 0 {
 		load.since = now
 	}
 	return load
 }
 
+// live forgets what attempts met where the target has started again under its name: it tells of an earlier life.
+func (t *targetLoad) live(now time.Time, target *model.Target) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.born.Equal(target.Born) && t.data == target.Data {
+		return
+	}
+	t.born, t.data = target.Born, target.Data
+	t.evidence = Evidence{since: now}
+	t.unanswered, t.handshake = 0, 0
+}
+
 // SetOwners sets the number of daemons that place flows on the targets of the owner's zone.
 func (l *LoadTable) SetOwners(n int) {
 	l.owners.Store(int32(max(n, 1)))
@@ -243,6 +265,23 @@
 	l.with(id, func(t *targetLoad) { t.evidence.probed(began, connected) })
 }
 
+// NotFound notes that a probe that began at a time did not find the target, and a miss of then on a flow, unless the target has
+// answered since or the probe was one of its earlier life. It reports whether it did; an answer that comes meanwhile is
+// noted either before or after both.
+func (l *LoadTable) NotFound(began time.Time, id model.TargetID, h model.FlowHash) bool {
+	noted := false
+	l.with(id, func(t *targetLoad) {
+		if t.evidence.LastAnswer.After(began) || began.Before(t.evidence.since) {
+			return
+		}
+		t.noteAttempt(began, 1)
+		t.evidence.missed(began, h, true)
+		t.evidence.probed(began, false)
+		noted = true
+	})
+	return noted
+}
+
 // Evidence returns what own connection attempts to the target met.
 func (l *LoadTable) Evidence(id model.TargetID) Evidence {
 	var e Evidence
