Know a flow's own SYN by its number in steering by owners

What callers saw: an open flow's packets went to another target after a copy of its SYN came late, as from a daemon that was paused.

Cause: an owner took a SYN for a copy only within 5 s of the flow's last packet. It sees one packet each 10 s of a flow that others send straight to its target, so a copy that waited 6 s passed for a new flow, and a target was chosen anew.

Ruled out: a longer time: the owner sees too little of the flow for any time to tell, and a SYN of a later flow between the same ends may come as soon. To drop such a copy: a target's answer to a SYN of its open flow ends nothing. The number in the log's records: 4 bytes each, for flows that change their owner and send nothing to the new one alone. Highest numbers kept at the owner: of a flow that others send straight, they are up to 10 s old.

Change: the table keeps the number of the flow's SYN beside its ends, or the caller's number in the first packet that came of a flow of another owner, whose SYN is up to 1 MiB behind it. No message between daemons changes.

Why it works: all copies of a SYN carry one number, and a flow's packets never carry a lower one but for the wrap.

A copy that meets an owner without any packet of its flow is not told.

--- a/core/delegate.go
+++ b/core/delegate.go
@@ -57,6 +57,8 @@
 // delegatedFlow is a flow whose packets are left to its former owner.
 type delegatedFlow struct {
 	key packet.FlowKey
+	// seq is the caller's number in the packet that was left to the former owner.
+	seq uint32
 	// former is 0 where the flow's order alone tells.
 	former model.MachineID
 	// covered is the owner whose log last covered the flow at the daemon that met it; 0 for none.
@@ -111,7 +113,7 @@
 		former = e.ownerBefore(w, a.hash, 0)
 	}
 	if former != nil {
-		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), former: former.ID, covered: a.former}
+		e.delegated.flows[a.hash] = delegatedFlow{key: a.meta.Key(), seq: a.meta.Seq, former: former.ID, covered: a.former}
 	}
 	return former
 }
--- a/core/owner.go
+++ b/core/owner.go
@@ -40,17 +40,22 @@
 func (e *Engine) identify(a *arrival, p flow.Progress) {
 	caller, service := flow.EndpointOf(a.meta.Src), flow.EndpointOf(a.meta.Dst)
 	e.table.Identify(a.hash, caller, service)
+	e.table.SetNumber(a.hash, a.numbering(), a.meta.Seq)
 	if p.State != flow.StateClosing {
 		e.countTakenOver(e.world.Load(), a.now, a.hash, caller, service)
 	}
 }
 
 // repeatedSYN is how long after a flow's last packet a SYN still counts as a late repetition of the
-// flow's own; a later one opens a new flow.
+// flow's own where the numbers do not tell; a later one opens a new flow.
 const repeatedSYN = 5 * time.Second
 
-// repeats reports whether a SYN belongs to a flow of the table.
+// repeats reports whether a SYN belongs to a flow of the table. The age of the flow's last packet tells little of it: this
+// daemon sees one each 10 s of a flow that others send straight to its target.
 func (e *Engine) repeats(a *arrival, entry flow.Entry) bool {
+	if own, _ := entry.OpenedBy(a.meta.Seq); own && entry.State != flow.StateClosing {
+		return true
+	}
 	switch entry.State {
 	case flow.StateOpening:
 		return true
@@ -142,6 +147,9 @@
 		Service: flow.EndpointOf(a.meta.Dst),
 		Target:  t.ID,
 		State:   s,
+
+		Numbering: a.numbering(),
+		Number:    a.meta.Seq,
 	})
 	if !added {
 		return e.toTarget(w, entry.Target), false
--- a/core/packets.go
+++ b/core/packets.go
@@ -53,6 +53,14 @@
 	}
 }
 
+// numbering returns what the packet's number tells of a flow that nothing was known of.
+func (a *arrival) numbering() flow.Numbering {
+	if a.opens() {
+		return flow.NumberOpening
+	}
+	return flow.NumberLater
+}
+
 // FromFabric decides on a packet that the fabric handed to this daemon: a caller's packet, or an
 // answer of a target whose service returns through the daemons. from is the outer source address.
 func (e *Engine) FromFabric(now time.Time, from netip.AddrPort, m *packet.Meta) Verdict {
--- a/core/partition.go
+++ b/core/partition.go
@@ -80,7 +80,7 @@
 	}
 	beyond := w.firstHidden(a.hash)
 	if !met {
-		former := delegatedFlow{key: a.meta.Key(), former: beyond.ID, covered: a.former}
+		former := delegatedFlow{key: a.meta.Key(), seq: a.meta.Seq, former: beyond.ID, covered: a.former}
 		e.late.flows[a.hash] = lateFlow{delegatedFlow: former, since: a.now}
 		e.doubt()
 	}
--- a/core/settle.go
+++ b/core/settle.go
@@ -88,7 +88,7 @@
 	if _, known := e.table.Get(h); known {
 		return
 	}
-	meta := packet.Meta{Src: f.key.Caller, Dst: f.key.Service, Flags: packet.ACK}
+	meta := packet.Meta{Src: f.key.Caller, Dst: f.key.Service, Flags: packet.ACK, Seq: f.seq}
 	a := arrival{now: now, meta: &meta, hash: h, former: f.covered}
 	rank := e.rank(w, h)
 	former := e.copies.Of(f.former)
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -37,6 +37,22 @@
 	return netip.AddrPortFrom(netip.AddrFrom16(e.IP).Unmap(), e.Port)
 }
 
+// Numbering is what Entry.Number holds.
+type Numbering uint8
+
+const (
+	// NumberNone is a flow of which no packet has come here.
+	NumberNone Numbering = iota
+	// NumberLater is the caller's number in the first packet that came here of a flow that another owner placed.
+	NumberLater
+	// NumberOpening is the number of the flow's SYN.
+	NumberOpening
+)
+
+// flowWindow bounds, in bytes, how far two numbers of one flow lie apart that a daemon meets one after the other. The
+// numbers of another flow between the same ends are random: one in 4,000 lies within it in one direction.
+const flowWindow = 1 << 20
+
 // Entry is one owned flow.
 type Entry struct {
 	// Caller and Service are zero for a flow that is known from a log alone, until its first packet.
@@ -48,6 +64,22 @@
 	State    State
 	// Exception is true while the owner's log names the flow.
 	Exception bool
+	Numbering Numbering
+	// Number is a sequence number of the caller, as Numbering says.
+	Number uint32
+}
+
+// OpenedBy reports whether a SYN with a number is the flow's own. It cannot tell, and known is false, where no number of
+// the flow is known.
+func (e Entry) OpenedBy(syn uint32) (own, known bool) {
+	switch e.Numbering {
+	case NumberOpening:
+		return syn == e.Number, true
+	case NumberLater:
+		return e.Number-syn < flowWindow, true
+	default:
+		return false, false
+	}
 }
 
 // Identified reports whether the flow's ends are known.
@@ -64,6 +96,7 @@
 	Exception bool
 	// Identified is true where the flow's ends are known.
 	Identified bool
+	Numbering  Numbering
 }
 
 // Config sets how long flows are remembered.
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -31,17 +31,18 @@
 	ends map[model.FlowHash]ends
 }
 
-// ends are the two ends of a flow.
+// ends are the two ends of a flow, and a number that tells it from others between them.
 type ends struct {
 	caller, service Endpoint
+	number          uint32
 }
 
 // entry joins what is known of a flow.
 func (s *tableShard) entry(h model.FlowHash, p Progress) Entry {
-	e := Entry{Target: p.Target, LastSeen: p.LastSeen, State: p.State, Exception: p.Exception}
+	e := Entry{Target: p.Target, LastSeen: p.LastSeen, State: p.State, Exception: p.Exception, Numbering: p.Numbering}
 	if p.Identified {
 		known := s.ends[h]
-		e.Caller, e.Service = known.caller, known.service
+		e.Caller, e.Service, e.Number = known.caller, known.service, known.number
 	}
 	return e
 }
@@ -57,10 +58,13 @@
 
 // put writes a flow.
 func (s *tableShard) put(h model.FlowHash, e Entry) {
-	p := Progress{Target: e.Target, LastSeen: e.LastSeen, State: e.State, Exception: e.Exception, Identified: e.Identified()}
+	p := Progress{
+		Target: e.Target, LastSeen: e.LastSeen, State: e.State, Exception: e.Exception,
+		Identified: e.Identified(), Numbering: e.Numbering,
+	}
 	s.flows[h] = p
 	if p.Identified {
-		s.ends[h] = ends{e.Caller, e.Service}
+		s.ends[h] = ends{e.Caller, e.Service, e.Number}
 	}
 }
 
@@ -177,6 +181,17 @@
 	}
 }
 
+// SetNumber writes a number of a flow that is identified.
+func (t *Table) SetNumber(h model.FlowHash, n Numbering, number uint32) {
+	s := &t.shards[shardIndex(h)]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.get(h); ok && e.Identified() {
+		e.Numbering, e.Number = n, number
+		s.put(h, e)
+	}
+}
+
 // SetException notes whether the owner's log names the flow.
 func (t *Table) SetException(h model.FlowHash, exception bool) {
 	s := &t.shards[shardIndex(h)]
