Take a SYN with another number for that of a later flow

What callers saw: a new flow went to a target that leaves, where its ends had a flow there within the last 5 s.

Cause: an owner took any SYN within 5 s of a flow's last packet, and any at all while nothing of the flow's conversation had come, for a repetition, and gave it the record's target.

Ruled out: to look at whether the target leaves, and nothing else: the new flow would have the record of another, with its state, customer and end. To forget the earlier flow's number with its record: a copy of its SYN, held back by a daemon that was paused, would then move the later flow, from which the 5 s protected in part.

Change: where a number of the flow is known, it alone tells a repetition from a new flow; the time counts for flows that are known from a log alone. The record keeps the number of the flow just before between its ends, and a SYN with that one is dropped (packet_outdated). No message between daemons changes. A caller that opens another flow for one unanswered counts as a miss as before.

Why it works: two flows between the same ends open with different numbers, copies of one SYN with the same.

Of the flows before the one just before nothing is kept.

--- a/core/evidence.go
+++ b/core/evidence.go
@@ -10,7 +10,8 @@
 // unansweredAfter is the age of a SYN from which its repetition says that the target did not answer.
 const unansweredAfter = 500 * time.Millisecond
 
-// noteRepeatedSYN takes the repetition of a SYN as evidence against the target.
+// noteRepeatedSYN takes the repetition of a SYN as evidence against the target; a caller that gives up and opens another flow
+// tells the same.
 func (e *Engine) noteRepeatedSYN(a *arrival, entry flow.Entry) {
 	if entry.State == flow.StateOpening && e.table.Age(a.now, entry.LastSeen) >= unansweredAfter {
 		e.loads.Unanswered(a.now, entry.Target)
--- a/core/owner.go
+++ b/core/owner.go
@@ -53,17 +53,13 @@
 // repeats reports whether a SYN belongs to a flow of the table. The age of the flow's last packet tells little of it: this
 // daemon sees one each 10 s of a flow that others send straight to its target.
 func (e *Engine) repeats(a *arrival, entry flow.Entry) bool {
-	if own, _ := entry.OpenedBy(a.meta.Seq); own && entry.State != flow.StateClosing {
-		return true
-	}
-	switch entry.State {
-	case flow.StateOpening:
-		return true
-	case flow.StateOpen:
-		return e.table.Age(a.now, entry.LastSeen) < repeatedSYN
-	default:
+	if entry.State == flow.StateClosing {
 		return false
 	}
+	if own, known := entry.OpenedBy(a.meta.Seq); known {
+		return own
+	}
+	return e.table.Age(a.now, entry.LastSeen) < repeatedSYN
 }
 
 // open admits and places a new flow. The repetition of a SYN gets the target of the first one.
@@ -71,12 +67,8 @@
 	if !e.fresh(a.now) {
 		return drop(errkind.NotReady)
 	}
-	if entry, ok := e.table.Get(a.hash); ok {
-		if e.repeats(a, entry) {
-			e.noteRepeatedSYN(a, entry)
-			return e.toTarget(w, entry.Target)
-		}
-		e.forget(a.now, a.hash)
+	if v, done := e.openAgain(w, a); done {
+		return v
 	}
 	customer, service, kind := w.admitter.Admit(a.meta.Src.Addr(), a.meta.Dst)
 	if kind != errkind.None {
@@ -102,6 +94,27 @@
 	return v
 }
 
+// openAgain decides on a SYN between the ends of a flow of the table: a copy of the flow's own goes to its target, one of a
+// flow before it is dropped. It returns false for the SYN of a new flow, which replaces the one of the table.
+func (e *Engine) openAgain(w *world, a *arrival) (Verdict, bool) {
+	entry, ok := e.table.Get(a.hash)
+	if !ok {
+		return Verdict{}, false
+	}
+	e.noteRepeatedSYN(a, entry)
+	switch {
+	case e.repeats(a, entry):
+		return e.toTarget(w, entry.Target), true
+	case entry.Replaced(a.meta.Seq):
+		return drop(errkind.PacketOutdated), true
+	}
+	if entry.Numbering == flow.NumberOpening {
+		a.earlier = entry.Number
+	}
+	e.forget(a.now, a.hash)
+	return Verdict{}, false
+}
+
 func (e *Engine) refuse(k errkind.Kind, a *arrival) Verdict {
 	return refuse(k, a.hash)
 }
@@ -150,6 +163,7 @@
 
 		Numbering: a.numbering(),
 		Number:    a.meta.Seq,
+		Earlier:   a.earlier,
 	})
 	if !added {
 		return e.toTarget(w, entry.Target), false
--- a/core/packets.go
+++ b/core/packets.go
@@ -29,6 +29,8 @@
 	declined bool
 	// former is the owner whose log last covered the flow here or at the sender of the hop; 0 for none.
 	former flow.Incarnated
+	// earlier is the number of the SYN of the flow that this one replaces; 0 for none.
+	earlier uint32
 }
 
 // opens reports whether the packet asks for a new flow.
--- a/core/synnumber_test.go
+++ b/core/synnumber_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/packet"
 )
 
 func TestLateCopyOfASYNAtANewOwner(t *testing.T) {
@@ -24,3 +27,24 @@
 		So(f.astray(1, flows, firstNumber), ShouldEqual, 0)
 	})
 }
+
+func TestLateCopyOfAnEarlierFlowsSYN(t *testing.T) {
+	for name, end := range map[string]packet.Flags{"has ended": packet.FIN, "was given up": 0} {
+		Convey("A late copy of the SYN of a flow that "+name+" does not move a later one between the same ends", t, func() {
+			f := newFleet(t, 1, testLists(1, 8, 14))
+			f.startAll()
+			first := f.openAll(0, firstNumber)
+			for i := range first {
+				f.speak(0, i, packet.ACK|end, firstNumber+1)
+			}
+			f.run(time.Second)
+			later := f.openAll(0, laterNumber)
+			So(f.astray(0, later, laterNumber), ShouldEqual, 0)
+			f.openMore(5000, otherFlows)
+			for i := range later {
+				So(f.speak(0, i, packet.SYN, firstNumber).Kind, ShouldEqual, errkind.PacketOutdated)
+			}
+			So(f.astray(0, later, laterNumber), ShouldEqual, 0)
+		})
+	}
+}
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -67,6 +67,8 @@
 	Numbering Numbering
 	// Number is a sequence number of the caller, as Numbering says.
 	Number uint32
+	// Earlier is the number of the SYN of the flow that this one replaced between the same ends; 0 for none.
+	Earlier uint32
 }
 
 // OpenedBy reports whether a SYN with a number is the flow's own. It cannot tell, and known is false, where no number of
@@ -82,6 +84,11 @@
 	}
 }
 
+// Replaced reports whether a SYN with a number is that of the flow between the same ends that this one replaced.
+func (e Entry) Replaced(syn uint32) bool {
+	return e.Earlier != 0 && e.Earlier == syn
+}
+
 // Identified reports whether the flow's ends are known.
 func (e Entry) Identified() bool {
 	return e.Service != Endpoint{}
--- a/internal/flow/number_test.go
+++ b/internal/flow/number_test.go
@@ -42,5 +42,14 @@
 			_, known := opened(1000)
 			So(known, ShouldBeFalse)
 		})
+		Convey("the number of the flow that it replaced stays with it", func() {
+			table.Remove(7)
+			added, _ := table.Insert(epoch, 7, Entry{Service: Endpoint{Port: 443}, Numbering: NumberOpening, Number: 1000, Earlier: 5})
+			So(added.Replaced(5), ShouldBeTrue)
+			e, _ := table.Get(7)
+			So(e.Replaced(5), ShouldBeTrue)
+			So(e.Replaced(6), ShouldBeFalse)
+			So(Entry{}.Replaced(0), ShouldBeFalse)
+		})
 	})
 }
--- a/internal/flow/table.go
+++ b/internal/flow/table.go
@@ -31,10 +31,10 @@
 	ends map[model.FlowHash]ends
 }
 
-// ends are the two ends of a flow, and a number that tells it from others between them.
+// ends are the two ends of a flow, and the numbers that tell it from others between them.
 type ends struct {
 	caller, service Endpoint
-	number          uint32
+	number, earlier uint32
 }
 
 // entry joins what is known of a flow.
@@ -42,7 +42,8 @@
 	e := Entry{Target: p.Target, LastSeen: p.LastSeen, State: p.State, Exception: p.Exception, Numbering: p.Numbering}
 	if p.Identified {
 		known := s.ends[h]
-		e.Caller, e.Service, e.Number = known.caller, known.service, known.number
+		e.Caller, e.Service = known.caller, known.service
+		e.Number, e.Earlier = known.number, known.earlier
 	}
 	return e
 }
@@ -64,7 +65,7 @@
 	}
 	s.flows[h] = p
 	if p.Identified {
-		s.ends[h] = ends{e.Caller, e.Service, e.Number}
+		s.ends[h] = ends{e.Caller, e.Service, e.Number, e.Earlier}
 	}
 }
 
