Let a daemon's own probes tell nothing after five intervals

What callers saw: new flows kept away from a sound target by a daemon that probes it again and goes by its probes of long before.

Cause: what other daemons say of a target ends after 5 s, a daemon's own results never did. Its verdict counted again as soon as the daemon was one of the target's probers again, was told to the others, and old failures made a row with a new one.

Ruled out: to clear the results when the daemon ceases to be a prober: a pause of the daemon leaves old ones just so. A lifetime of less than a row of three: the verdict of a target that is down would lapse between two probes.

Change: results count, are told and make a row only while the latest is younger than ProbeLifetime, five intervals, 5 s by default.

Before and after: TestOldProbesTellNothing failed and passes; TestLifetimeOfOwnProbes fails in two of three cases on the code of before (the third is that the verdict stands while probes go on) and passes. Bytes on heartbeats: a bit is unset.

Why it works: a verdict now has the age of its latest probe.

By arithmetic a daemon with more than 320 targets that leave probes without an answer (32 at once, 0.5 s each) gets round to each in over 5 s, so that none of them is put aside by its probes; attempts put them aside.

--- a/internal/health/config.go
+++ b/internal/health/config.go
@@ -13,6 +13,9 @@
 	DownAfter int
 	// UpAfter is the number of successful probes in a row after which it holds it to be up; default 2.
 	UpAfter int
+	// ProbeLifetime is the age of the latest own probe of a target from which own probes tell nothing; default five
+	// Intervals.
+	ProbeLifetime time.Duration
 	// ResultLifetime is the age at which a result heard on a heartbeat is forgotten; default 5 s.
 	ResultLifetime time.Duration
 	// SilentAfter is the number of connection attempts in a row, own ones and those that other daemons
@@ -41,6 +44,7 @@
 	setInt(&c.UpAfter, 2)
 	setInt(&c.SilentAfter, 5)
 	setDuration(&c.Interval, time.Second)
+	setDuration(&c.ProbeLifetime, 5*c.Interval)
 	setDuration(&c.ResultLifetime, 5*time.Second)
 	setDuration(&c.Hold, 5*time.Second)
 	setDuration(&c.MaxHold, time.Minute)
--- a/internal/health/judge.go
+++ b/internal/health/judge.go
@@ -136,7 +136,7 @@
 func (m *Monitor) hear(now time.Time, s *state) opinion {
 	var o opinion
 	votes, downs := 0, 0
-	if s.probing && s.good+s.bad > 0 {
+	if m.current(now, s) {
 		votes++
 		downs += one(s.probeDown)
 	}
--- /dev/null
+++ b/internal/health/lifetime_test.go
@@ -0,0 +1,51 @@
+package health
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// told returns what a heartbeat at a time tells of a target.
+func (f fixture) told(now time.Time, i int) Summary {
+	all, _ := DecodeSummaries(nil, f.m.AppendTo(now, nil, 1000))
+	for _, s := range all {
+		if s.Target == f.id(i) {
+			return s
+		}
+	}
+	return Summary{}
+}
+
+func TestLifetimeOfOwnProbes(t *testing.T) {
+	Convey("Given a target whose probes failed", t, func() {
+		f := newFixture(4)
+		lifetime := Config{}.WithDefaults().ProbeLifetime
+		for range 3 {
+			f.m.HandleProbe(start, Result{Target: f.id(0)})
+		}
+		Convey("the verdict counts here and is told until its lifetime is over", func() {
+			before, after := start.Add(lifetime-1), start.Add(lifetime)
+			So(f.down(before, 0), ShouldBeTrue)
+			So(f.told(before, 0).Probed, ShouldBeTrue)
+			So(f.down(after, 0), ShouldBeFalse)
+			So(f.told(after, 0).Probed, ShouldBeFalse)
+		})
+		Convey("it stands while probes go on to fail", func() {
+			for i := range 20 {
+				now := start.Add(time.Duration(i) * time.Second)
+				f.m.HandleProbe(now, Result{Target: f.id(0)})
+				So(f.down(now.Add(time.Second), 0), ShouldBeTrue)
+			}
+		})
+		Convey("after it three failures are needed anew", func() {
+			later := start.Add(lifetime)
+			f.m.HandleProbe(later, Result{Target: f.id(0)})
+			f.m.HandleProbe(later, Result{Target: f.id(0)})
+			So(f.down(later, 0), ShouldBeFalse)
+			f.m.HandleProbe(later, Result{Target: f.id(0)})
+			So(f.down(later, 0), ShouldBeTrue)
+		})
+	})
+}
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -55,10 +55,11 @@
 type state struct {
 	target *model.Target
 	// probing is true while this daemon probes the target; probeDown, good and bad are its verdict and
-	// the results in a row; nextProbe is when the next one starts.
+	// the results in a row, probedAt the time of the latest; nextProbe is when the next one starts.
 	probing   bool
 	probeDown bool
 	good, bad int
+	probedAt  time.Time
 	nextProbe time.Time
 	report    placement.Report
 	peers     map[model.MachineID]heard
@@ -159,6 +160,10 @@
 	if s == nil {
 		return
 	}
+	if !m.probedLately(now, s) {
+		s.probeDown, s.good, s.bad = false, 0, 0
+	}
+	s.probedAt = now
 	s.count(r.OK, m.cfg)
 	if r.OK {
 		r.Report.At = now
@@ -166,6 +171,15 @@
 	}
 }
 
+// current reports whether own probes of a target tell something: this daemon probes it, and has done so lately.
+func (m *Monitor) current(now time.Time, s *state) bool {
+	return s.probing && m.probedLately(now, s)
+}
+
+func (m *Monitor) probedLately(now time.Time, s *state) bool {
+	return now.Sub(s.probedAt) < m.cfg.ProbeLifetime
+}
+
 // count applies the hysteresis to one probe result.
 func (s *state) count(ok bool, cfg Config) {
 	if !ok {
@@ -299,7 +313,7 @@
 func (m *Monitor) summary(now time.Time, s *state) Summary {
 	sum := Summary{
 		Target:    s.target.ID,
-		Probed:    s.probing && s.good+s.bad > 0,
+		Probed:    m.current(now, s),
 		ProbeDown: s.probeDown,
 		Misses:    uint8(min(m.misses(now, s), 255)),
 	}
