Send only packets that continue a known flow past its owner

What callers saw: packets of a flow whose ends had been used before went to another target, by way of a daemon that knew the earlier flow, until the owner's log told it of the later one.

Cause: the cache of covered flows knew a flow by its ends alone. A SYN or FIN that came by way of another daemon left it as it was, and only 20 s of silence made the next packet one of a new flow.

Ruled out: word of the owner that a flow has ended: it would come as late as the log, and costs bytes. A shorter silence: a port may be used again within a second. Numbers at the owner against packets that are no SYNs: it sees one packet each 10 s of a flow that others send straight, and to take such a flow for another would lose its target.

Change: the cache holds the numbers of a packet of the flow. A packet whose own lie 1 MiB or more away, at either end, is the first of another flow: it hops, without a former owner, and counts as not known before a partition. The numbers are written anew when they have moved by 256 KiB, so that most packets write nothing. No message between daemons changes.

TestCachedFlowAndALaterOne is new: a flow that carries 260 MB stays covered.

Why it works: a false alarm costs a flow the hops of its first packets again; its packets follow the owner's table meanwhile, which is right.

A flow of which 1 MiB or more went by way of other daemons hops anew, for as long as a new flow does.

--- a/core/delegate.go
+++ b/core/delegate.go
@@ -163,7 +163,7 @@
 // then returns true with the verdict.
 func (e *Engine) askOn(w *world, a *arrival, owner model.MachineID) (Verdict, bool) {
 	if a.former == 0 {
-		a.former = e.seen.Former(a.hash)
+		a.former = e.seen.Former(a.hash, a.numbers())
 	}
 	rank := w.rankWithout(a.hash, owner)
 	if _, named := e.copies.Find(a.hash, rank); !named {
--- a/core/packets.go
+++ b/core/packets.go
@@ -63,6 +63,14 @@
 	return flow.NumberLater
 }
 
+// numbers returns the packet's numbers; a SYN has none that continue a flow.
+func (a *arrival) numbers() flow.Numbers {
+	if a.opens() || !a.meta.Flags.Has(packet.ACK) {
+		return flow.Numbers{}
+	}
+	return flow.Numbers{Seq: a.meta.Seq, Ack: a.meta.Ack}
+}
+
 // FromFabric decides on a packet that the fabric handed to this daemon: a caller's packet, or an
 // answer of a target whose service returns through the daemons. from is the outer source address.
 func (e *Engine) FromFabric(now time.Time, from netip.AddrPort, m *packet.Meta) Verdict {
@@ -98,7 +106,7 @@
 		return drop(errkind.NotReady)
 	}
 	if w.hidden != nil && !a.known {
-		a.known = e.seen.KnownBefore(a.hash, w.hidden.mark)
+		a.known = e.seen.KnownBefore(a.hash, a.numbers(), w.hidden.mark)
 	}
 	if owner.ID == e.cfg.Self {
 		return e.own(w, a)
@@ -124,16 +132,16 @@
 	}
 	cp := e.copies.Of(owner.ID)
 	if cp == nil || e.unsettled.Load() || !e.fresh(a.now) {
-		a.former = e.seen.Former(a.hash)
+		a.former = e.seen.Former(a.hash, a.numbers())
 		return nil
 	}
 	r := cp.Route(a.hash)
 	if !r.Synced {
-		a.former = e.seen.Former(a.hash)
+		a.former = e.seen.Former(a.hash, a.numbers())
 		return nil
 	}
 	mark := flow.Mark(e.mark.Load())
-	direct, former := e.seen.Direct(a.now, a.hash, r.Position, mark)
+	direct, former := e.seen.DirectBy(a.now, a.hash, a.numbers(), r.Position, mark)
 	if !direct {
 		a.former = former
 		cp.Want(mark)
--- a/core/resolve.go
+++ b/core/resolve.go
@@ -10,7 +10,7 @@
 // packet is a stray one.
 func (e *Engine) carryOn(w *world, a *arrival) Verdict {
 	if a.former == 0 {
-		a.former = e.seen.Former(a.hash)
+		a.former = e.seen.Former(a.hash, a.numbers())
 	}
 	if v, ok := e.delegate(w, a); ok {
 		return v
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -50,7 +50,7 @@
 )
 
 // flowWindow bounds, in bytes, how far two numbers of one flow lie apart that a daemon meets one after the other. The
-// numbers of another flow between the same ends are random: one in 4,000 lies within it in one direction.
+// numbers of another flow between the same ends are random: one in 2,000 lies within it in either direction.
 const flowWindow = 1 << 20
 
 // Entry is one owned flow.
--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -21,6 +21,37 @@
 	return Incarnated(uint64(id)^incarnation*odd>>32) | 1
 }
 
+// Numbers are the sequence and acknowledgement numbers of a caller's packet. The zero value stands for none, which may be
+// any flow's.
+type Numbers struct {
+	Seq, Ack uint32
+}
+
+// continues reports whether numbers are those of the flow that had the last ones, and not of another between the same ends.
+func (n Numbers) continues(last Numbers) bool {
+	if n == (Numbers{}) || last == (Numbers{}) {
+		return true
+	}
+	return near(n.Seq, last.Seq, flowWindow) && near(n.Ack, last.Ack, flowWindow)
+}
+
+// renews reports whether numbers lie so far from the last ones that these must be written anew.
+func (n Numbers) renews(last Numbers) bool {
+	if n == (Numbers{}) {
+		return false
+	}
+	return last == (Numbers{}) || !near(n.Seq, last.Seq, renewedAfter) || !near(n.Ack, last.Ack, renewedAfter)
+}
+
+// renewedAfter is how far, in bytes, a flow's numbers move on before a packet renews the cached ones. It spares busy flows a
+// write to the map for every packet.
+const renewedAfter = flowWindow / 4
+
+// near reports whether two numbers, which wrap around, are less than a number of bytes apart.
+func near(a, b, bytes uint32) bool {
+	return a-b < bytes || b-a < bytes
+}
+
 // Seen caches, for flows that other daemons own, since when this daemon has known them. It only
 // saves hops: a flow that is not in it goes by its owner, which is always right. It holds at most
 // two generations of entries per shard, so its memory is bounded.
@@ -47,6 +78,8 @@
 	born uint32
 	// lastHop is when a packet last went by the owner, in milliseconds since the epoch.
 	lastHop uint32
+	// numbers are those of a packet of the flow, less than renewedAfter from the latest one's.
+	numbers Numbers
 }
 
 // SeenConfig bounds the cache.
@@ -79,43 +112,63 @@
 	return s
 }
 
-// Direct reports whether a packet of the flow may go straight to its target: the flow was first
+// Direct is DirectBy for a packet whose numbers are not known.
+func (s *Seen) Direct(now time.Time, h model.FlowHash, owner Position, current Mark) (direct bool, former Incarnated) {
+	return s.DirectBy(now, h, Numbers{}, owner, current)
+}
+
+// DirectBy reports whether a packet of the flow may go straight to its target: the flow was first
 // sent by this owner before the mark that the owner has echoed, and its last hop is recent. Where it
 // reports false, the caller hops the packet, and the cache has noted that; former is then the owner whose
-// log last covered the flow, 0 for none.
-func (s *Seen) Direct(now time.Time, h model.FlowHash, owner Position, current Mark) (direct bool, former Incarnated) {
+// log last covered the flow, 0 for none. A packet that does not continue the cached flow is the first of another.
+func (s *Seen) DirectBy(now time.Time, h model.FlowHash, n Numbers, owner Position, current Mark) (direct bool, former Incarnated) {
 	ms := millisSince(s.epoch, now)
 	sh := &s.shards[shardIndex(h)]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	e, ok := sh.lookup(h, s.perShard)
+	e, ok := sh.lookupBy(h, n, s.perShard)
 	if !ok {
 		e.born = uint32(current)
 	}
+	renewed := n.renews(e.numbers)
+	if renewed {
+		e.numbers = n
+	}
 	if e.owner != owner.Owner {
 		e.owner, e.since, e.lastHop = owner.Owner, uint32(current), ms
 		sh.store(h, e, s.perShard)
 		return false, e.former
 	}
+	direct, changed := e.passes(ms, s.refreshMillis(), owner, current)
+	if changed || renewed {
+		sh.store(h, e, s.perShard)
+	}
+	if direct && !changed {
+		return true, 0
+	}
+	return direct, e.former
+}
+
+// passes decides on a packet of a flow that was sent by this owner before, and notes what it changes.
+func (e *seenEntry) passes(ms, refresh uint32, owner Position, current Mark) (direct, changed bool) {
 	// The difference survives the cut to 32 bits as long as a flow is younger than 2^31 marks.
 	if owner.Echoed == 0 || int32(uint32(owner.Echoed)-e.since) <= 0 {
-		return false, e.former
+		return false, false
 	}
 	silent := silence(ms, e.lastHop)
-	refreshed := silent < s.refreshMillis()
+	refreshed := silent < refresh
 	if refreshed && e.former == owner.Owner {
-		return true, 0
+		return true, false
 	}
 	e.former = owner.Owner
 	if !refreshed {
 		e.lastHop = ms
 	}
 	// After a long silence the address and port may belong to a new flow.
-	if silent > 2*s.refreshMillis() {
+	if silent > 2*refresh {
 		e.since, e.born, e.former = uint32(current), uint32(current), 0
 	}
-	sh.store(h, e, s.perShard)
-	return refreshed, e.former
+	return refreshed, true
 }
 
 func (s *Seen) refreshMillis() uint32 {
@@ -133,21 +186,21 @@
 	}
 }
 
-// KnownBefore reports whether a flow was first seen here before a mark.
-func (s *Seen) KnownBefore(h model.FlowHash, m Mark) bool {
+// KnownBefore reports whether the flow of a packet was first seen here before a mark.
+func (s *Seen) KnownBefore(h model.FlowHash, n Numbers, m Mark) bool {
 	sh := &s.shards[shardIndex(h)]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	e, ok := sh.lookup(h, s.perShard)
+	e, ok := sh.lookupBy(h, n, s.perShard)
 	return ok && int32(uint32(m)-e.born) > 0
 }
 
-// Former returns the owner whose log last covered a flow here; 0 for none.
-func (s *Seen) Former(h model.FlowHash) Incarnated {
+// Former returns the owner whose log last covered the flow of a packet here; 0 for none.
+func (s *Seen) Former(h model.FlowHash, n Numbers) Incarnated {
 	sh := &s.shards[shardIndex(h)]
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	e, _ := sh.lookup(h, s.perShard)
+	e, _ := sh.lookupBy(h, n, s.perShard)
 	return e.former
 }
 
@@ -185,6 +238,15 @@
 	return e, true
 }
 
+// lookupBy finds the entry of a packet's flow; one of an earlier flow between the same ends is none.
+func (sh *seenShard) lookupBy(h model.FlowHash, n Numbers, limit int) (seenEntry, bool) {
+	e, ok := sh.lookup(h, limit)
+	if !ok || !n.continues(e.numbers) {
+		return seenEntry{}, false
+	}
+	return e, true
+}
+
 // store writes an entry; a full young generation becomes the old one, and the old one is dropped.
 func (sh *seenShard) store(h model.FlowHash, e seenEntry, limit int) {
 	if _, ok := sh.young[h]; !ok && len(sh.young) >= limit {
--- /dev/null
+++ b/internal/flow/seen_test.go
@@ -0,0 +1,78 @@
+package flow
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/model"
+)
+
+func TestCachedFlowAndALaterOne(t *testing.T) {
+	Convey("Given a cached flow whose packets go straight to its target", t, func() {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		seen := NewSeen(SeenConfig{}, now)
+		last := Numbers{Seq: 1<<32 - 1000, Ack: 5000}
+		direct := func(n Numbers, echoed, current Mark) bool {
+			d, _ := seen.DirectBy(now, 7, n, Position{Owner: 1, Echoed: echoed}, current)
+			return d
+		}
+		So(direct(last, 1, 2), ShouldBeFalse)
+		So(direct(last, 3, 4), ShouldBeTrue)
+		So(seen.Former(7, last), ShouldEqual, 1)
+		So(seen.KnownBefore(7, last, 3), ShouldBeTrue)
+		Convey("its next packets do so too, however many bytes it carries and where numbers wrap around", func() {
+			for range 1000 {
+				last.Seq += 60_000
+				last.Ack += 200_000
+				So(direct(last, 3, 4), ShouldBeTrue)
+			}
+			So(direct(Numbers{Seq: last.Seq - 60_000, Ack: last.Ack}, 3, 4), ShouldBeTrue)
+		})
+		for name, later := range map[string]Numbers{
+			"caller's":  {Seq: 1 << 30, Ack: last.Ack},
+			"target's":  {Seq: last.Seq, Ack: 1 << 30},
+			"two ends'": {Seq: 1 << 30, Ack: 1 << 31},
+		} {
+			Convey("a packet of a later flow, by the "+name+" number, goes by the owner until its log covers that flow", func() {
+				So(seen.Former(7, later), ShouldEqual, 0)
+				So(seen.KnownBefore(7, later, 3), ShouldBeFalse)
+				So(direct(later, 3, 4), ShouldBeFalse)
+				So(direct(later, 4, 5), ShouldBeFalse)
+				So(seen.KnownBefore(7, later, 4), ShouldBeFalse)
+				So(direct(later, 5, 6), ShouldBeTrue)
+				So(direct(last, 5, 6), ShouldBeFalse)
+			})
+		}
+	})
+}
+
+func benchmarkDirect(b *testing.B, flows int) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	seen := NewSeen(SeenConfig{MaxFlows: 4 * flows}, now)
+	src := rand.New(rand.NewPCG(1, 1))
+	hashes := make([]model.FlowHash, flows)
+	last := make([]Numbers, flows)
+	at := Position{Owner: 1, Echoed: 3}
+	for i := range hashes {
+		hashes[i] = model.FlowHash(src.Uint64())
+		seen.DirectBy(now, hashes[i], last[i], at, 2)
+		seen.DirectBy(now, hashes[i], last[i], at, 4)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		last[i].Seq += 1400
+		if direct, _ := seen.DirectBy(now, hashes[i], last[i], at, 4); !direct {
+			b.Fatal("flow not covered")
+		}
+		if i++; i == len(hashes) {
+			i = 0
+		}
+	}
+}
+
+func BenchmarkDirect4096(b *testing.B)   { benchmarkDirect(b, 4096) }
+func BenchmarkDirect300000(b *testing.B) { benchmarkDirect(b, 300_000) }
