Tell no load report that is older than its age can say

New flows were placed by a load report of long before.

Cause: a daemon told a target's last report for as long as it was its prober, with an age that the message holds up to 12.75 s. One that became a prober again after an hour, or whose probes fail, told a report of an hour ago as one of 12.75 s ago.

Ruled out: a larger field for the age: at 12.75 s a report counts less than half.

Before and after: TestOldReportsAreNotTold failed (the report was told after an hour) and passes. A summary without a report is 3 to 7 bytes shorter.

--- a/internal/health/lifetime_test.go
+++ b/internal/health/lifetime_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/placement"
 )
 
 // told returns what a heartbeat at a time tells of a target.
@@ -49,3 +51,13 @@
 		})
 	})
 }
+
+func TestOldReportsAreNotTold(t *testing.T) {
+	Convey("A daemon tells a target's load report with its age, and no longer once the age cannot be told", t, func() {
+		f := newFixture(4)
+		f.m.HandleProbe(start, Result{Target: f.id(0), OK: true, Report: placement.Report{Connections: 7}})
+		So(f.told(start.Add(maxSummaryAge), 0).Reported, ShouldBeTrue)
+		So(f.told(start.Add(maxSummaryAge), 0).Age, ShouldEqual, maxSummaryAge)
+		So(f.told(start.Add(time.Hour), 0).Reported, ShouldBeFalse)
+	})
+}
--- a/internal/health/monitor.go
+++ b/internal/health/monitor.go
@@ -317,7 +317,8 @@
 		ProbeDown: s.probeDown,
 		Misses:    uint8(min(m.misses(now, s), 255)),
 	}
-	if !s.probing || s.report.At.IsZero() {
+	age := now.Sub(s.report.At)
+	if !s.probing || age > maxSummaryAge {
 		return sum
 	}
 	sum.Reported = true
@@ -325,7 +326,7 @@
 	sum.Warming = s.report.Warming
 	sum.Connections = uint32(max(s.report.Connections, 0))
 	sum.BusySlots = uint8(min(max(s.report.BusySlots, 0), 255))
-	sum.Age = now.Sub(s.report.At)
+	sum.Age = age
 	return sum
 }
 
--- a/internal/health/summary.go
+++ b/internal/health/summary.go
@@ -21,13 +21,16 @@
 	Shedding, Warming bool
 	Connections       uint32
 	BusySlots         uint8
-	// Age is the time since the report was read, in steps of SummaryAgeStep, at most 255 of them.
+	// Age is the time since the report was read, in steps of SummaryAgeStep, at most maxSummaryAge.
 	Age time.Duration
 }
 
 // SummaryAgeStep is the resolution of Summary.Age.
 const SummaryAgeStep = 50 * time.Millisecond
 
+// maxSummaryAge is the largest Summary.Age.
+const maxSummaryAge = 255 * SummaryAgeStep
+
 // maxSummaryBytes is the length of the longest encoded Summary.
 const maxSummaryBytes = 4 + 1 + 1 + binary.MaxVarintLen32 + 2
 
@@ -68,8 +71,8 @@
 		return dst
 	}
 	dst = binary.AppendUvarint(dst, uint64(s.Connections))
-	steps := min(max(s.Age/SummaryAgeStep, 0), 255)
-	return append(dst, s.BusySlots, byte(steps))
+	age := min(max(s.Age, 0), maxSummaryAge)
+	return append(dst, s.BusySlots, byte(age/SummaryAgeStep))
 }
 
 // DecodeSummaries appends the summaries of a heartbeat section to dst and returns it. A malformed
