Compare flows' numbers in one place

Cause: both ways of steering had a window of 1 MiB and a comparison of their own.

Ruled out: nothing. Before and after: no behaviour; tests unchanged.

--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -28,9 +28,6 @@
 	// repeatAfter is the time from which the same data again is a retransmission and not a copy that the
 	// network made; ends repeat after 200 ms.
 	repeatAfter = 150 * time.Millisecond
-	// flowWindow bounds the bytes that a flow's ends send by way of other daemons between two packets that come here. The
-	// numbers of another flow between the same ends are random: one in four million lies within it in both directions.
-	flowWindow = 1 << 20
 	// closedFor is how long a flow that has ended stays known, for the last packets of its ends.
 	closedFor = 2 * time.Second
 )
@@ -305,14 +302,9 @@
 // ends.
 func (f *tagFlow) continuedBy(m *packet.Meta) bool {
 	if f.state == tagOpening {
-		return within(m.Seq-f.seq, flowWindow)
+		return m.Seq-f.seq < flow.Window
 	}
-	return near(m.Seq, f.seq) && (!m.Flags.Has(packet.ACK) || near(m.Ack, f.ack))
-}
-
-// near reports whether two sequence numbers may be of one flow.
-func near(a, b uint32) bool {
-	return within(a-b, flowWindow) || within(b-a, flowWindow)
+	return flow.Near(m.Seq, f.seq, flow.Window) && (!m.Flags.Has(packet.ACK) || flow.Near(m.Ack, f.ack, flow.Window))
 }
 
 // lateCopy reports whether a SYN is a copy of the one that opened this flow: the network or a full link held it back. Of a
@@ -324,12 +316,7 @@
 	case f.isn != 0:
 		return f.isn == m.Seq
 	}
-	return f.state == tagOpen && within(f.seq-m.Seq, flowWindow)
-}
-
-// within reports whether a sequence number is ahead of another by less than a number of bytes.
-func within(ahead uint32, bytes uint32) bool {
-	return ahead < bytes
+	return f.state == tagOpen && f.seq-m.Seq < flow.Window
 }
 
 // newer compares two sequence numbers that wrap around.
--- a/internal/flow/entry.go
+++ b/internal/flow/entry.go
@@ -49,9 +49,9 @@
 	NumberOpening
 )
 
-// flowWindow bounds, in bytes, how far two numbers of one flow lie apart that a daemon meets one after the other. The
+// Window bounds, in bytes, how far two numbers of one flow lie apart that a daemon meets one after the other. The
 // numbers of another flow between the same ends are random: one in 2,000 lies within it in either direction.
-const flowWindow = 1 << 20
+const Window = 1 << 20
 
 // Entry is one owned flow.
 type Entry struct {
@@ -78,7 +78,7 @@
 	case NumberOpening:
 		return syn == e.Number, true
 	case NumberLater:
-		return e.Number-syn < flowWindow, true
+		return e.Number-syn < Window, true
 	default:
 		return false, false
 	}
--- a/internal/flow/seen.go
+++ b/internal/flow/seen.go
@@ -32,7 +32,7 @@
 	if n == (Numbers{}) || last == (Numbers{}) {
 		return true
 	}
-	return near(n.Seq, last.Seq, flowWindow) && near(n.Ack, last.Ack, flowWindow)
+	return Near(n.Seq, last.Seq, Window) && Near(n.Ack, last.Ack, Window)
 }
 
 // renews reports whether numbers lie so far from the last ones that these must be written anew.
@@ -40,15 +40,15 @@
 	if n == (Numbers{}) {
 		return false
 	}
-	return last == (Numbers{}) || !near(n.Seq, last.Seq, renewedAfter) || !near(n.Ack, last.Ack, renewedAfter)
+	return last == (Numbers{}) || !Near(n.Seq, last.Seq, renewedAfter) || !Near(n.Ack, last.Ack, renewedAfter)
 }
 
 // renewedAfter is how far, in bytes, a flow's numbers move on before a packet renews the cached ones. It spares busy flows a
 // write to the map for every packet.
-const renewedAfter = flowWindow / 4
+const renewedAfter = Window / 4
 
-// near reports whether two numbers, which wrap around, are less than a number of bytes apart.
-func near(a, b, bytes uint32) bool {
+// Near reports whether two numbers, which wrap around, are less than a number of bytes apart.
+func Near(a, b, bytes uint32) bool {
 	return a-b < bytes || b-a < bytes
 }
 
