--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -189,8 +189,7 @@
 	Tag    flowtag.Tag
 	// Route is the flow's route where the packet opens one.
 	Route *model.Route
-	// Replaced is true for the first packet of a flow whose ends had a record of another flow, or of this one when it was
-	// open already.
+	// Replaced is true for the first packet of a flow whose ends had a record of another flow.
 	Replaced bool
 	// Conflict is set where the packet's tag names another target than the flow's record.
 	Conflict *TagConflict
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -49,7 +49,7 @@
 		repeated:      counter("repeated_opens_total", "Repeated first packets sent to the same target."),
 		moved:         counter("moved_opens_total", "Repeated first packets sent to another target."),
 		learned:       counter("learned_flows_total", "Flows that another daemon opened and whose packets came here."),
-		replaced:      counter("replaced_records_total", "First packets on ends that had a record of another flow or of another first packet."),
+		replaced:      counter("replaced_records_total", "First packets on ends that had a record of another flow."),
 		conflicts:     counter("tag_conflicts_total", "Packets whose tag names another target than their flow's record."),
 		refused:       counter("refused_flows_total", "New flows that were refused."),
 		reset:         counter("reset_flows_total", "Open flows that were ended at their callers, since their targets are silent."),
