Count daemons never heard of as beyond a partition

What callers saw: when a partition healed, packets of flows opened on one side went to another target, by way of a daemon that had started on the other side while the partition lasted.

Cause: the daemons beyond a partition were those that are alive by all that was heard. One that starts during the partition hears of nobody beyond it, so that for it there was no partition: a packet of a flow that it did not know was not sent beyond first, and got the default target by its own lists at once. In the trace (docs/FLOWS.md) that view was 92 s old.

Ruled out: to learn of the other side from the peers of the own side at the start: their states of other zones are not told, and this needs a message. To wait longer before it owns flows: a partition lasts for an hour.

Change: a view says which machines are hidden: those of a zone of which nothing is heard, unless they are known to be gone. No message between daemons changes.

A zone that is published and whose daemons never start now counts as an unreachable one everywhere: open flows do not age until it starts or leaves the lists.

--- /dev/null
+++ b/core/heal_test.go
@@ -0,0 +1,47 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// startedApart names daemons by the side of a cut around zone a on which they start while it lasts.
+var startedApart = map[string]int{"outside": 7, "inside": 6}
+
+// healAfterStart cuts off zone a, starts a daemon that was down, opens flows on the other side, changes the lists on the daemon's
+// side, and heals the cut. In its run, the daemon has heard of nobody on the side of the flows.
+func (f *fleet) healAfterStart(started int) []testFlow {
+	f.startAll()
+	f.crash(started)
+	f.run(10 * time.Second)
+	f.cut = cutZone("a")
+	f.run(10 * time.Second)
+	f.start(started)
+	f.run(20 * time.Second)
+	inside := func(n *node) bool { return n.entry.Zone.Name == "a" }
+	beyond := func(n *node) bool { return inside(n) != inside(f.nodes[started]) }
+	flows := f.openOn(0, 1000, beyond)
+	f.run(3 * time.Second)
+	f.lists = testLists(2, len(f.nodes), 11)
+	for i, n := range f.nodes {
+		if !beyond(n) {
+			f.publishTo(i)
+		}
+	}
+	f.run(10 * time.Second)
+	f.cut = nil
+	return flows
+}
+
+func TestHealingMeetsADaemonThatStartedDuringThePartition(t *testing.T) {
+	for side, started := range startedApart {
+		Convey("A daemon that started "+side+" a cut sends no flow from beyond it astray at the moment that it heals", t, func() {
+			f := newFleet(t, 24, testLists(1, 8, 14))
+			flows := f.healAfterStart(started)
+			So(f.nodes[started].engine.Ready(), ShouldBeTrue)
+			So(f.probeAt(started, flows).wrong, ShouldEqual, 0)
+		})
+	}
+}
--- a/core/partition.go
+++ b/core/partition.go
@@ -34,15 +34,15 @@
 	mark flow.Mark
 }
 
-// newHidden returns the daemons that are alive by all that was heard but in an unreachable zone, or
-// nil. The mark is kept from the hidden before.
+// newHidden returns the daemons in an unreachable zone that are not known to be gone, or nil. The mark is kept from the
+// hidden before.
 func newHidden(mark flow.Mark, v *membership.View, before *hidden) *hidden {
 	next := &hidden{mark: mark}
 	if before != nil {
 		next.mark = before.mark
 	}
 	for _, m := range v.Members() {
-		if !m.Here && (m.State == membership.Alive || m.State == membership.Suspect) {
+		if m.Hidden {
 			next.entries = append(next.entries, m.Entry)
 		}
 	}
--- a/internal/membership/list.go
+++ b/internal/membership/list.go
@@ -269,6 +269,7 @@
 		State:       m.state,
 		Incarnation: m.incarnation,
 		Here:        z.reachable && m.state.here(),
+		Hidden:      !z.reachable && (m.state.here() || m.state == Unknown),
 		Owner:       owner,
 		Direct:      m == l.self || z != l.home || m.direct.Equal(m.heard),
 	}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -26,6 +26,9 @@
 	Incarnation uint64
 	// Here is true when the machine can be sent to.
 	Here bool
+	// Hidden is true when nothing is heard of the machine's zone, so that the machine may be here and be sent to by others. It
+	// holds for one of which nothing was ever heard too: this process may have started after the zone fell silent.
+	Hidden bool
 	// Owner is true when the machine may own new flows.
 	Owner bool
 	// Direct is false for a machine of the own zone that is only known by witnesses to be here, as when
