Do not take a former owner beyond a partition for one met here

What callers saw: while the healing of a partition was noticed by one side only, packets of flows of that side went to another target, by way of a daemon that had started on the other side during the partition.

Cause: a daemon that hops a packet names the owner whose log last covered the flow, itself where the flow is in its table. The receiver took any such name as proof that its own side had met the flow before the partition, and decided at once. The daemon that hopped may be one from beyond, for which the partition has healed already; the receiver may not even hold the log that is named, and then took the default of its own lists.

Ruled out: to resolve by the named owner's log alone: one that is held of a daemon beyond is as old as the partition.

Change: a former owner tells that a flow was met here where its log is held and it is not beyond the partition; else the packet is sent beyond first, for up to 1 s, as of a flow that nobody here knew. No message between daemons changes.

--- a/core/heal_test.go
+++ b/core/heal_test.go
@@ -45,3 +45,16 @@
 		})
 	}
 }
+
+func TestFormerOwnerBeyondAPartition(t *testing.T) {
+	for side, started := range startedApart {
+		Convey("A packet that a daemon from beyond passes on to one that started "+side+" a cut is not taken for one met before it", t, func() {
+			f := newFleet(t, 24, testLists(1, 8, 14))
+			flows := f.healAfterStart(started)
+			for range 4 {
+				f.run(200 * time.Millisecond)
+				So(f.probe(flows).wrong, ShouldEqual, 0)
+			}
+		})
+	}
+}
--- a/core/partition.go
+++ b/core/partition.go
@@ -66,7 +66,7 @@
 // is known to have met the flow before the partition; else nil. A packet sent there is lost while the partition lasts, and the caller
 // repeats it: by then this daemon decides itself.
 func (e *Engine) lateOwner(w *world, a *arrival) *model.EntryVM {
-	if w.hidden == nil || a.known || a.former != 0 {
+	if w.hidden == nil || e.metHere(w, a) {
 		return nil
 	}
 	e.late.mu.Lock()
@@ -87,6 +87,17 @@
 	return beyond
 }
 
+// metHere reports whether a daemon on this side of a partition is known to have met a flow before the partition. A former owner
+// tells that where its log is held here and it is not beyond the partition itself: one that is may have passed the packet on, as it
+// does once the partition has healed for it.
+func (e *Engine) metHere(w *world, a *arrival) bool {
+	if a.known {
+		return true
+	}
+	former := e.copies.OfIncarnation(a.former)
+	return former != nil && len(w.hidden.among([]model.MachineID{former.Owner})) == 0
+}
+
 // firstHidden returns the hidden daemon that comes first in a flow's order of owners.
 func (w *world) firstHidden(h model.FlowHash) *model.EntryVM {
 	first := w.hidden.entries[0]
