Show that a flow may be decided on before a healing is heard of

What callers saw: 1 s after a partition had healed, packets of flows of one side went to another target, by way of a daemon that had started on the other side during the partition and had not heard of the healing yet.

Cause: packets of a flow that nobody on this side knew are sent beyond the partition for 1 s, and then decided on. That is the interval of the heartbeats from which the healing is heard: in the trace the view changed between 1.0 and 1.2 s after it. A daemon that was there before the partition resolves such flows by the log that it held of their owner then; one that started during it has none.

Ruled out, as a trial: 1.5 s, one and a half intervals.

Before and after: no code. The new TestPacketsOutwaitTheNewsThatAPartitionHasHealed fails with 17 and 15 of 1000 flows astray in its two cases.

--- a/core/heal_test.go
+++ b/core/heal_test.go
@@ -58,3 +58,21 @@
 		})
 	}
 }
+
+func TestPacketsOutwaitTheNewsThatAPartitionHasHealed(t *testing.T) {
+	for side, started := range startedApart {
+		Convey("A daemon that started "+side+" a cut decides on no flow from beyond before it can have heard that the cut has healed", t, func() {
+			f := newFleet(t, 24, testLists(1, 8, 14))
+			flows := f.healAfterStart(started)
+			for range 50 {
+				So(f.probe(flows).wrong, ShouldEqual, 0)
+				f.run(200 * time.Millisecond)
+			}
+			for i := range f.nodes {
+				f.publishTo(i)
+			}
+			f.run(10 * time.Second)
+			So(f.probe(flows), ShouldResemble, outcome{right: len(flows)})
+		})
+	}
+}
