Hold the schedules that pass now, and name the next one that fails

Ruled out: to take the entry out: seeds 391 and 483 of 1 to 500 still fail.

Before and after: 311 and 408 are among TestSchedulesThatFailedBefore, which passes; TestRareRandomSchedule plays 391 and fails as listed.

Conclusion: kept; the check is the same for one more seed.

--- a/core/schedule_test.go
+++ b/core/schedule_test.go
@@ -212,7 +212,7 @@
 }
 
 func TestSchedulesThatFailedBefore(t *testing.T) {
-	for _, seed := range []int{154, 1486} {
+	for _, seed := range []int{154, 311, 408, 1486} {
 		proptest.CheckOne(t, seed, scheduleOf(t, eventSettle))
 	}
 	for _, seed := range []int{46, 301} {
@@ -223,7 +223,7 @@
 // The seeds of the next two tests are the first ones that fail from seed 1 on, one schedule each.
 
 func TestRareRandomSchedule(t *testing.T) {
-	proptest.CheckOne(t, 311, scheduleOf(t, eventSettle))
+	proptest.CheckOne(t, 391, scheduleOf(t, eventSettle))
 }
 
 func TestOverlappingSchedules(t *testing.T) {
