Say plainly when a target counts as silent

Ruled out: to drop flow.Seen.Direct, which only measurements and tests still call: it is the call without numbers that they mean.

--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -107,8 +107,8 @@
 	return true
 }
 
-// isSilent reports whether the evidence says that a target is gone. Where probes can be made, that is for a probe of now
-// alone to say: what misses tell may have other causes.
+// isSilent reports whether the evidence says that a target is gone. Where probes can be made, only a recent one that did
+// not find the target says so, since misses may have other causes.
 func (e *TagEngine) isSilent(now time.Time, ev placement.Evidence, ended bool) bool {
 	if ev.Probed() {
 		if ev.Connected {
@@ -133,8 +133,8 @@
 	return ev.MissesInRow >= silentMisses && ev.MissedFlows >= silentFlows && ev.Strong >= silentStrong && span >= silentTime
 }
 
-// settled reports whether there is nothing left to find out of a suspect: it answered, was found, or its callers are
-// done with it.
+// settled reports whether a suspect need not be probed any longer: it has answered, a probe found it, or its callers have
+// missed nothing lately.
 func settled(now time.Time, ev placement.Evidence) bool {
 	return ev.MissesInRow == 0 || ev.Probed() && ev.Connected || now.Sub(ev.LastMiss) > absentFor
 }
