Wait longer than a heartbeat before flows from beyond a partition are decided on

Cause: in steering by owners a daemon that starts during a partition sends packets of flows that nobody on its side knows beyond the partition for LatePatience, then decides itself. The default of 1 s was as long as the heartbeat by which it hears that the partition has healed, so it decided on flows whose owners were back and knew them.

Ruled out: the settling after a healing (the daemon had not heard of one), the former owner's log (not held here).

Conclusion: the default follows the heartbeat, one and a half of its interval. During a partition the packets of such flows wait 0.5 s longer at the default rhythm.

--- a/core/config.go
+++ b/core/config.go
@@ -34,7 +34,8 @@
 	// then it leaves flows that it does not know to the daemon that owned them before. Default 30 s.
 	SettleTime time.Duration
 	// LatePatience is how long, during a partition, packets of a flow that nobody on this side has known
-	// from before are sent beyond the partition before this daemon decides. Default 1 s.
+	// from before are sent beyond the partition before this daemon decides. It must exceed the heartbeat interval: a daemon
+	// that has not heard of a healing yet would decide on flows that their owners hold. Default 1.5 heartbeat intervals.
 	LatePatience time.Duration
 	// JoinTime is how long a starting daemon waits at most to hear of every published one before it owns
 	// flows. Default 6 s, above the time in which a silent zone is found unreachable.
@@ -68,10 +69,12 @@
 	defaultLogInterval      = 500 * time.Millisecond
 	defaultSettleTime       = 30 * time.Second
 	defaultJoinTime         = 6 * time.Second
-	defaultLatePatience     = time.Second
 	defaultSnapshotInterval = time.Second
 	defaultFleetScope       = 16
 	defaultBackups          = 1
+	// latePatienceBeats is the default of LatePatience in heartbeat intervals: one in which a healing is heard of, and half of
+	// one for the way and the next look.
+	latePatienceBeats = 1.5
 )
 
 // withDefaults fills unset fields.
@@ -79,7 +82,7 @@
 	c.LogInterval = cmp.Or(c.LogInterval, defaultLogInterval)
 	c.SettleTime = cmp.Or(c.SettleTime, defaultSettleTime)
 	c.JoinTime = cmp.Or(c.JoinTime, defaultJoinTime)
-	c.LatePatience = cmp.Or(c.LatePatience, defaultLatePatience)
+	c.LatePatience = cmp.Or(c.LatePatience, c.latePatience())
 	c.SnapshotInterval = cmp.Or(c.SnapshotInterval, defaultSnapshotInterval)
 	c.FleetScope = cmp.Or(c.FleetScope, defaultFleetScope)
 	c.Backups = cmp.Or(c.Backups, defaultBackups)
@@ -105,6 +108,12 @@
 	return c
 }
 
+// latePatience returns the default of LatePatience.
+func (c Config) latePatience() time.Duration {
+	beat := c.Members.WithDefaults().HeartbeatInterval
+	return time.Duration(latePatienceBeats * float64(beat))
+}
+
 // Admission says who opened a flow and for what.
 type Admission struct {
 	Customer *model.Customer
