--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -35,24 +35,47 @@
 
 func (c *control) readAll(ctx, callCtx context.Context, a news.ReadAll) {
 	c.d.metrics.storeReads.Inc(1)
-	items, asOf, err := c.d.store.ReadAll(callCtx, a.Stale)
-	c.d.send(ctx, func(now time.Time) []news.Action {
+	var items []news.Item
+	var asOf uint64
+	err := c.ask(func() (err error) {
+		items, asOf, err = c.d.store.ReadAll(callCtx, a.Stale)
+		return err
+	})
+	c.answered(ctx, a.Call, err, func(now time.Time) []news.Action { return c.news.HandleRead(now, a.Call, items, asOf) })
+}
+
+// ask runs a call to the platform. One that ends in a panic has failed.
+func (c *control) ask(call func() error) error {
+	var err error
+	if fault := c.d.faults.contain("platform", nil, func() { err = call() }); fault != nil {
+		return fault
+	}
+	return err
+}
+
+// answered hands in the outcome of a call to the platform. An answer whose handling ends in a panic counts as a failed
+// call, so that the next one waits as after any failure.
+func (c *control) answered(ctx context.Context, call uint64, err error, take func(now time.Time) []news.Action) {
+	c.d.send(ctx, func(now time.Time) (actions []news.Action) {
+		if err == nil {
+			err = c.d.faults.contain("platform", nil, func() { actions = take(now) })
+		}
 		if err != nil {
-			return c.failed(now, a.Call, err)
+			return c.failed(now, call, err)
 		}
-		return c.news.HandleRead(now, a.Call, items, asOf)
+		return actions
 	})
 }
 
 func (c *control) watch(ctx, callCtx context.Context, a news.Watch) {
 	c.d.metrics.storeWatches.Inc(1)
-	items, asOf, err := c.d.store.Watch(callCtx, a.After, a.Wait)
-	c.d.send(ctx, func(now time.Time) []news.Action {
-		if err != nil {
-			return c.failed(now, a.Call, err)
-		}
-		return c.news.HandleWatch(now, a.Call, items, asOf)
+	var items []news.Item
+	var asOf uint64
+	err := c.ask(func() (err error) {
+		items, asOf, err = c.d.store.Watch(callCtx, a.After, a.Wait)
+		return err
 	})
+	c.answered(ctx, a.Call, err, func(now time.Time) []news.Action { return c.news.HandleWatch(now, a.Call, items, asOf) })
 }
 
 func (c *control) failed(now time.Time, call uint64, err error) []news.Action {
@@ -63,7 +86,10 @@
 func (c *control) fetch(ctx context.Context, a news.Fetch) {
 	c.d.metrics.fetches.Inc(1)
 	go func() {
-		f := c.d.fetcher.Fetch(ctx, a.From, a.Have)
+		f := news.Fetched{From: a.From}
+		if err := c.d.faults.contain("fetch", nil, func() { f = c.d.fetcher.Fetch(ctx, a.From, a.Have) }); err != nil {
+			f.Err = err
+		}
 		c.d.send(ctx, func(now time.Time) []news.Action {
 			if f.Err != nil {
 				c.d.log.Warn("items could not be fetched", "op", "peers", "event", "fetch_failed", "peer", a.From, "err", f.Err)
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -44,6 +44,8 @@
 
 	// adoptAt is when changes are put in force; zero while there are none.
 	adoptAt time.Time
+	// adoptAgain is when lists are put in force again after a fault.
+	adoptAgain time.Time
 	// cancel ends the open call to the platform.
 	cancel context.CancelFunc
 	// pausedAt is when a pause was noticed; zero while the lists are current.
@@ -63,27 +65,37 @@
 	soon := time.NewTimer(0)
 	defer soon.Stop()
 	for {
+		var do func()
 		select {
 		case <-ctx.Done():
 			return nil
 		case e := <-c.d.events:
-			c.take(ctx, e)
+			do = func() { c.take(ctx, e) }
 		case s := <-c.d.seeds:
-			c.handle(ctx, func(now time.Time) []news.Action { return c.news.SetSeeds(now, s.Seeds) })
-		case <-ticker.C:
-			c.tickFlows()
-			if looks++; looks%flowLooks == 0 {
-				c.tick(ctx)
+			do = func() {
+				c.handle(ctx, func(now time.Time) []news.Action { return c.news.SetSeeds(now, s.Seeds) })
 			}
+		case <-ticker.C:
+			looks++
+			do = func() { c.look(ctx, looks%flowLooks == 0) }
 		case <-soon.C:
-			c.handle(ctx, c.news.Tick)
+			do = func() { c.handle(ctx, c.news.Tick) }
 		}
+		_ = c.d.faults.contain("control", nil, do) // noted there; the event is over
 		now := time.Now()
-		c.adopt(now)
+		c.adoptContained(now)
 		c.arm(now, soon)
 	}
 }
 
+// look is a regular look at the flows, and with all at the copy and the other daemons.
+func (c *control) look(ctx context.Context, all bool) {
+	c.tickFlows()
+	if all {
+		c.tick(ctx)
+	}
+}
+
 // arm sets the timer for what is due before the next tick.
 func (c *control) arm(now time.Time, soon *time.Timer) {
 	due := c.adoptAt
@@ -192,14 +204,17 @@
 // handle hands an event to the news engine and carries out what it decides.
 func (c *control) handle(ctx context.Context, e func(now time.Time) []news.Action) {
 	now := time.Now()
-	c.d.answers.Lock()
-	actions := e(now)
-	c.d.answers.Unlock()
-	for _, a := range actions {
+	for _, a := range c.decide(now, e) {
 		c.perform(ctx, now, a)
 	}
 }
 
+func (c *control) decide(now time.Time, e func(now time.Time) []news.Action) []news.Action {
+	c.d.answers.Lock()
+	defer c.d.answers.Unlock()
+	return e(now)
+}
+
 func (c *control) perform(ctx context.Context, now time.Time, a news.Action) {
 	switch a := a.(type) {
 	case news.Send:
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -99,6 +99,7 @@
 	metrics     *meters
 	engine      *core.TagEngine
 	peers       *peerLink
+	faults      *faults
 
 	flowLines   *lineBudget
 	planVersion atomic.Uint64
@@ -150,7 +151,8 @@
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_open_flows", Help: "Flows with a record."},
 		func() float64 { return float64(d.engine.OpenFlows()) })
 	incarnation := wire.NewIncarnation(deps.Now)
-	d.peers = newPeerLink(s, deps.Keys, incarnation, d.metrics)
+	d.faults = newFaults(d)
+	d.peers = newPeerLink(s, deps.Keys, incarnation, d.metrics, d.faults)
 	seed := uint64(model.MachineIDOf(s.Name))
 	d.control = &control{
 		d: d,
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -131,6 +131,9 @@
 	nodes   map[netip.AddrPort]*node
 	dead    map[string]bool
 	mu      sync.Mutex
+	// transport and interpreter stand in front of the platform's own where they are set.
+	transport   func(edge.Transport) edge.Transport
+	interpreter edge.Interpreter
 }
 
 type node struct {
@@ -139,6 +142,8 @@
 	data   netip.AddrPort
 	stop   context.CancelFunc
 	done   chan error
+	// metrics are the daemon's.
+	metrics *metrics.Set
 	// suspended is added to the time since boot.
 	suspended time.Duration
 }
@@ -218,12 +223,20 @@
 	}
 	ring, err := wire.KeyringOf(nil)
 	So(err, ShouldBeNil)
+	n.metrics = metrics.NewSet()
+	transport, interpreter := edge.Transport(platform.NewTransport(n.data)), edge.Interpreter(platform.Items{})
+	if f.transport != nil {
+		transport = f.transport(transport)
+	}
+	if f.interpreter != nil {
+		interpreter = f.interpreter
+	}
 	n.daemon = edge.New(edge.Deps{
 		Settings:    set,
 		Network:     f.network,
-		Transport:   platform.NewTransport(n.data),
+		Transport:   transport,
 		Store:       f.store,
-		Interpreter: platform.Items{},
+		Interpreter: interpreter,
 		Prober:      f,
 		Keys:        wire.NewKeyStore(ring),
 		Fetcher:     f,
@@ -235,7 +248,7 @@
 				return time.Since(time.Unix(0, 0)) + n.suspended, true
 			},
 		},
-		Metrics: metrics.NewSet(),
+		Metrics: n.metrics,
 		Log:     log.New(io.Discard),
 		Now:     time.Now(),
 	})
--- /dev/null
+++ b/internal/edge/faults_test.go
@@ -0,0 +1,99 @@
+package edge_test
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/edge"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
+	"github.com/fireflypin/fireflypin/internal/news"
+	"github.com/fireflypin/fireflypin/packet"
+	"github.com/fireflypin/fireflypin/platform"
+)
+
+// badPort is the caller's port of packets whose decoding panics.
+const badPort = 6666
+
+// brittleTransport panics on packets of one port.
+type brittleTransport struct{ edge.Transport }
+
+func (t brittleTransport) Decode(raw []byte, m *packet.Meta) (flowtag.Tag, errkind.Kind) {
+	tag, kind := t.Transport.Decode(raw, m)
+	if m.Src.Port() == badPort {
+		panic("planted in the decoder")
+	}
+	return tag, kind
+}
+
+// brittleItems panics on items that hold a word.
+type brittleItems struct{ platform.Items }
+
+const badWord = "planted"
+
+func (i brittleItems) Interpret(it news.Item) (edge.Published, error) {
+	if bytes.Contains(it.Value, []byte(badWord)) {
+		panic("planted in the reader of items")
+	}
+	return i.Items.Interpret(it)
+}
+
+// counted returns a counter of a daemon as its metrics page shows it.
+func (n *node) counted(name string) string {
+	var page bytes.Buffer
+	n.metrics.WriteText(&page)
+	for _, line := range strings.Split(page.String(), "\n") {
+		if value, ok := strings.CutPrefix(line, "fireflypin_"+name+" "); ok {
+			return value
+		}
+	}
+	return ""
+}
+
+func TestAPanicEndsOneInputAlone(t *testing.T) {
+	run(t, func(ctx context.Context, f *fleet) {
+		f.transport = func(t edge.Transport) edge.Transport { return brittleTransport{t} }
+		f.interpreter = brittleItems{}
+		f.store.put("servers/i-77", badWord)
+		served := f.target(1)
+		defer served.conn.Close()
+		c := f.client()
+		defer c.conn.Close()
+		n := f.start(ctx, 1)
+		time.Sleep(2 * time.Second)
+		So(n.daemon.Ready(), ShouldBeNil)
+		So(n.counted("unusable_items_total"), ShouldEqual, "1")
+
+		// The packets of one batch before and after the one that ends in a panic are served.
+		bad := c.packetOf(badPort, 1, wireSYN, 100, 0, 0, 0)
+		for i := range 20 {
+			c.send(n, c.packetOf(uint16(2000+i), 1, wireSYN, 100, 0, 0, 0))
+			c.send(n, bad)
+		}
+		time.Sleep(100 * time.Millisecond)
+		So(served.take(), ShouldHaveLength, 20)
+		So(n.counted("contained_panics_total"), ShouldEqual, "21")
+
+		// A configuration whose reading panics leaves the one before in force, and the next one is taken.
+		f.store.put("op/config", strings.Replace(configText(2, ""), "booking", badWord, 1))
+		time.Sleep(2 * time.Second)
+		c.send(n, c.packetOf(3000, 1, wireSYN, 100, 0, 0, 0))
+		time.Sleep(100 * time.Millisecond)
+		So(served.take(), ShouldHaveLength, 1)
+		f.store.put("op/config", configText(3, "198.18.0.9"))
+		time.Sleep(2 * time.Second)
+		c.send(n, c.packetOf(3001, 9, wireSYN, 100, 0, 0, 0))
+		time.Sleep(100 * time.Millisecond)
+		So(served.take(), ShouldHaveLength, 1)
+		select {
+		case err := <-n.done:
+			So(err, ShouldEqual, "the daemon goes on")
+		default:
+		}
+	})
+}
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -1,12 +1,11 @@
 package edge
 
 import (
-	"errors"
-	"net"
 	"time"
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/contain"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/packet"
 )
@@ -51,18 +50,15 @@
 // run moves packets until the socket is closed.
 func (m *mover) run() error {
 	for {
-		n, err := m.conn.ReadBatch(m.in)
-		if errors.Is(err, net.ErrClosed) {
+		n, open := m.d.faults.read("packets", m.conn, m.in)
+		if !open {
 			return nil
 		}
-		if err != nil {
-			return err
-		}
 		now := time.Now()
 		m.d.metrics.lastPacket.Store(now.UnixNano())
 		m.stale = m.d.pauses.stalledSince(&m.stalls) || m.stale
-		for i := range m.in[:n] {
-			m.handle(now, i)
+		for i := 0; i < n; {
+			i = m.handleFrom(now, i, n)
 		}
 		m.flush()
 		if n < len(m.in) {
@@ -71,6 +67,22 @@
 	}
 }
 
+// handleFrom decides on the packets from the first one on, and returns the one to go on with: n, or the one after a
+// packet whose handling ended in a panic.
+func (m *mover) handleFrom(now time.Time, first, n int) int {
+	i := first
+	err := contain.Run(func() {
+		for ; i < n; i++ {
+			m.handle(now, i)
+		}
+	})
+	if err == nil {
+		return n
+	}
+	m.d.faults.note("packets", m.in[i].Buf[:m.in[i].N], err)
+	return i + 1
+}
+
 func (m *mover) flush() {
 	if len(m.out) == 0 {
 		return
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/netip"
 	"time"
 
@@ -21,15 +19,17 @@
 	sealer  *wire.Sealer
 	opener  *wire.Opener
 	metrics *meters
+	faults  *faults
 	out     []udpio.Message
 }
 
-func newPeerLink(s *settings.Settings, keys wire.KeyringProvider, incarnation uint64, m *meters) *peerLink {
+func newPeerLink(s *settings.Settings, keys wire.KeyringProvider, incarnation uint64, m *meters, f *faults) *peerLink {
 	self := model.MachineIDOf(s.Name)
 	return &peerLink{
 		sealer:  wire.NewSealer(keys, self, incarnation, new(wire.Counter)),
 		opener:  wire.NewOpener(keys, self, wire.NewReplay(wire.ReplayConfig{})),
 		metrics: m,
+		faults:  f,
 	}
 }
 
@@ -59,15 +59,12 @@
 		in[i].Buf = make([]byte, bufferBytes)
 	}
 	for {
-		n, err := p.conn.ReadBatch(in)
-		if errors.Is(err, net.ErrClosed) {
+		n, open := p.faults.read("peers", p.conn, in)
+		if !open {
 			return nil
 		}
-		if err != nil {
-			return err
-		}
 		for _, m := range in[:n] {
-			d, kind := p.open(m.Buf[:m.N])
+			d, kind := p.openContained(m.Buf[:m.N])
 			if kind != errkind.None {
 				p.metrics.kinds.Add(kind, 1)
 				continue
@@ -82,6 +79,13 @@
 	}
 }
 
+// openContained opens a datagram. One whose decoding ends in a panic counts as malformed.
+func (p *peerLink) openContained(raw []byte) (d *news.Datagram, kind errkind.Kind) {
+	kind = errkind.PeerMalformed
+	_ = p.faults.contain("peers", raw, func() { d, kind = p.open(raw) }) // noted there
+	return d, kind
+}
+
 func (p *peerLink) open(raw []byte) (*news.Datagram, errkind.Kind) {
 	env, kind := p.opener.Open(raw)
 	if kind != errkind.None {
--- a/internal/edge/presence.go
+++ b/internal/edge/presence.go
@@ -75,6 +75,15 @@
 	return other != nil && d.present(ctx, other, probeTries).found
 }
 
+// try tries one connection to a target. One that ends in a panic tells no more than silence does.
+func (d *Daemon) try(ctx context.Context, t *model.Target) (found bool) {
+	if err := d.faults.contain("probe", nil, func() { found = d.prober.Present(ctx, t) }); err != nil {
+		<-ctx.Done()
+		return false
+	}
+	return found
+}
+
 // present looks for a target with a few tries. The next try starts when the one before has failed, or while it may
 // still be on its way.
 func (d *Daemon) present(ctx context.Context, t *model.Target, tries int) answer {
@@ -83,7 +92,7 @@
 	results := make(chan bool, tries)
 	failed := 0
 	for i := range tries {
-		go func() { results <- d.prober.Present(ctx, t) }()
+		go func() { results <- d.try(ctx, t) }()
 		if i == tries-1 {
 			break
 		}
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -123,7 +123,7 @@
 			}
 			last[s.target.ID] = now
 			running.Go(func() error {
-				d.probe(ctx, s)
+				_ = d.faults.contain("probe", nil, func() { d.probe(ctx, s) }) // noted there; the next miss asks again
 				return nil
 			})
 		}
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -27,7 +27,7 @@
 		c.endTarget(now, name, it.Revision)
 		return
 	}
-	p, err := c.d.interpreter.Interpret(it)
+	p, err := c.interpret(it)
 	switch {
 	case err != nil:
 		c.d.metrics.unusable.Inc(1)
@@ -42,6 +42,14 @@
 	}
 }
 
+// interpret reads a published item. One whose reading ends in a panic cannot be used.
+func (c *control) interpret(it news.Item) (p Published, err error) {
+	if fault := c.d.faults.contain("items", it.Value, func() { p, err = c.d.interpreter.Interpret(it) }); fault != nil {
+		return Published{}, fault
+	}
+	return p, err
+}
+
 func (c *control) setPlan(p *directory.Plan, revision uint64) {
 	if !c.directory.SetPlan(p) {
 		return
@@ -67,6 +75,19 @@
 	c.d.log.Info("target changed", "op", "targets", "event", "ended", "target", name, "revision", revision)
 }
 
+// adoptRetry is the wait after changes could not be put in force for a fault: as long as a caller is told to wait.
+const adoptRetry = time.Second
+
+// adoptContained puts gathered changes in force. After a fault the lists in force stay, and it is tried again later.
+func (c *control) adoptContained(now time.Time) {
+	if now.Before(c.adoptAgain) {
+		return
+	}
+	if err := c.d.faults.contain("adopt", nil, func() { c.adopt(now) }); err != nil {
+		c.adoptAt, c.adoptAgain = now.Add(adoptRetry), now.Add(adoptRetry)
+	}
+}
+
 // adopt puts gathered changes in force once they are due, the first ones once everything that is published was read: what other
 // daemons tell before is a part of it.
 func (c *control) adopt(now time.Time) {
