Steer open flows before the configuration is read, and keep first packets until it is

Cause: when all VMs lose power, each daemon reads everything again before it lets a packet through. First packets that waited in the socket for 0.5 s were dropped with all others, whatever their own age.

Change: a read takes the targets first; with them open flows, whose tags name their targets, go on. First packets are kept meanwhile, with their own age, and placed when the configuration is there; those of 0.5 s and more are dropped as before.

--- a/core/tagengine.go
+++ b/core/tagengine.go
@@ -56,6 +56,7 @@
 // tagWorld is everything that packets are decided on and that changes rarely. It is immutable.
 type tagWorld struct {
 	snapshot *model.Snapshot
+	// admitter is nil while only targets are known: open flows go on, and none can be opened.
 	admitter Admitter
 	table    *placement.Table
 	tags     *flowtag.Table
@@ -102,6 +103,12 @@
 	e.world.Store(w)
 }
 
+// AdoptTargets puts targets in force before the lists are whole: a flow's tag names its target, so open flows need no more.
+// First packets get NotReady until Adopt was called; whoever can keeps them until then.
+func (e *TagEngine) AdoptTargets(now time.Time, s *model.Snapshot) {
+	e.Adopt(now, s, nil)
+}
+
 // SetCurrent says whether the lists in force may be acted on. While they may not, new flows get no answer; open flows go
 // on. On transports that mark repeated SYNs these are dropped as well, so the caller opens another flow.
 func (e *TagEngine) SetCurrent(current bool) {
@@ -110,7 +117,13 @@
 
 // Ready reports whether the engine can place flows.
 func (e *TagEngine) Ready() bool {
-	return e.world.Load() != nil && e.current.Load()
+	return e.Whole() && e.current.Load()
+}
+
+// Whole reports whether whole lists are in force.
+func (e *TagEngine) Whole() bool {
+	w := e.world.Load()
+	return w != nil && w.admitter != nil
 }
 
 // Loads returns the table of what is known of the targets' loads.
@@ -118,10 +131,10 @@
 	return e.loads
 }
 
-// Lists returns the lists in force, or nil.
+// Lists returns the whole lists in force, or nil.
 func (e *TagEngine) Lists() *model.Snapshot {
 	w := e.world.Load()
-	if w == nil {
+	if w == nil || w.admitter == nil {
 		return nil
 	}
 	return w.snapshot
--- a/core/tagopen.go
+++ b/core/tagopen.go
@@ -20,6 +20,9 @@
 // open admits and places a new flow, or handles the repetition of its SYN. Only the daemon that got a flow's first SYN
 // offers the flow to a target.
 func (e *TagEngine) open(w *tagWorld, now time.Time, h model.FlowHash, m *packet.Meta) TagVerdict {
+	if w.admitter == nil {
+		return dropTagged(errkind.NotReady)
+	}
 	f, known := e.flows.get(h)
 	switch {
 	case known && f.state == tagOpening && f.seq == m.Seq+m.SegmentLen():
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -180,6 +180,24 @@
 	})
 }
 
+// Targets returns the targets that are known, without routes: what open flows need before there is a plan.
+func (d *Directory) Targets(now time.Time) *model.Snapshot {
+	b := builder{d: d, now: now, services: make(map[string]*model.Service), specs: make(map[string]ServiceSpec)}
+	for _, rec := range d.targets {
+		if b.services[rec.Service] == nil {
+			s := &model.Service{Name: rec.Service}
+			b.services[rec.Service] = s
+			b.list = append(b.list, s)
+		}
+	}
+	b.addTargets()
+	return model.NewRoutedSnapshot(model.Parts{
+		Revisions: model.Revisions{Machines: d.changes},
+		Services:  b.list,
+		Former:    b.former,
+	})
+}
+
 // anyAddress are the prefixes of a platform that publishes no customers: it admits every caller.
 var anyAddress = []netip.Prefix{netip.MustParsePrefix("0.0.0.0/0"), netip.MustParsePrefix("::/0")}
 
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -38,7 +38,9 @@
 	var items []news.Item
 	var asOf uint64
 	err := c.ask(func() (err error) {
-		items, asOf, err = c.d.store.ReadAll(callCtx, a.Stale)
+		items, asOf, err = c.d.store.ReadAll(callCtx, a.Stale, func(targets []news.Item) {
+			c.d.send(ctx, func(now time.Time) []news.Action { return c.news.HandlePart(now, a.Call, targets) })
+		})
 		return err
 	})
 	c.answered(ctx, a.Call, err, func(now time.Time) []news.Action { return c.news.HandleRead(now, a.Call, items, asOf) })
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -46,6 +46,8 @@
 
 	// adoptAt is when changes are put in force; zero while there are none.
 	adoptAt time.Time
+	// steering is true once packets are let through.
+	steering bool
 	// adoptAgain is when lists are put in force again after a fault.
 	adoptAgain time.Time
 	// cancel ends the open call to the platform.
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -114,8 +114,9 @@
 	tasks  *errgroup.Group
 	seeds  chan *settings.Settings
 	probes *probes
-	// adopted is closed when the first lists come into force.
+	// adopted is closed when the first lists come into force, or targets alone.
 	adopted chan struct{}
+	held    heldOpens
 	control *control
 
 	// answers guards the news engine's copy for calls of other daemons.
@@ -241,7 +242,7 @@
 	return nil
 }
 
-// moveOnceAdopted moves packets from the moment when lists are in force. Until then they wait in the socket: it
+// moveOnceAdopted moves packets from the moment when targets are in force. Until then they wait in the socket: it
 // answers the load pattern of a whole fleet that starts again, whose callers send before the first lists are read. After a
 // wait as long as a stall first packets are not taken.
 func (d *Daemon) moveOnceAdopted(ctx context.Context, m *mover) error {
@@ -253,6 +254,7 @@
 		if time.Since(opened) >= stallLimit {
 			d.pauses.startedLate()
 		}
+		m.backlogSince = opened
 		return m.run()
 	}
 }
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -39,7 +39,9 @@
 	changed  chan struct{}
 	// down makes calls fail, silent makes them wait for their end.
 	down, silent bool
-	calls        int
+	// slowConfig is how long the configuration takes after the targets in a read of all items.
+	slowConfig time.Duration
+	calls      int
 }
 
 func newStore() *store {
@@ -82,22 +84,32 @@
 	return items, s.revision, s.changed, s.silent, nil
 }
 
-func (s *store) ReadAll(ctx context.Context, _ bool) ([]news.Item, uint64, error) {
+func (s *store) ReadAll(ctx context.Context, _ bool, part func(targets []news.Item)) ([]news.Item, uint64, error) {
 	s.mu.Lock()
 	s.calls++
+	slow := s.slowConfig
 	s.mu.Unlock()
 	items, now, _, silent, err := s.after(0)
 	if silent {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
 	}
-	standing := items[:0]
+	if err != nil {
+		return nil, 0, err
+	}
+	var standing, targets []news.Item
 	for _, it := range items {
-		if !it.Removed {
-			standing = append(standing, it)
+		if it.Removed {
+			continue
+		}
+		standing = append(standing, it)
+		if _, ok := (platform.Items{}).TargetName(it.Key); ok {
+			targets = append(targets, it)
 		}
 	}
-	return standing, now, err
+	part(targets)
+	time.Sleep(slow)
+	return standing, now, nil
 }
 
 func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]news.Item, uint64, error) {
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -6,6 +6,7 @@
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/contain"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/packet"
 )
@@ -34,6 +35,8 @@
 	// waited through a stall.
 	stalls int64
 	stale  bool
+	// backlogSince is, while packets are read that may have waited for the first lists, since when; zero after.
+	backlogSince time.Time
 }
 
 func (d *Daemon) newMover(conn udpio.Conn) *mover {
@@ -62,7 +65,7 @@
 		}
 		m.flush()
 		if n < len(m.in) {
-			m.stale = false // nothing waits any longer
+			m.stale, m.backlogSince = false, time.Time{} // nothing waits any longer
 		}
 	}
 }
@@ -113,6 +116,22 @@
 		m.d.noteDropped(now, &m.meta, tag, &core.TagVerdict{Op: core.OpDrop, Kind: errkind.PacketOutdated})
 		return
 	}
+	if m.meta.Flags.Has(packet.SYN) && !m.d.engine.Whole() && m.d.held.keep(raw, m.arrived(now)) {
+		return
+	}
+	m.decide(now, i, raw, tag)
+}
+
+// arrived returns when a packet may have come at the earliest.
+func (m *mover) arrived(now time.Time) time.Time {
+	if m.backlogSince.IsZero() {
+		return now
+	}
+	return m.backlogSince
+}
+
+// decide carries out the engine's verdict on the packet that was decoded last.
+func (m *mover) decide(now time.Time, i int, raw []byte, tag flowtag.Tag) {
 	v := m.d.engine.FromCaller(now, &m.meta, tag)
 	if v.Conflict != nil {
 		m.d.noteConflict(now, &m.meta, &v)
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -35,8 +35,9 @@
 // Store is the platform's service that publishes items.
 type Store interface {
 	// ReadAll returns every item and the revision up to which the answer knows of every change. With stale the
-	// answer may be some seconds old.
-	ReadAll(ctx context.Context, stale bool) ([]news.Item, uint64, error)
+	// answer may be some seconds old. It reads the items that name targets first and hands all of them to part before it
+	// goes on.
+	ReadAll(ctx context.Context, stale bool, part func(targets []news.Item)) ([]news.Item, uint64, error)
 	// Watch waits for changes after a revision and returns them with the revision to go on from. An answer
 	// without changes ends the wait. The error wraps ErrCompacted where ReadAll has to be used.
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]news.Item, uint64, error)
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -185,7 +185,11 @@
 // search asks for probes of the targets of a dead one's zone that have flows here. It answers the load pattern of a rack
 // that dies with many targets, of which each has few flows: callers would meet one dead target after the other.
 func (d *Daemon) search(dead *model.Target) {
-	for _, svc := range d.engine.Lists().Services {
+	lists := d.engine.Lists()
+	if lists == nil {
+		return // nothing but open flows is known yet
+	}
+	for _, svc := range lists.Services {
 		for _, t := range svc.Targets {
 			if t.Zone == dead.Zone && !t.Lapsed && t.ID != dead.ID && d.engine.Loads().Open(t.ID) > 0 {
 				d.probes.put(suspect{target: t, why: suspectNear})
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -95,6 +95,7 @@
 	switch {
 	case first && (!c.news.Filled() || c.news.Outdated(now)):
 		c.adoptAt = time.Time{}
+		c.adoptTargets(now)
 		return
 	case !first && (c.adoptAt.IsZero() || now.Before(c.adoptAt)):
 		return
@@ -106,6 +107,25 @@
 	}
 	c.d.engine.Adopt(now, s, admission.NewTable(s))
 	if first {
+		c.steers()
+		c.d.placeHeld(now)
+	}
+}
+
+// adoptTargets puts targets in force for open flows, once all of them are known and before the lists are whole.
+func (c *control) adoptTargets(now time.Time) {
+	if c.steering || !c.news.TargetsKnown() {
+		return
+	}
+	c.d.engine.AdoptTargets(now, c.directory.Targets(now))
+	c.d.log.Info("open flows are steered", "op", "lists", "event", "targets", "targets", c.directory.Len())
+	c.steers()
+}
+
+// steers lets packets through.
+func (c *control) steers() {
+	if !c.steering {
+		c.steering = true
 		close(c.d.adopted)
 	}
 }
--- a/internal/news/engine.go
+++ b/internal/news/engine.go
@@ -96,6 +96,11 @@
 	return e.replica.filled
 }
 
+// TargetsKnown reports whether all items that name targets were read once.
+func (e *Engine) TargetsKnown() bool {
+	return e.reader.part || e.replica.filled
+}
+
 // Digest sums up the items that stand.
 func (e *Engine) Digest() uint64 {
 	return e.replica.digest
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -368,6 +369,15 @@
 	if n.refused(a.Call, callLimit) {
 		return
 	}
+	n.later(4*time.Millisecond, func() []Action {
+		var targets []Item
+		for _, it := range n.site.shared.items {
+			if strings.HasPrefix(it.Key, "targets/") {
+				targets = append(targets, it)
+			}
+		}
+		return n.engine.HandlePart(n.site.now, a.Call, targets)
+	})
 	n.later(8*time.Millisecond, func() []Action {
 		from := n.site.shared
 		if a.Stale && from.old != nil {
--- /dev/null
+++ b/internal/news/part_test.go
@@ -0,0 +1,48 @@
+package news
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// reading returns an engine that has begun to read, and the number of its call.
+func reading(now time.Time) (*Engine, uint64) {
+	e := New(Config{Self: Member{Addr: netip.MustParseAddrPort("10.1.0.1:7000"), Zone: "a"}, Rand: rand.New(rand.NewPCG(1, 2))})
+	for _, a := range e.Start(now) {
+		if r, ok := a.(ReadAll); ok {
+			return e, r.Call
+		}
+	}
+	panic("an engine that starts reads")
+}
+
+func TestPartOfARead(t *testing.T) {
+	now := time.Unix(5000, 0)
+	target := Item{Key: "targets/1", Revision: 5, Value: []byte("old")}
+	newer := Item{Key: "targets/1", Revision: 7, Value: []byte("new")}
+	Convey("Targets are handed out before the rest is read, and the copy is not whole by them", t, func() {
+		e, call := reading(now)
+		So(e.TargetsKnown(), ShouldBeFalse)
+		So(e.HandlePart(now, call, []Item{target}), ShouldResemble, []Action{Changed{Items: []Item{target}}})
+		So(e.TargetsKnown(), ShouldBeTrue)
+		So(e.Filled(), ShouldBeFalse)
+	})
+	Convey("The part of a call that was given up is left alone", t, func() {
+		e, call := reading(now)
+		So(e.HandlePart(now, call+1, []Item{target}), ShouldBeEmpty)
+		So(e.TargetsKnown(), ShouldBeFalse)
+	})
+	Convey("What another daemon told stays where it is newer, and what ended before the rest was read has ended", t, func() {
+		e, call := reading(now)
+		e.HandlePart(now, call, []Item{{Key: "targets/2", Revision: 4}})
+		e.HandleDatagram(now, netip.MustParseAddrPort("10.1.0.2:7000"), Datagram{Items: []Item{newer}})
+		So(e.HandlePart(now, call, []Item{target}), ShouldBeEmpty)
+		e.HandleRead(now, call, []Item{target}, 9)
+		So(e.replica.items["targets/1"].Revision, ShouldEqual, 7)
+		So(e.replica.items["targets/2"].Removed, ShouldBeTrue)
+	})
+}
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -26,6 +26,8 @@
 	mustRead bool
 	reading  bool
 	reached  bool
+	// part is true once all items that name targets were read.
+	part bool
 	// unseen is since when others tell of changes that the open watch has not shown.
 	unseen time.Time
 }
@@ -68,6 +70,21 @@
 	return append(e.reachedPlatform(actions), e.step(now)...)
 }
 
+// HandlePart takes the items that name targets, all of them, before the rest of the answer to ReadAll has come. It answers
+// the load pattern of many daemons that start at once behind narrow links: the configuration may be as large as all else,
+// and open flows do without it.
+func (e *Engine) HandlePart(now time.Time, number uint64, items []Item) []Action {
+	if number != e.reader.number || e.replica.filled {
+		return nil
+	}
+	e.reader.part = true
+	news := e.replica.applyAll(now, items)
+	if len(news) == 0 {
+		return nil
+	}
+	return []Action{Changed{Items: news}}
+}
+
 // HandleWatch takes the changes of a watch and the revision to go on from.
 func (e *Engine) HandleWatch(now time.Time, number uint64, items []Item, asOf uint64) []Action {
 	if number != e.reader.number {
