Bound the lines on targets and daemons, and write none for each at a start

Cause: a start of 295 daemons wrote 60,527 lines on peers and one line a target and daemon, 177,000 in all (mass return of large, logs of all: 112 MB for 24 s).

Change: lines on single targets and daemons have a budget like those on flows, what is left out is counted by event; the first lists write one line that counts targets and names version, revision and age.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -202,9 +202,11 @@
 	if now.Sub(c.lastLine) < logLeftOutEvery {
 		return
 	}
-	if n, byEvent := c.d.flowLines.take(); n > 0 {
-		c.lastLine = now
-		c.d.log.Warn("lines on flows were left out", "op", "log", "event", "left_out", "lines", n, "by_event", byEvent)
+	for _, b := range []*lineBudget{c.d.flowLines, c.d.stateLines} {
+		if n, byEvent := b.take(); n > 0 {
+			c.lastLine = now
+			c.d.log.Warn("lines were left out", "op", "log", "event", "left_out", "lines", n, "by_event", byEvent)
+		}
 	}
 }
 
@@ -249,7 +251,9 @@
 		c.d.log.Info("reading of the platform changed", "op", "platform", "event", "reading", "reads", a.Reading,
 			"before", a.Position, "age_ms", a.Age.Milliseconds())
 	case news.PeerChanged:
-		c.d.log.Info("peer changed", "op", "peers", "event", "peer", "peer", a.Member.Addr, "zone", a.Member.Zone, "up", a.Up)
+		if c.d.stateLines.allow(now, peerChanged) {
+			c.d.log.Info("peer changed", "op", "peers", "event", "peer", "peer", a.Member.Addr, "zone", a.Member.Zone, "up", a.Up)
+		}
 	}
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -101,7 +101,9 @@
 	peers       *peerLink
 	faults      *faults
 
-	flowLines   *lineBudget
+	flowLines *lineBudget
+	// stateLines bounds the lines on targets and daemons: many change at once where a zone is lost or a fleet starts.
+	stateLines  *lineBudget
 	planVersion atomic.Uint64
 	// confirmedAt is when the platform last confirmed the lists in force, in nanoseconds since 1970.
 	confirmedAt atomic.Int64
@@ -138,6 +140,7 @@
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
 		flowLines:   newLineBudget(),
+		stateLines:  newLineBudget(),
 		events:      make(chan event, eventQueue),
 		seeds:       make(chan *settings.Settings, 1),
 		probes:      newProbes(),
--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -9,10 +9,10 @@
 	"golang.org/x/time/rate"
 )
 
-// flowEvent is what a log line on a single flow tells.
+// flowEvent is what a log line on a single flow, target or daemon tells.
 type flowEvent uint8
 
-// The events of single flows.
+// The events of single flows, and of single targets and daemons.
 const (
 	flowPlaced flowEvent = iota
 	flowRepeated
@@ -23,12 +23,14 @@
 	flowReset
 	flowReplaced
 	flowConflict
+	targetChanged
+	peerChanged
 	flowEvents
 )
 
 // String returns the event's name in logs.
 func (e flowEvent) String() string {
-	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict"}[e]
+	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "target", "peer"}[e]
 }
 
 const (
@@ -42,7 +44,7 @@
 	sharedLineBurst      = 200
 )
 
-// lineBudget bounds the log lines on single flows. Each event has a share of its own, so that a burst of one leaves
+// lineBudget bounds the log lines on single flows, or on single targets and daemons. Each event has a share of its own, so that a burst of one leaves
 // the lines of the others. It is safe for concurrent use.
 type lineBudget struct {
 	shared *rate.Limiter
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -66,13 +66,20 @@
 		event = "ended"
 		c.directory.End(now, r.Name)
 	}
-	c.d.log.Info("target changed", "op", "targets", "event", event, "target", r.Name, "service", r.Service, "zone", r.Zone,
-		"address", r.Address, "leaving", r.Leaving, "warmup_ms", r.Warmup.Milliseconds(), "revision", it.Revision)
+	if c.d.engine.Lists() == nil {
+		return // the line on the first lists counts them
+	}
+	if c.d.stateLines.allow(now, targetChanged) {
+		c.d.log.Info("target changed", "op", "targets", "event", event, "target", r.Name, "service", r.Service, "zone", r.Zone,
+			"address", r.Address, "leaving", r.Leaving, "warmup_ms", r.Warmup.Milliseconds(), "revision", it.Revision)
+	}
 }
 
 func (c *control) endTarget(now time.Time, name string, revision uint64) {
 	c.directory.End(now, name)
-	c.d.log.Info("target changed", "op", "targets", "event", "ended", "target", name, "revision", revision)
+	if c.d.stateLines.allow(now, targetChanged) {
+		c.d.log.Info("target changed", "op", "targets", "event", "ended", "target", name, "revision", revision)
+	}
 }
 
 // adoptRetry is the wait after changes could not be put in force for a fault: as long as a caller is told to wait.
@@ -107,6 +114,8 @@
 	}
 	c.d.engine.Adopt(now, s, admission.NewTable(s))
 	if first {
+		c.d.log.Info("first lists are in force", "op", "lists", "event", "first", "version", c.d.planVersion.Load(), "targets", c.directory.Len(),
+			"revision", c.news.Complete(), "age_ms", c.news.Age(now).Milliseconds())
 		c.steers()
 		c.d.placeHeld(now)
 	}
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -18,7 +18,7 @@
 	LivePeers    int      `json:"live_peers"`
 	Stopping     bool     `json:"stopping"`
 	NotCurrent   bool     `json:"not_current"`
-	LinesOmitted int64    `json:"flows_not_logged_total"`
+	LinesOmitted int64    `json:"lines_left_out_total"`
 }
 
 func (c *control) report(now time.Time) *Status {
@@ -32,7 +32,7 @@
 		LivePeers:    len(c.news.Members(now)),
 		Stopping:     c.d.stopping.Load(),
 		NotCurrent:   !c.pausedAt.IsZero(),
-		LinesOmitted: c.d.flowLines.total.Load(),
+		LinesOmitted: c.d.flowLines.total.Load() + c.d.stateLines.total.Load(),
 	}
 	if s := c.d.engine.Lists(); s != nil {
 		for _, svc := range s.Services {
