--- a/cmd/fireflypind/main.go
+++ b/cmd/fireflypind/main.go
@@ -30,8 +30,11 @@
 var errUsage = errors.New("wrong settings")
 
 func main() {
+	// First of all, since the system ends a process that a signal reaches before.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	err := newCommand().Run(ctx, os.Args)
+	err := newCommand(hangups).Run(ctx, os.Args)
 	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "fireflypind:", err)
@@ -50,7 +53,7 @@
 	}
 }
 
-func newCommand() *cli.Command {
+func newCommand(hangups <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:  "fireflypind",
 		Usage: "balance the packets that the fabric hands to this entry VM",
@@ -63,16 +66,13 @@
 			},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return run(ctx, c.String("config"))
+			return run(ctx, hangups, c.String("config"))
 		},
 	}
 }
 
 // run serves until ctx ends and returns after the graceful stop.
-func run(ctx context.Context, path string) error {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func run(ctx context.Context, hangups <-chan os.Signal, path string) error {
 	s, err := settings.Load(path)
 	if err != nil {
 		return errors.Join(errUsage, err)
