Give a request that must run once up only where its target is known to be gone

The target goes on, runs it, and its answer comes to a caller that was told of a failure and may not ask again.

Ruled out: flows that wait for nothing, and requests that may run again: they are better off elsewhere and are reset as before. Waiting longer: nothing bounds how long a machine may stand still.

Change: a probe tells what it met: the target, nothing, or an answer in its place (its machine refuses, or another target answers). The last and an ended registration together end such a flow. An engine without a prober goes by misses as before, which alone are no proof (docs/TAGS.md).

Callers are told of dead targets' requests at their own limit where the machine is dark.

--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -201,11 +201,11 @@
 	return late
 }
 
-// Probed notes whether a probe that began at a time found a suspected target. One that it did not find, while its flows
+// Probed notes what a probe of a suspected target met that began at a time. One that it did not find, while its flows
 // miss answers and those of other targets do not, is silent.
-func (e *TagEngine) Probed(began time.Time, id model.TargetID, connected bool) {
-	e.loads.Probed(began, id, connected)
-	if !connected {
+func (e *TagEngine) Probed(began time.Time, id model.TargetID, found placement.Finding) {
+	e.loads.Probed(began, id, found)
+	if found != placement.FoundTarget {
 		e.suspects.add(id)
 	}
 }
@@ -233,8 +233,8 @@
 // NotFound notes that another daemon, and a probe of this one that began at a time, did not find a target: the word of the
 // other stands for a miss, unless the target has answered since. It answers the load pattern of many daemons with few
 // flows each, of which every one would have to lose some to a dead target before it knows.
-func (e *TagEngine) NotFound(began time.Time, id model.TargetID) {
-	if e.loads.NotFound(began, id, elsewhere) {
+func (e *TagEngine) NotFound(began time.Time, id model.TargetID, found placement.Finding) {
+	if e.loads.NotFound(began, id, elsewhere, found) {
 		e.suspects.add(id)
 	}
 }
@@ -256,7 +256,7 @@
 
 // givesUp reports whether a repeated packet is answered with a reset in its target's place. A request that may
 // run again is given up as soon as the target counts as silent, so that its caller asks again in time; another
-// one when the target's registration has ended too, since nobody can say whether it ran.
+// one when the target is known to be gone.
 func (e *TagEngine) givesUp(w *tagWorld, now time.Time, dst netip.AddrPort, f *tagFlow) bool {
 	ended := w.ended(f.target)
 	ev := e.loads.Evidence(f.target)
@@ -264,7 +264,15 @@
 		return false
 	}
 	route := w.snapshot.RouteAt(dst)
-	return ended || route != nil && route.Kind.Idempotent()
+	return e.gone(ev, ended) || route != nil && route.Kind.Idempotent()
+}
+
+// gone reports whether a silent target can no longer answer for a request that is under way: its registration has ended,
+// and something else answers in its place. One that is silent alone may stand still and go on: it answers the load pattern
+// of a machine that is suspended or cut off until the platform drops its registration. Without a prober nothing tells them
+// apart.
+func (e *TagEngine) gone(ev placement.Evidence, ended bool) bool {
+	return ended && (ev.Refused || e.cfg.Suspect == nil)
 }
 
 // end marks a flow as over.
@@ -300,7 +308,7 @@
 		switch {
 		case e.isSilent(now, ev, false) && !e.hampered(now, ev):
 			e.suspects.drop(id)
-			out = append(out, e.resetFlows(w, now, id)...)
+			out = append(out, e.resetFlows(w, now, id, e.gone(ev, w.ended(id)))...)
 		case settled(now, ev):
 			e.suspects.drop(id)
 		default:
@@ -310,11 +318,10 @@
 	return out
 }
 
-// resetFlows ends the flows of a silent target.
-func (e *TagEngine) resetFlows(w *tagWorld, now time.Time, id model.TargetID) []TagReset {
-	ended := w.ended(id)
+// resetFlows ends the flows of a silent target; all of them where it is gone.
+func (e *TagEngine) resetFlows(w *tagWorld, now time.Time, id model.TargetID, gone bool) []TagReset {
 	var out []TagReset
-	for _, f := range e.flows.takeOf(id, func(f tagFlow) bool { return e.abandons(w, now, f, ended) }) {
+	for _, f := range e.flows.takeOf(id, func(f tagFlow) bool { return e.abandons(w, now, f, gone) }) {
 		e.released(now, f)
 		out = append(out, TagReset{
 			Caller:  f.caller.AddrPort(),
@@ -328,9 +335,9 @@
 	return out
 }
 
-// abandons reports whether a flow of a silent target is reset. One whose request must run once is under way only until
-// the registration has ended, as with givesUp.
-func (e *TagEngine) abandons(w *tagWorld, now time.Time, f tagFlow, ended bool) bool {
+// abandons reports whether a flow of a silent target is reset. One whose request must run once and is under way only where
+// the target is gone, as with givesUp.
+func (e *TagEngine) abandons(w *tagWorld, now time.Time, f tagFlow, gone bool) bool {
 	if f.state != tagOpen {
 		return false
 	}
@@ -343,7 +350,7 @@
 		return false
 	}
 	idle := f.repeats == 0 && since >= idleAfter
-	return ended || idle || route.Kind.Idempotent()
+	return gone || idle || route.Kind.Idempotent()
 }
 
 // takeOf removes and returns the records of a target's flows that meet a condition.
--- a/internal/edge/presence.go
+++ b/internal/edge/presence.go
@@ -28,7 +28,9 @@
 	// targetUnknown is a target that did not answer while nothing else did.
 	targetUnknown finding = iota
 	targetFound
+	// targetAbsent did not answer while others did; in the place of targetReplaced something else answered.
 	targetAbsent
+	targetReplaced
 )
 
 // look looks for a target. Silence counts only while another target of the own zone answers: it answers the load
@@ -59,7 +61,9 @@
 	switch {
 	case a.found:
 		return targetFound
-	case a.refused || reached():
+	case a.refused:
+		return targetReplaced
+	case reached():
 		return targetAbsent
 	}
 	return targetUnknown
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -9,6 +9,7 @@
 
 	"github.com/fireflypin/fireflypin/internal/news"
 	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/placement"
 )
 
 const (
@@ -145,12 +146,12 @@
 	now := time.Now()
 	d.metrics.probes.Inc(1)
 	d.log.Info("target probed", "op", "targets", "event", "probed", "target", s.target.Name, "address", s.target.Data,
-		"connected", found == targetFound, "conclusive", found != targetUnknown, "why", s.why, "took_ms", now.Sub(start).Milliseconds())
+		"connected", found == targetFound, "refused", found == targetReplaced, "conclusive", found != targetUnknown, "why", s.why, "took_ms", now.Sub(start).Milliseconds())
 	if found == targetUnknown || d.latest(s.target).Data != s.target.Data {
 		return
 	}
-	d.handIn(start, s, found == targetFound)
-	if found == targetAbsent && s.why != suspectTold {
+	d.handIn(start, s, found)
+	if found != targetFound && s.why != suspectTold {
 		d.tellAbsent(ctx, now, s)
 	}
 }
@@ -164,12 +165,19 @@
 }
 
 // handIn gives the engine what a probe found that began at a time. What flows tell meanwhile is newer.
-func (d *Daemon) handIn(began time.Time, s suspect, connected bool) {
-	if s.why == suspectMissed || connected {
-		d.engine.Probed(began, s.target.ID, connected)
+func (d *Daemon) handIn(began time.Time, s suspect, found finding) {
+	met := placement.FoundNothing
+	switch found {
+	case targetFound:
+		met = placement.FoundTarget
+	case targetReplaced:
+		met = placement.FoundOther
+	}
+	if s.why == suspectMissed || met == placement.FoundTarget {
+		d.engine.Probed(began, s.target.ID, met)
 		return
 	}
-	d.engine.NotFound(began, s.target.ID)
+	d.engine.NotFound(began, s.target.ID, met)
 }
 
 // tellAbsent tells the zone of a target that was not found, and looks for more after several.
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -6,6 +6,18 @@
 	"github.com/fireflypin/fireflypin/model"
 )
 
+// Finding is what a probe of a target met.
+type Finding uint8
+
+const (
+	// FoundNothing is a target that did not answer: it may be gone, cut off from here, or stand still.
+	FoundNothing Finding = iota
+	// FoundTarget is a target that is there.
+	FoundTarget
+	// FoundOther is an answer in the target's place, by its machine or by another target: it is gone.
+	FoundOther
+)
+
 // Evidence is what this daemon's own connection attempts to a target met.
 type Evidence struct {
 	// MissesInRow is the number of attempts without an answer since the last answer.
@@ -21,10 +33,10 @@
 	// Strong counts the attempts since the last answer that a busy target would have answered.
 	Strong int
 	// ProbedAt is when the last probe of the target began, which tells of no time before; zero when there was none.
-	// Connected is true where it found the target.
-	ProbedAt   time.Time
-	Connected  bool
-	lastMissed model.FlowHash
+	// Connected is true where it found the target, Refused where something answered in its place.
+	ProbedAt           time.Time
+	Connected, Refused bool
+	lastMissed         model.FlowHash
 	// since is when this daemon learned of the target's present life; zero for the first one. Probes that began before
 	// tell of another.
 	since time.Time
@@ -63,11 +75,11 @@
 }
 
 // probed notes a probe that began at a time. Answers of probes may come in another order than they began.
-func (e *Evidence) probed(began time.Time, connected bool) {
+func (e *Evidence) probed(began time.Time, found Finding) {
 	if began.Before(e.ProbedAt) || began.Before(e.since) {
 		return
 	}
-	e.ProbedAt, e.Connected = began, connected
+	e.ProbedAt, e.Connected, e.Refused = began, found == FoundTarget, found == FoundOther
 }
 
 // seen returns what attempts to the target met.
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -260,15 +260,15 @@
 	return e
 }
 
-// Probed notes whether a probe that began at a time found the target.
-func (l *LoadTable) Probed(began time.Time, id model.TargetID, connected bool) {
-	l.with(id, func(t *targetLoad) { t.evidence.probed(began, connected) })
+// Probed notes what a probe of the target met that began at a time.
+func (l *LoadTable) Probed(began time.Time, id model.TargetID, found Finding) {
+	l.with(id, func(t *targetLoad) { t.evidence.probed(began, found) })
 }
 
 // NotFound notes that a probe that began at a time did not find the target, and a miss of then on a flow, unless the target has
 // answered since or the probe was one of its earlier life. It reports whether it did; an answer that comes meanwhile is
 // noted either before or after both.
-func (l *LoadTable) NotFound(began time.Time, id model.TargetID, h model.FlowHash) bool {
+func (l *LoadTable) NotFound(began time.Time, id model.TargetID, h model.FlowHash, found Finding) bool {
 	noted := false
 	l.with(id, func(t *targetLoad) {
 		if t.evidence.LastAnswer.After(began) || began.Before(t.evidence.since) {
@@ -276,7 +276,7 @@
 		}
 		t.noteAttempt(began, 1)
 		t.evidence.missed(began, h, true)
-		t.evidence.probed(began, false)
+		t.evidence.probed(began, found)
 		noted = true
 	})
 	return noted
