--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -138,7 +138,9 @@
 func (f *flow) send(p Packet) {
 	p.Src, p.Dst = f.key.Caller, f.key.Service
 	if e := f.c.w.route(f.c.zone, f.key); e != nil && !f.c.w.links.drops(f.c.w.rand, f.c.zone, e.zone, false) {
-		f.c.w.write(f.c.conn, e.at(dataPort), f.c.w.dialect.AppendPacket(nil, p))
+		raw := f.c.w.dialect.AppendPacket(nil, p)
+		f.c.w.write(f.c.conn, e.at(dataPort), raw)
+		f.c.w.copyLater(f.c.conn, e.at(dataPort), raw, p.Flags)
 	}
 }
 
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -16,6 +16,8 @@
 	lossy     int
 	// synLossy counts the losses of SYNs alone.
 	synLossy int
+	// copies counts the times in which callers' packets also arrive a second time, late.
+	copies int
 }
 
 // dropsSYN reports whether a SYN, or an answer to one, is lost.
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -51,6 +51,10 @@
 	// AddRoute and DropRoute change the configuration.
 	AddRoute  Kind = "add_route"
 	DropRoute Kind = "drop_route"
+	// Hostile sends a daemon bytes that nobody sends, and spoils entries of the store.
+	Hostile Kind = "hostile"
+	// LateCopies lets callers' packets arrive a second time, up to some seconds late.
+	LateCopies Kind = "late_copies"
 	// Settings writes a daemon's settings file anew and tells it.
 	Settings Kind = "settings"
 )
@@ -141,11 +145,31 @@
 			begin += draw(r, meanGap)
 		}
 	}
+	if seed%besides == 0 {
+		s.Steps = append(s.Steps, drawBesides(seed, last)...)
+	}
 	slices.SortStableFunc(s.Steps, func(a, b Step) int { return cmp.Compare(a.At, b.At) })
 	s.Steps = slices.DeleteFunc(s.Steps, func(p Step) bool { return p.At >= last })
 	return s
 }
 
+// besides is how many seeds there are to one that has strange traffic beside its faults.
+const besides = 3
+
+// drawBesides returns steps of strange traffic over a time. They are drawn apart, so that the faults of a seed stay.
+func drawBesides(seed uint64, last time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, besides))
+	var steps []Step
+	for at := draw(r, seriesGap); at < last; at += draw(r, seriesGap) {
+		kind := Hostile
+		if r.IntN(2) == 0 {
+			kind = LateCopies
+		}
+		steps = append(steps, Step{Kind: kind, At: at, For: 200*time.Millisecond + time.Duration(r.Int64N(int64(maxFor))), Subject: r.IntN(1 << 16)})
+	}
+	return steps
+}
+
 // follow returns a step and, after a stall or the cut of a zone, planned work some time later: flows then change
 // daemons, so that one meets what the fault has left at another.
 func follow(r *rand.Rand, s Step) []Step {
--- a/internal/soak/steps.go
+++ b/internal/soak/steps.go
@@ -47,6 +47,11 @@
 		w.addRoute()
 	case DropRoute:
 		w.dropRoute(s.Subject)
+	case Hostile:
+		w.hostile(e, s.For)
+	case LateCopies:
+		w.links.copies++
+		w.after(s.For, func() { w.links.copies-- })
 	case Settings:
 		if err := e.settings(); err != nil {
 			w.fail(err)
