Probe a target that another daemon did not find only where it has flows

Cause, which shows at size alone: the daemon that does not find a target tells its zone, and each of the zone's daemons probed it for itself, each time with a connection to another target to compare with. With 59 daemons a zone and 120 of 600 targets that fall silent at once, the probes were three times the connections of the flows, took the slots of living targets (a health check takes one) and were turned away at their connection caps.

Change: resets rest on an own probe, so a daemon with flows on the target probes as before. The others avoid it for new flows for 4 s, about the time in which a dead target's registration ends, until it answers here. Where more targets are told of than are not, the word is not taken: its teller is cut off rather than they.

--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -239,6 +239,14 @@
 	}
 }
 
+// Told notes that another daemon did not find a target on which this one has no flows: new flows avoid it for a while, and
+// nothing is looked for. It answers the load pattern of many targets that die in a zone of many daemons: if each daemon looked
+// for each of them, and for another target to compare with, the probes would take more of the living targets than the flows
+// do.
+func (e *TagEngine) Told(now time.Time, id model.TargetID) {
+	e.loads.Told(now, id)
+}
+
 // elsewhere stands for the flows of other daemons among misses.
 const elsewhere model.FlowHash = 1
 
--- a/core/tagsim_probe_test.go
+++ b/core/tagsim_probe_test.go
@@ -150,7 +150,7 @@
 	if !recently(d.probes.told, t.id, d.w.at, simToldEvery) {
 		for _, peer := range d.w.daemons {
 			if peer != d && peer.zone == d.zone {
-				d.w.after(d.w.delay(false), func() { peer.soon(func() { peer.probe(t.id, simTold) }) })
+				d.w.after(d.w.delay(false), func() { peer.soon(func() { peer.told(t.id) }) })
 			}
 		}
 	}
@@ -159,6 +159,15 @@
 	}
 }
 
+// told takes the word of another daemon.
+func (d *simDaemon) told(id model.TargetID) {
+	if d.engine.Loads().Open(id) > 0 {
+		d.probe(id, simTold)
+		return
+	}
+	d.engine.Told(d.w.now(), id)
+}
+
 // died notes that a target was found absent, and reports whether more of its zone are to be looked for.
 func (d *simDaemon) died() bool {
 	p := &d.probes
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -114,11 +114,17 @@
 	}
 }
 
-// suspected asks for probes of targets that another daemon did not find, whose registrations may have ended.
-func (c *control) suspected(names []string) {
+// suspected takes the word of another daemon that did not find targets, whose registrations may have ended. Those that have
+// flows here are probed, since flows are reset on an own probe alone; the others are avoided.
+func (c *control) suspected(now time.Time, names []string) {
 	for _, name := range names {
-		if t := c.d.engine.Target(model.TargetIDOf(name)); t != nil {
+		t := c.d.engine.Target(model.TargetIDOf(name))
+		switch {
+		case t == nil:
+		case c.d.engine.Loads().Open(t.ID) > 0:
 			c.d.probes.put(suspect{target: t, why: suspectTold})
+		default:
+			c.d.engine.Told(now, t.ID)
 		}
 	}
 }
@@ -236,7 +242,7 @@
 	case news.Changed:
 		c.changed(now, a.Items)
 	case news.Suspected:
-		c.suspected(a.Targets)
+		c.suspected(now, a.Targets)
 	case news.ReadAll:
 		c.call(ctx, readLimit, func(callCtx context.Context) { c.readAll(ctx, callCtx, a) })
 	case news.Watch:
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -143,6 +143,8 @@
 	nodes   map[netip.AddrPort]*node
 	dead    map[string]bool
 	mu      sync.Mutex
+	// tries counts the connections of all daemons' probes.
+	tries int
 	// transport and interpreter stand in front of the platform's own where they are set.
 	transport   func(edge.Transport) edge.Transport
 	interpreter edge.Interpreter
@@ -280,6 +282,9 @@
 
 // Present implements edge.Prober.
 func (f *fleet) Present(_ context.Context, t *model.Target) bool {
+	f.mu.Lock()
+	f.tries++
+	f.mu.Unlock()
 	return !f.isDead(t.Data.String())
 }
 
--- /dev/null
+++ b/internal/edge/told_test.go
@@ -0,0 +1,81 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/binary"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// Many daemons of a zone hear of each target that one of them did not find. Few of them have flows there.
+func TestWordOfADeadTargetCostsNoProbesWhereItHasNoFlows(t *testing.T) {
+	const daemons = 12
+	run(t, func(ctx context.Context, f *fleet) {
+		var targets []*target
+		for i := range 4 {
+			targets = append(targets, f.target(i+1))
+		}
+		c := f.client()
+		defer c.conn.Close()
+		var nodes []*node
+		for i := range daemons {
+			nodes = append(nodes, f.start(ctx, i+1))
+		}
+		time.Sleep(3 * time.Second)
+		a := nodes[0]
+		// Flows of one daemon; those of the target that dies repeat what they sent, the others go on.
+		for port := uint16(2000); port < 2040; port++ {
+			c.send(a, c.packetOf(port, 1, wireSYN, 100, 0, 0, 0))
+		}
+		time.Sleep(10 * time.Millisecond)
+		type open struct {
+			port uint16
+			tag  uint32
+		}
+		flows := make(map[*target][]open)
+		for _, t := range targets {
+			for _, frame := range t.take() {
+				flows[t] = append(flows[t], open{portOf(frame), binary.BigEndian.Uint32(frame[8+tagAt:])})
+			}
+		}
+		dead := targets[0]
+		speak := func(seq, ack uint32) {
+			for _, t := range targets {
+				for _, o := range flows[t] {
+					if t == dead {
+						c.send(a, c.packetOf(o.port, 1, wireACK, 101, 501, o.tag, 10))
+					} else {
+						c.send(a, c.packetOf(o.port, 1, wireACK, seq, ack, o.tag, 10))
+					}
+				}
+			}
+		}
+		speak(101, 501)
+		f.kill(dead)
+		for i := range uint32(5) {
+			time.Sleep(250 * time.Millisecond)
+			speak(111+10*i, 601+100*i)
+		}
+		time.Sleep(time.Second)
+		// The one daemon found out by a probe of three tries, and a comparison; once more at most for its other flows.
+		f.mu.Lock()
+		tries := f.tries
+		f.mu.Unlock()
+		So(tries, ShouldBeBetween, 1, 13)
+		// All daemons avoid the target all the same.
+		for i, n := range nodes[1:] {
+			for port := uint16(3000); port < 3010; port++ {
+				c.send(n, c.packetOf(port+uint16(100*i), 1, wireSYN, 100, 0, 0, 0))
+			}
+		}
+		time.Sleep(10 * time.Millisecond)
+		placed := 0
+		for _, t := range targets[1:] {
+			placed += len(t.take())
+			_ = t.conn.Close()
+		}
+		So(placed, ShouldBeGreaterThanOrEqualTo, 10*(daemons-1))
+	})
+}
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -36,7 +36,10 @@
 	// Connected is true where it found the target, Refused where something answered in its place.
 	ProbedAt           time.Time
 	Connected, Refused bool
-	lastMissed         model.FlowHash
+	// ToldAt is when another daemon last said that it did not find the target, which has answered nothing here since; zero
+	// when none did.
+	ToldAt     time.Time
+	lastMissed model.FlowHash
 	// since is when this daemon learned of the target's present life; zero for the first one. Probes that began before
 	// tell of another.
 	since time.Time
@@ -55,6 +58,7 @@
 func (e *Evidence) answered(now time.Time) {
 	e.MissesInRow, e.MissedFlows, e.Strong, e.lastMissed = 0, 0, 0, 0
 	e.LastAnswer = now
+	e.ToldAt = time.Time{}
 }
 
 func (e *Evidence) missed(now time.Time, h model.FlowHash, strong bool) {
--- a/placement/loads.go
+++ b/placement/loads.go
@@ -50,6 +50,8 @@
 	// Absent is true where a probe that began after the target's first miss, at AbsentAt, did not find it.
 	Absent   bool
 	AbsentAt time.Time
+	// ToldAt is when another daemon last said that it did not find the target; zero when none did.
+	ToldAt time.Time
 	// Handshake is the mean time from SYN to SYN-ACK; 0 while unknown.
 	Handshake time.Duration
 	// Since is the time at which the target joined; zero when it was there from the start.
@@ -265,6 +267,11 @@
 	l.with(id, func(t *targetLoad) { t.evidence.probed(began, found) })
 }
 
+// Told notes that another daemon did not find the target.
+func (l *LoadTable) Told(now time.Time, id model.TargetID) {
+	l.with(id, func(t *targetLoad) { t.evidence.ToldAt = now })
+}
+
 // NotFound notes that a probe that began at a time did not find the target, and a miss of then on a flow, unless the target has
 // answered since or the probe was one of its earlier life. It reports whether it did; an answer that comes meanwhile is
 // noted either before or after both.
@@ -356,6 +363,7 @@
 		LastMiss:    t.evidence.LastMiss,
 		Absent:      t.evidence.absent(),
 		AbsentAt:    t.evidence.ProbedAt,
+		ToldAt:      t.evidence.ToldAt,
 		Handshake:   t.handshake,
 		Since:       t.since,
 		Down:        t.down,
--- a/placement/nearest.go
+++ b/placement/nearest.go
@@ -81,6 +81,8 @@
 
 const (
 	tierSound tier = iota
+	// tierTold is a target that another daemon did not find and of which this one knows nothing.
+	tierTold
 	tierSuspect
 	tierLapsed
 	tierCount
@@ -122,6 +124,9 @@
 	for _, t := range st.targets {
 		v.add(t, p.look(now, t, l, &v.full))
 	}
+	if v.tiers[tierTold].slots > v.tiers[tierSound].slots {
+		v.trustToldTargets(st)
+	}
 	for rank := range tierCount {
 		if s := &v.tiers[rank]; s.local+s.remote > 0 {
 			return p.draw(now, h, st, l, rank, &v), errkind.None
@@ -149,6 +154,20 @@
 	tier.localRecent += s.recent
 }
 
+// trustToldTargets takes the targets that others did not find for sound ones. It answers the load pattern of a daemon that is
+// cut off from most targets and tells the others, whose flows would crowd on the few that are left.
+func (v *survey) trustToldTargets(st *ServiceTable) {
+	standings := v.standings
+	v.standings, v.tiers = standings[:0], [tierCount]supply{}
+	for i, t := range st.targets {
+		s := standings[i]
+		if s.rank == tierTold {
+			s.rank = tierSound
+		}
+		v.add(t, s)
+	}
+}
+
 // look returns what is known of a target, and sets full where only its connection limit speaks against it.
 func (p *Nearest) look(now time.Time, t *model.Target, l Loads, full *bool) standing {
 	s := standing{local: t.Zone == p.cfg.Zone}
@@ -171,6 +190,8 @@
 	case o.Absent && now.Sub(o.AbsentAt) < p.cfg.MaxSuspectTime,
 		o.MissesInRow >= p.cfg.SuspectMisses && now.Sub(o.LastMiss) < p.cfg.suspectTime(o.MissesInRow):
 		s.rank = tierSuspect
+	case !o.ToldAt.IsZero() && now.Sub(o.ToldAt) < p.cfg.MaxSuspectTime:
+		s.rank = tierTold
 	}
 	return s
 }
--- a/placement/nearest_test.go
+++ b/placement/nearest_test.go
@@ -193,3 +193,45 @@
 		}
 	})
 }
+
+func TestNearestAvoidsWhatOthersDidNotFind(t *testing.T) {
+	told := func(s *nearestSite, names ...string) {
+		for _, name := range names {
+			s.loads.Told(s.now, model.TargetIDOf(name))
+		}
+	}
+	Convey("A target that another daemon did not find gets no flow for a while", t, func() {
+		s := newNearestSite(6)
+		told(s, "a00", "a01")
+		_, targets := s.place(300, time.Millisecond)
+		So(targets["a00"]+targets["a01"], ShouldEqual, 0)
+		Convey("and gets them again later", func() {
+			s.now = s.now.Add(4 * time.Second)
+			_, targets := s.place(300, time.Millisecond)
+			So(targets["a00"], ShouldBeGreaterThan, 0)
+		})
+		Convey("and as soon as it answers a flow here", func() {
+			s.loads.Alive(s.now, model.TargetIDOf("a00"))
+			_, targets := s.place(300, time.Millisecond)
+			So(targets["a00"], ShouldBeGreaterThan, 0)
+			So(targets["a01"], ShouldEqual, 0)
+		})
+	})
+	Convey("A daemon that finds hardly any target does not crowd the others' flows on the rest", t, func() {
+		s := newNearestSite(6)
+		told(s, "a00", "a01", "a02", "a03")
+		_, targets := s.place(600, time.Millisecond)
+		So(targets, ShouldHaveLength, 6)
+	})
+	Convey("What this daemon missed itself counts for more than the word of others", t, func() {
+		s := newNearestSite(4)
+		told(s, "a00")
+		for _, name := range []string{"a01", "a02", "a03"} {
+			for range 2 {
+				s.loads.Missed(s.now, model.TargetIDOf(name), 1, true)
+			}
+		}
+		_, targets := s.place(50, time.Millisecond)
+		So(targets["a00"], ShouldEqual, 50)
+	})
+}
