Tell a request under way from an idle flow by the caller's last data

Cause: a flow without repeats and packets for 0.3 s counted as idle.

Change: a flow whose caller has sent data since it last acknowledged some has a request under way.

--- a/core/tag_reset_test.go
+++ b/core/tag_reset_test.go
@@ -186,6 +186,21 @@
 	}
 }
 
+func TestRequestUnderWayIsNotTakenForAnIdleFlow(t *testing.T) {
+	Convey("A request that must run once and that its target has acknowledged stays at a silent target, though its caller repeats nothing", t, func() {
+		s := newProbedSilence(unsafeAddr, 40)
+		flows := s.ofDead()
+		waiting, missing := flows[:2], flows[2:3]
+		for _, c := range waiting {
+			So(c.send(s.engine, 100).Op, ShouldEqual, OpForward)
+		}
+		s.repeat(missing, firstRepeat, secondRepeat)
+		s.engine.Probed(s.now, s.dead, placement.FoundNothing)
+		So(s.tick(s.engine), ShouldHaveLength, len(flows)-len(waiting)-len(missing))
+		s.repeat(waiting, secondRepeat)
+	})
+}
+
 func TestMissesAloneResetNothing(t *testing.T) {
 	Convey("Flows of a busy target that a probe found a moment ago go on until the next probe", t, func() {
 		s := newProbedSilence(safeAddr, 40)
--- a/core/tagflow.go
+++ b/core/tagflow.go
@@ -46,6 +46,8 @@
 	// milliseconds since the epoch.
 	at, last uint32
 	state    tagState
+	// asked is true while the caller has sent data since it last acknowledged some: a request may be under way.
+	asked bool
 	// copies counts the repetitions of the SYN, repeats those of the data that the caller sent last.
 	copies, repeats uint8
 	// customer is set for flows that were admitted here, and counted by the limits.
@@ -254,6 +256,7 @@
 	p.after.state = tagOpen
 	p.after.seq, p.after.ack = m.Seq+m.SegmentLen(), m.Ack
 	p.after.at, p.after.last = ms, ms
+	p.after.asked = m.PayloadLen > 0
 	p.closed = p.after.closeOn(m)
 	stored := t.store(s, h, p.after)
 	p.added = !known && stored
@@ -270,10 +273,12 @@
 	if newer(m.Ack, f.ack) {
 		p.answered = true
 		p.after.ack = m.Ack
+		p.after.asked = false
 		news = true
 	}
 	if newer(end, f.seq) {
 		p.after.seq = end
+		p.after.asked = m.PayloadLen > 0
 		news = true
 	}
 	if news {
--- a/core/tagsilent.go
+++ b/core/tagsilent.go
@@ -357,7 +357,7 @@
 	if since > recordFor {
 		return false
 	}
-	idle := f.repeats == 0 && since >= idleAfter
+	idle := !f.asked && since >= idleAfter
 	return gone || idle || route.Kind.Idempotent()
 }
 
