Let a zone's calls to a store that is down not grow with its daemons, and guard both daemons alike

Cause: while the store answers nobody, every daemon of a zone tried it, from 0.1 s after its first failure on: 587 calls in 10 s by 120 daemons (virtual time), of which 90 are those of the first three of each zone.

Ruled out: letting the later ones not try at all: where the store turns away the first ones alone, one of them has to read.

Change: those behind the first three try 50 ms apart, so that one that is served tells the rest before they try, and wait at full length after a failure, longer the further back they are. A daemon that waits so no longer says that it reads. The code that contains panics and reads sockets moved to internal/contain; the daemon that steers by owners uses it too.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/internal/admission"
 	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/contain"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/listsource"
 	"github.com/fireflypin/fireflypin/internal/membership"
@@ -85,6 +86,7 @@
 	keys     wire.KeyringProvider
 	log      *log.Logger
 	metrics  *meters
+	faults   *contain.Guard
 	observer *flowObserver
 
 	engine      *core.Engine
@@ -119,6 +121,7 @@
 		keys:        deps.Keys,
 		log:         deps.Log,
 		metrics:     newMeters(deps.Metrics),
+		faults:      contain.NewGuard(deps.Metrics, deps.Log),
 		observer:    newFlowObserver(deps.Metrics),
 		limits:      newCustomerLimits(self, s.Zone, incarnation),
 		incarnation: incarnation,
@@ -256,17 +259,22 @@
 		case <-d.tasksCtx.Done():
 			return nil
 		case <-ticker.C:
-			now := time.Now()
-			d.perform(d.engine.Tick(now))
-			d.limits.follow(d.engine.View())
-			d.logHealth(d.health.tick(now))
+			_ = d.faults.Contain("tick", nil, func() { d.tickAt(time.Now()) }) // noted there; the next tick goes on
 		}
 	}
 }
 
+func (d *Daemon) tickAt(now time.Time) {
+	d.perform(d.engine.Tick(now))
+	d.limits.follow(d.engine.View())
+	d.logHealth(d.health.tick(now))
+}
+
 // followLists puts published lists in force as they come.
 func (d *Daemon) followLists(ctx context.Context) error {
-	err := d.lists.Run(ctx, d.adopt)
+	err := d.lists.Run(ctx, func(s *model.Snapshot) {
+		_ = d.faults.Contain("adopt", nil, func() { d.adopt(s) }) // noted there; the lists in force stay
+	})
 	if ctx.Err() != nil {
 		return nil
 	}
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -1,12 +1,11 @@
 package daemon
 
 import (
-	"errors"
-	"net"
 	"time"
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/contain"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/packet"
@@ -74,27 +73,27 @@
 
 // serveData moves packets of the fabric and of targets until the socket is closed.
 func (w *worker) serveData() error {
-	return w.serve(w.data, w.handleData)
+	return w.serve("packets", w.data, w.handleData)
 }
 
 // servePeers takes datagrams of other daemons until the socket is closed.
 func (w *worker) servePeers() error {
-	return w.serve(w.peer, w.handlePeer)
+	return w.serve("peers", w.peer, w.handlePeer)
 }
 
-func (w *worker) serve(conn udpio.Conn, handle func(now time.Time, m *udpio.Message)) error {
+func (w *worker) serve(where string, conn udpio.Conn, handle func(now time.Time, m *udpio.Message)) error {
 	for {
-		n, err := conn.ReadBatch(w.in)
-		if errors.Is(err, net.ErrClosed) {
+		n, open := w.d.faults.Read(where, conn, w.in)
+		if !open {
 			return nil
 		}
-		if err != nil {
-			return err
-		}
 		now := time.Now()
 		w.d.metrics.packetAt(now)
 		for i := range w.in[:n] {
-			handle(now, &w.in[i])
+			m := &w.in[i]
+			if err := contain.Run(func() { handle(now, m) }); err != nil {
+				w.d.faults.Note(where, m.Buf[:m.N], err)
+			}
 		}
 		w.flush()
 	}
--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -49,7 +49,7 @@
 // ask runs a call to the platform. One that ends in a panic has failed.
 func (c *control) ask(call func() error) error {
 	var err error
-	if fault := c.d.faults.contain("platform", nil, func() { err = call() }); fault != nil {
+	if fault := c.d.faults.Contain("platform", nil, func() { err = call() }); fault != nil {
 		return fault
 	}
 	return err
@@ -60,7 +60,7 @@
 func (c *control) answered(ctx context.Context, call uint64, err error, take func(now time.Time) []news.Action) {
 	c.d.send(ctx, func(now time.Time) (actions []news.Action) {
 		if err == nil {
-			err = c.d.faults.contain("platform", nil, func() { actions = take(now) })
+			err = c.d.faults.Contain("platform", nil, func() { actions = take(now) })
 		}
 		if err != nil {
 			return c.failed(now, call, err)
@@ -89,7 +89,7 @@
 	c.d.metrics.fetches.Inc(1)
 	go func() {
 		f := news.Fetched{From: a.From}
-		if err := c.d.faults.contain("fetch", nil, func() { f = c.d.fetcher.Fetch(ctx, a.From, a.Have) }); err != nil {
+		if err := c.d.faults.Contain("fetch", nil, func() { f = c.d.fetcher.Fetch(ctx, a.From, a.Have) }); err != nil {
 			f.Err = err
 		}
 		c.d.send(ctx, func(now time.Time) []news.Action {
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -85,7 +85,7 @@
 		case <-soon.C:
 			do = func() { c.handle(ctx, c.news.Tick) }
 		}
-		_ = c.d.faults.contain("control", nil, do) // noted there; the event is over
+		_ = c.d.faults.Contain("control", nil, do) // noted there; the event is over
 		now := time.Now()
 		c.adoptContained(now)
 		c.arm(now, soon)
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -20,6 +20,7 @@
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/internal/bulk"
+	"github.com/fireflypin/fireflypin/internal/contain"
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/news"
@@ -99,7 +100,7 @@
 	metrics     *meters
 	engine      *core.TagEngine
 	peers       *peerLink
-	faults      *faults
+	faults      *contain.Guard
 
 	flowLines *lineBudget
 	// stateLines bounds the lines on targets and daemons: many change at once where a zone is lost or a fleet starts.
@@ -155,7 +156,7 @@
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_open_flows", Help: "Flows with a record."},
 		func() float64 { return float64(d.engine.OpenFlows()) })
 	incarnation := wire.NewIncarnation(deps.Now)
-	d.faults = newFaults(d)
+	d.faults = contain.NewGuard(deps.Metrics, deps.Log)
 	d.peers = newPeerLink(s, deps.Keys, incarnation, d.metrics, d.faults)
 	seed := uint64(model.MachineIDOf(s.Name))
 	d.control = &control{
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -63,7 +63,7 @@
 			}
 			m.in[i].N = copy(m.in[i].Buf, p.raw)
 			if err := contain.Run(func() { m.decideHeld(now, i, p) }); err != nil {
-				d.faults.note("packets", p.raw, err)
+				d.faults.Note("packets", p.raw, err)
 			}
 		}
 		m.flush()
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -29,8 +29,6 @@
 	storeFailures gometrics.Counter
 	fetches       gometrics.Counter
 	unusable      gometrics.Counter
-	panics        gometrics.Counter
-	readErrors    gometrics.Counter
 	kinds         *metrics.KindCounters
 	placements    *metrics.HistogramVec
 
@@ -64,8 +62,6 @@
 		storeFailures: counter("platform_failures_total", "Calls to the platform that failed."),
 		fetches:       counter("item_fetches_total", "Fetches of items from other daemons."),
 		unusable:      counter("unusable_items_total", "Published items that cannot be used."),
-		panics:        counter("contained_panics_total", "Inputs whose handling ended in a panic."),
-		readErrors:    counter("read_errors_total", "Failed reads of sockets."),
 		kinds:         s.KindCounters(metrics.Family{Name: "fireflypin_errors_total", Help: "Packets, flows, messages and lists that were not taken."}),
 		placements: s.HistogramVec(metrics.Family{Name: "fireflypin_target_open_flows", Help: "Open flows of this daemon on the target that a new flow was given, with it."},
 			maxServiceSeries, "service"),
--- a/internal/edge/packets.go
+++ b/internal/edge/packets.go
@@ -53,7 +53,7 @@
 // run moves packets until the socket is closed.
 func (m *mover) run() error {
 	for {
-		n, open := m.d.faults.read("packets", m.conn, m.in)
+		n, open := m.d.faults.Read("packets", m.conn, m.in)
 		if !open {
 			return nil
 		}
@@ -82,7 +82,7 @@
 	if err == nil {
 		return n
 	}
-	m.d.faults.note("packets", m.in[i].Buf[:m.in[i].N], err)
+	m.d.faults.Note("packets", m.in[i].Buf[:m.in[i].N], err)
 	return i + 1
 }
 
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/fireflypin/fireflypin/errkind"
+	"github.com/fireflypin/fireflypin/internal/contain"
 	"github.com/fireflypin/fireflypin/internal/news"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
@@ -19,11 +20,11 @@
 	sealer  *wire.Sealer
 	opener  *wire.Opener
 	metrics *meters
-	faults  *faults
+	faults  *contain.Guard
 	out     []udpio.Message
 }
 
-func newPeerLink(s *settings.Settings, keys wire.KeyringProvider, incarnation uint64, m *meters, f *faults) *peerLink {
+func newPeerLink(s *settings.Settings, keys wire.KeyringProvider, incarnation uint64, m *meters, f *contain.Guard) *peerLink {
 	self := model.MachineIDOf(s.Name)
 	return &peerLink{
 		sealer:  wire.NewSealer(keys, self, incarnation, new(wire.Counter)),
@@ -59,7 +60,7 @@
 		in[i].Buf = make([]byte, bufferBytes)
 	}
 	for {
-		n, open := p.faults.read("peers", p.conn, in)
+		n, open := p.faults.Read("peers", p.conn, in)
 		if !open {
 			return nil
 		}
@@ -82,7 +83,7 @@
 // openContained opens a datagram. One whose decoding ends in a panic counts as malformed.
 func (p *peerLink) openContained(raw []byte) (d *news.Datagram, kind errkind.Kind) {
 	kind = errkind.PeerMalformed
-	_ = p.faults.contain("peers", raw, func() { d, kind = p.open(raw) }) // noted there
+	_ = p.faults.Contain("peers", raw, func() { d, kind = p.open(raw) }) // noted there
 	return d, kind
 }
 
--- a/internal/edge/presence.go
+++ b/internal/edge/presence.go
@@ -81,7 +81,7 @@
 
 // try tries one connection to a target. One that ends in a panic tells no more than silence does.
 func (d *Daemon) try(ctx context.Context, t *model.Target) (found bool) {
-	if err := d.faults.contain("probe", nil, func() { found = d.prober.Present(ctx, t) }); err != nil {
+	if err := d.faults.Contain("probe", nil, func() { found = d.prober.Present(ctx, t) }); err != nil {
 		<-ctx.Done()
 		return false
 	}
--- a/internal/edge/probes.go
+++ b/internal/edge/probes.go
@@ -124,7 +124,7 @@
 			}
 			last[s.target.ID] = now
 			running.Go(func() error {
-				_ = d.faults.contain("probe", nil, func() { d.probe(ctx, s) }) // noted there; the next miss asks again
+				_ = d.faults.Contain("probe", nil, func() { d.probe(ctx, s) }) // noted there; the next miss asks again
 				return nil
 			})
 		}
--- a/internal/edge/publish.go
+++ b/internal/edge/publish.go
@@ -44,7 +44,7 @@
 
 // interpret reads a published item. One whose reading ends in a panic cannot be used.
 func (c *control) interpret(it news.Item) (p Published, err error) {
-	if fault := c.d.faults.contain("items", it.Value, func() { p, err = c.d.interpreter.Interpret(it) }); fault != nil {
+	if fault := c.d.faults.Contain("items", it.Value, func() { p, err = c.d.interpreter.Interpret(it) }); fault != nil {
 		return Published{}, fault
 	}
 	return p, err
@@ -90,7 +90,7 @@
 	if now.Before(c.adoptAgain) {
 		return
 	}
-	if err := c.d.faults.contain("adopt", nil, func() { c.adopt(now) }); err != nil {
+	if err := c.d.faults.Contain("adopt", nil, func() { c.adopt(now) }); err != nil {
 		c.adoptAt, c.adoptAgain = now.Add(adoptRetry), now.Add(adoptRetry)
 	}
 }
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -720,6 +720,25 @@
 			})
 		})
 	}
+	Convey("While the platform answers nobody, calls do not grow with the daemons of a zone", t, func() {
+		const down = 10 * time.Second
+		calls := make(map[int]int)
+		for _, size := range []int{24, 120} {
+			eachFleet(size, func(s *site) {
+				before := s.shared.calls
+				s.denied = func(*node) bool { return true }
+				s.run(down)
+				calls[size] = s.shared.calls - before
+				s.denied = func(*node) bool { return false }
+				s.put("config", 100)
+				s.run(2500 * time.Millisecond)
+				So(s.holding("config"), ShouldEqual, size)
+			})
+		}
+		// Three daemons of a zone ask once a second each, the others together no more often than twice that.
+		So(calls[24], ShouldBeLessThanOrEqualTo, 3*3*10*2)
+		So(calls[120], ShouldBeLessThanOrEqualTo, 3*3*10*3)
+	})
 	Convey("A third of the daemons that the platform turns away hear of every change", t, func() {
 		eachFleet(12, func(s *site) {
 			s.denied = func(n *node) bool { return n.index%3 == 0 || n.index < 3 }
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -40,10 +40,16 @@
 // heartbeats often.
 const frontRank = 3
 
-// laterWait is how many times longer the other daemons of the zone wait: the first ones tell them once the
-// platform answers again.
+// laterWait is how many times BackoffMax the other daemons of the zone wait at least, from the first failure on: the first
+// ones tell them once the platform answers again. Those further back wait longer, so that a zone's calls do not grow with
+// its daemons.
 const laterWait = 4
 
+// laterSpread is the time between the first tries of two daemons of a zone that lies behind the first ones: one of them that
+// is served tells the rest before they try. With 59 daemons a zone the last one tries 2.8 s after the first, and with Trust
+// inside the 6 s in which a change must be in force there.
+const laterSpread = 50 * time.Millisecond
+
 // HandleRead takes every published item, as of a revision, in answer to ReadAll.
 func (e *Engine) HandleRead(now time.Time, number uint64, items []Item, asOf uint64) []Action {
 	if number != e.reader.number {
@@ -121,8 +127,8 @@
 		return append(e.reachedPlatform(nil), e.step(now)...)
 	}
 	wait := min(e.cfg.BackoffMin<<min(e.reader.failures, 8), e.cfg.BackoffMax)
-	if e.members.place(now) >= frontRank {
-		wait *= laterWait
+	if place := e.members.place(now); place >= frontRank {
+		wait = e.cfg.BackoffMax * time.Duration(max(laterWait, place/frontRank))
 	}
 	e.reader.failures++
 	e.reader.next = now.Add(wait/2 + e.jitter(wait))
@@ -149,19 +155,23 @@
 // stepReader opens the next call where one is due.
 func (e *Engine) stepReader(now time.Time) []Action {
 	actions := e.checkOpen(now)
-	if e.reader.open != callNone || now.Before(e.reader.next) {
+	if e.reader.open != callNone {
 		return actions
 	}
+	due := !now.Before(e.reader.next)
 	if !e.replica.filled {
-		return append(actions, e.read(true))
+		if due {
+			actions = append(actions, e.read(true))
+		}
+		return actions
 	}
-	reading, position := e.mustRead(now)
-	if reading != e.reader.reading {
-		e.reader.reading = reading
-		actions = append(actions, Reading{Reading: reading, Position: position, Age: e.age(now)})
+	if !due && !e.reader.reading {
+		return actions
 	}
+	reading, told := e.judgeReading(now)
+	actions = append(actions, told...)
 	switch {
-	case !reading:
+	case !reading, !due:
 		return actions
 	case e.reader.mustRead:
 		return append(actions, e.read(false))
@@ -171,6 +181,16 @@
 	return append(actions, Watch{Call: e.reader.number, After: e.replica.complete, Wait: e.cfg.WatchWait})
 }
 
+// judgeReading reports whether this daemon watches the platform, and tells where that has changed.
+func (e *Engine) judgeReading(now time.Time) (bool, []Action) {
+	reading, position := e.mustRead(now)
+	if reading == e.reader.reading {
+		return reading, nil
+	}
+	e.reader.reading = reading
+	return reading, []Action{Reading{Reading: reading, Position: position, Age: e.age(now)}}
+}
+
 func (e *Engine) read(stale bool) Action {
 	e.reader.open = callRead
 	e.reader.stale = stale
@@ -189,6 +209,7 @@
 	patience := e.cfg.Trust
 	if !failing {
 		patience += time.Duration(min(position, frontRank)) * e.cfg.Gather
+		patience += time.Duration(max(e.members.place(now)-frontRank, 0)) * laterSpread
 	}
 	heard := e.confirmed
 	if heard.Before(e.started) {
