Gather changes that come together for 0.3 s

Cause: a reader's watch returns with each change, at most each 0.15 s.

Ruled out: longer waits of a watch (an answer that is lost would be found later); fewer readers (a zone cut off needs its own). The first change is told at once as before; the time between daemons that may take over stays 0.15 s.

--- a/internal/news/config.go
+++ b/internal/news/config.go
@@ -22,8 +22,10 @@
 	// lost on its way goes unnoticed.
 	WatchWait time.Duration
 	// Gather is the least time from an answer with changes to the next watch, so that changes that come
-	// together cost one call; default 150 ms.
+	// together cost one call; default 300 ms. The first of them is told at once.
 	Gather time.Duration
+	// Stagger is the time between the tries of two daemons that could take over from the same reader; default 150 ms.
+	Stagger time.Duration
 	// Listen is how long a daemon that starts listens for others before it watches; default 500 ms.
 	Listen time.Duration
 	// Trust is the age of the copy from which a daemon reads for itself; default 2.6 s: a watch, a slow answer and two
@@ -56,7 +58,8 @@
 func (c Config) withDefaults() Config {
 	c.Readers = cmp.Or(c.Readers, 1)
 	c.WatchWait = cmp.Or(c.WatchWait, 1500*time.Millisecond)
-	c.Gather = cmp.Or(c.Gather, 150*time.Millisecond)
+	c.Gather = cmp.Or(c.Gather, 300*time.Millisecond)
+	c.Stagger = cmp.Or(c.Stagger, 150*time.Millisecond)
 	c.Listen = cmp.Or(c.Listen, 500*time.Millisecond)
 	c.Trust = cmp.Or(c.Trust, 2600*time.Millisecond)
 	c.BackoffMin = cmp.Or(c.BackoffMin, 100*time.Millisecond)
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -71,7 +71,7 @@
 	}
 	e.reader.next = now
 	if stale {
-		e.reader.next = e.started.Add(e.cfg.Listen + e.jitter(e.cfg.Gather))
+		e.reader.next = e.started.Add(e.cfg.Listen + e.jitter(e.cfg.Stagger))
 	}
 	return append(e.reachedPlatform(actions), e.step(now)...)
 }
@@ -208,7 +208,7 @@
 	}
 	patience := e.cfg.Trust
 	if !failing {
-		patience += time.Duration(min(position, frontRank)) * e.cfg.Gather
+		patience += time.Duration(min(position, frontRank)) * e.cfg.Stagger
 		patience += time.Duration(max(e.members.place(now)-frontRank, 0)) * laterSpread
 	}
 	heard := e.confirmed
