--- a/internal/edge/lines.go
+++ b/internal/edge/lines.go
@@ -44,8 +44,8 @@
 	sharedLineBurst      = 200
 )
 
-// lineBudget bounds the log lines on single flows, or on single targets and daemons. Each event has a share of its own, so that a burst of one leaves
-// the lines of the others. It is safe for concurrent use.
+// lineBudget bounds the log lines on single flows, or on single targets and daemons. Each event has a share of its own, so
+// that a burst of one leaves the lines of the others. It is safe for concurrent use.
 type lineBudget struct {
 	shared *rate.Limiter
 	own    [flowEvents]*rate.Limiter
