--- a/scripts/knownred/judge.go
+++ b/scripts/knownred/judge.go
@@ -14,9 +14,15 @@
 
 // outcome is what one test run reported.
 type outcome struct {
-	failedTests    map[string][]string // package -> top-level tests that failed
-	failedPackages []string
-	failedBuild    bool
+	// failed holds each run of a package that failed; a package may be tested in several runs.
+	failed      []failedRun
+	failedBuild bool
+}
+
+// failedRun is a run of a package's tests with the top-level tests that failed.
+type failedRun struct {
+	pkg   string
+	tests []string
 }
 
 // verdict compares a list with an outcome.
@@ -45,7 +51,7 @@
 
 // parseLog reads the plain output of go test. A package's failed tests stand before its own FAIL line.
 func parseLog(text string) outcome {
-	out := outcome{failedTests: make(map[string][]string)}
+	var out outcome
 	var pending []string
 	for _, line := range strings.Split(text, "\n") {
 		words := strings.Fields(line)
@@ -68,8 +74,7 @@
 	if strings.Contains(strings.Join(words, " "), "[") {
 		o.failedBuild = true
 	}
-	o.failedPackages = append(o.failedPackages, words[1])
-	o.failedTests[words[1]] = tests
+	o.failed = append(o.failed, failedRun{pkg: words[1], tests: tests})
 }
 
 // judge passes over a failed test only where the list names it.
@@ -78,16 +83,15 @@
 	if out.failedBuild {
 		v.unexpected = append(v.unexpected, "a build failure, a panic or a data race")
 	}
-	if len(out.failedPackages) == 0 {
+	if len(out.failed) == 0 {
 		v.unexpected = append(v.unexpected, "the run failed without naming a package")
 	}
-	for _, pkg := range out.failedPackages {
-		tests := out.failedTests[pkg]
-		if len(tests) == 0 {
-			v.unexpected = append(v.unexpected, pkg+": failed without naming a test")
+	for _, run := range out.failed {
+		if len(run.tests) == 0 {
+			v.unexpected = append(v.unexpected, run.pkg+": failed without naming a test")
 		}
-		for _, test := range tests {
-			v.place(list, pkg, test)
+		for _, test := range run.tests {
+			v.place(list, run.pkg, test)
 		}
 	}
 	return v
