--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -204,6 +204,7 @@
 	if !ok {
 		return
 	}
+	c.w.checkOwnPacket(from, p)
 	f := c.flows[p.Dst.Port()]
 	if f == nil || p.Src != f.key.Service {
 		return
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -127,3 +127,11 @@
 		w.broken("requests", "%v", v)
 	}
 }
+
+// checkOwnPacket checks what a daemon itself sends to a caller: a bare reset. An end of data or an answer of its own would
+// let what its target broke off look complete.
+func (w *world) checkOwnPacket(from netip.AddrPort, p Packet) {
+	if e := w.entryAt(from); e != nil && (p.Flags != packet.RST || len(p.Data) > 0) {
+		w.broken("answers", "%s sent a packet with flags %d and %d bytes for %v", e.name, p.Flags, len(p.Data), p.Dst)
+	}
+}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -55,6 +55,15 @@
 			f.holder.state = targetDark
 			w.checkReset(now, f, w.entries[0].at(dataPort))
 		}, ""},
+		{"a daemon ends a flow with a FIN", func(w *world, _ *flow, _ time.Time) {
+			w.checkOwnPacket(w.entries[0].at(dataPort), Packet{Flags: packet.FIN})
+		}, "answers"},
+		{"a daemon refuses a flow with a bare reset", func(w *world, _ *flow, _ time.Time) {
+			w.checkOwnPacket(w.entries[0].at(dataPort), Packet{Flags: packet.RST})
+		}, ""},
+		{"a target ends a flow with a FIN", func(w *world, f *flow, _ time.Time) {
+			w.checkOwnPacket(f.holder.entry.Address, Packet{Flags: packet.FIN | packet.ACK})
+		}, ""},
 		{"its own target resets it", func(w *world, f *flow, now time.Time) {
 			w.checkReset(now, f, f.holder.entry.Address)
 		}, ""},
