Keep the platform's names out of the soak, and wait for first lists only while they are outdated

Cause, by reading the whole change: the soak's strangers wrote the platform's keys and fields outside of platform/; a daemon whose copy is whole but holds no configuration yet looked every 10 ms whether lists may be put in force, for as long as none was published, though it has to look so only while the copy is known to be outdated (0.3 s at most); two loops wrote Guard.Contain again.

Ruled out: that lists come into force later: the look is armed until the copy counts as current, and each event looks too.

Change: spoiled entries come from the stand-in of the platform, the path of the call from the generated code.

No behaviour of packets changes.

--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -5,7 +5,6 @@
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
-	"github.com/fireflypin/fireflypin/internal/contain"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/wire"
 	"github.com/fireflypin/fireflypin/packet"
@@ -91,9 +90,7 @@
 		w.d.metrics.packetAt(now)
 		for i := range w.in[:n] {
 			m := &w.in[i]
-			if err := contain.Run(func() { handle(now, m) }); err != nil {
-				w.d.faults.Note(where, m.Buf[:m.N], err)
-			}
+			_ = w.d.faults.Contain(where, m.Buf[:m.N], func() { handle(now, m) }) // noted there
 		}
 		w.flush()
 	}
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -106,7 +106,7 @@
 	if next, ok := c.news.NextTick(); ok && (due.IsZero() || next.Before(due)) {
 		due = next
 	}
-	if c.d.engine.Lists() == nil && c.news.Filled() {
+	if c.d.engine.Lists() == nil && c.news.Filled() && c.news.Outdated(now) {
 		due = now.Add(firstListsLook)
 	}
 	if !due.IsZero() {
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -6,7 +6,6 @@
 
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
-	"github.com/fireflypin/fireflypin/internal/contain"
 )
 
 // maxHeldOpens bounds the first packets that are kept: several seconds of the users' largest load at one daemon.
@@ -62,9 +61,7 @@
 				late++
 			}
 			m.in[i].N = copy(m.in[i].Buf, p.raw)
-			if err := contain.Run(func() { m.decideHeld(now, i, p) }); err != nil {
-				d.faults.Note("packets", p.raw, err)
-			}
+			_ = d.faults.Contain("packets", p.raw, func() { m.decideHeld(now, i, p) }) // noted there
 		}
 		m.flush()
 		held = held[n:]
--- a/internal/soak/dialect.go
+++ b/internal/soak/dialect.go
@@ -59,6 +59,9 @@
 	// TargetItem and ConfigItem return an entry's key and value in the store.
 	TargetItem(t TargetEntry) (key string, value []byte)
 	ConfigItem(c Config) (key string, value []byte)
+	// SpoiledItems returns entries that another writer spoiled, by their keys; a number tells those of one call from
+	// those of another.
+	SpoiledItems(number int, service string) map[string][]byte
 	// IdentityHeader is the header by which a target names itself in health checks.
 	IdentityHeader() string
 }
--- a/internal/soak/hostile.go
+++ b/internal/soak/hostile.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/fireflypin/fireflypin/internal/news/newspb/newspbconnect"
 	"github.com/fireflypin/fireflypin/packet"
 )
 
@@ -41,9 +42,8 @@
 		go callBadly(e.at(port), w.noise())
 	}
 	w.tokens++
-	for i, value := range []string{"{", `{"service":7}`, `{"service":"` + w.config.Services[0] + `","address":"no","zone":"","slots":-1,"state":"ready"}`} {
-		key := fmt.Sprintf("servers/i-bad%d%d", w.tokens, i)
-		w.store.put(key, []byte(value))
+	for key, value := range w.dialect.SpoiledItems(w.tokens, w.config.Services[0]) {
+		w.store.put(key, value)
 		w.after(length, func() { w.store.put(key, nil) })
 	}
 }
@@ -82,7 +82,7 @@
 	}
 	defer conn.Close()
 	// What becomes of the bytes is the daemon's matter.
-	_, _ = conn.Write([]byte("POST /fireflypin.news.v1.NewsService/FetchItems HTTP/1.1\r\nContent-Type: application/proto\r\nContent-Length: 100000\r\n\r\n"))
+	_, _ = conn.Write([]byte("POST " + newspbconnect.NewsServiceFetchItemsProcedure + " HTTP/1.1\r\nContent-Type: application/proto\r\nContent-Length: 100000\r\n\r\n"))
 	_, _ = conn.Write(noise)
 }
 
