tags: a packet that closes a flow is no request, and the target's FIN no response

Cause: the false shortage after a power-off. Callers whose time was up while no daemon ran repeat their last data with a FIN; the daemon took that for a request, and the target's FIN for a response so short that it must be a rejection.

TestFlowsClosedDuringOutage fails without the change. Kept: a refusal that is not true costs its caller an attempt, and the log and the metrics named a shortage that there was not.

--- a/core/tags/observer_test.go
+++ b/core/tags/observer_test.go
@@ -125,6 +125,31 @@
 	})
 }
 
+// TestFlowsClosedDuringOutage replays what a daemon sees after an outage of the whole fleet: callers gave up meanwhile and
+// repeat their last data with a FIN, which targets answer with theirs.
+func TestFlowsClosedDuringOutage(t *testing.T) {
+	Convey("A packet that closes a flow is no request, and the target's FIN no response", t, func() {
+		s, r := newTagSite(3), &eventRecorder{}
+		opener, e := s.engine(), s.engineWith(r, nil)
+		for range 50 {
+			c := s.caller(safeAddr).open(opener)
+			e.FromCaller(s.now, c.meta(packet.ACK|packet.FIN, 300), c.tag)
+			c.seq, c.ack = c.seq+301, c.ack+1
+			c.send(e, 0)
+		}
+		So(r.sent, ShouldBeEmpty)
+		So(r.bytes, ShouldBeEmpty)
+		Convey("nor if the daemon saw the flow before", func() {
+			c := s.caller(safeAddr).open(e)
+			e.FromCaller(s.now, c.meta(packet.ACK|packet.FIN, 300), c.tag)
+			c.seq, c.ack = c.seq+301, c.ack+1
+			c.send(e, 0)
+			So(r.sent, ShouldBeEmpty)
+			So(r.bytes, ShouldBeEmpty)
+		})
+	})
+}
+
 func TestGate(t *testing.T) {
 	Convey("A gate decides on new flows only", t, func() {
 		s, g := newTagSite(3), &answerAll{}
--- a/core/tags/record.go
+++ b/core/tags/record.go
@@ -264,7 +264,7 @@
 	p.after.state = tagOpen
 	p.after.seq, p.after.ack = m.Seq+m.SegmentLen(), m.Ack
 	p.after.progressAt, p.after.packetAt = ms, ms
-	p.after.requestPending = m.PayloadLen > 0
+	p.after.requestPending = beginsRequest(m)
 	if !known {
 		p.after.trace = requestTrace{openedAt: ms}
 	}
@@ -292,7 +292,7 @@
 	}
 	if serialAfter(end, f.seq) {
 		p.after.seq = end
-		p.after.requestPending = m.PayloadLen > 0
+		p.after.requestPending = beginsRequest(m)
 		if p.after.requestPending && (!f.requestPending || p.ackAdvanced) {
 			p.after.trace.begin(ms, m.Ack)
 		}
@@ -311,6 +311,12 @@
 	return p
 }
 
+// beginsRequest reports whether a packet with new data is part of a request. Load pattern: callers give up while no daemon
+// runs, and close their flows with what is unacknowledged. The target answers with its own FIN, which is no response.
+func beginsRequest(m *packet.Meta) bool {
+	return m.PayloadLen > 0 && !m.Flags.Has(packet.FIN)
+}
+
 // recordClose updates the state if the packet closes the flow on the caller's side; it returns true the first time
 // only.
 func (f *tagRecord) recordClose(m *packet.Meta) bool {
