Place duplicate SYNs that callers sent while no daemon of the fleet could place flows

A handshake ends after 1.4 s, while callers have 1.0 or 1.2 s for a request, so these were lost. A duplicate may be dropped by one daemon because another one may have placed the flow; after an outage of the fleet none has.

Change: heartbeats say for how long their sender has been able to place flows (two bytes or three). internal/outage keeps the earliest such time of all daemons heard since the start; a duplicate whose first SYN was sent before it is placed like a first one. Daemons of earlier releases do not say it, and nothing is placed beside them. A held SYN whose caller has sent the next duplicate meanwhile is dropped after an outage, as another daemon may place that one.

--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -20,7 +20,7 @@
 )
 
 // open admits and places a new flow, or handles a duplicate SYN. Only the daemon that received a flow's first SYN
-// sends the flow to a target.
+// sends the flow to a target, unless no daemon was able to do so when that SYN was sent.
 func (e *Engine) open(lists *tagLists, now time.Time, h model.FlowHash, m *packet.Meta, waited bool) Verdict {
 	if lists.admitter == nil {
 		return dropTagged(errkind.NotReady)
@@ -29,7 +29,7 @@
 	switch {
 	case known && f.state == tagHandshake && f.seq == m.Seq+m.SegmentLen():
 		return e.handleDuplicateSYN(lists, now, h, m, f)
-	case m.DuplicateSYN && !waited, known && f.isDuplicateSYN(m):
+	case known && f.isDuplicateSYN(m), m.DuplicateSYN && !waited && !e.wasUnplaceable(now, m):
 		// Another daemon may have sent the first SYN to a target.
 		return dropTagged(errkind.PacketOutdated)
 	}
@@ -78,6 +78,12 @@
 	return v
 }
 
+// wasUnplaceable reports whether no daemon was able to place a flow when its caller sent the first SYN, so that a
+// duplicate is placed like a first one.
+func (e *Engine) wasUnplaceable(now time.Time, m *packet.Meta) bool {
+	return e.cfg.Outage != nil && e.cfg.Outage.Covers(now.Add(-m.FirstSYNAge))
+}
+
 func (e *Engine) newRecord(now time.Time, m *packet.Meta, v Verdict) tagRecord {
 	ms := e.records.millis(now)
 	return tagRecord{
--- a/core/tags/rules_test.go
+++ b/core/tags/rules_test.go
@@ -22,7 +22,9 @@
 // simVariant holds the properties that all sites of a test share.
 type simVariant struct {
 	strict, reuse, noFaults bool
-	losses                  []float64
+	// outages lets all daemons lose power several times, besides other faults.
+	outages bool
+	losses  []float64
 }
 
 var (
@@ -50,6 +52,13 @@
 	if !v.noFaults {
 		cfg.faults = drawSimFaults(t, cfg.seed)
 	}
+	if v.outages {
+		for at := time.Second; at < simLength-3*time.Second; at += 3 * time.Second {
+			f := simFault{kind: "all daemons lose power", span: rapid.Float64Range(0, 1).Draw(t, "time off")}
+			f.at = at + time.Duration(rapid.IntRange(0, 1000).Draw(t, "power fails at"))*time.Millisecond
+			cfg.faults = append(cfg.faults, f)
+		}
+	}
 	return cfg
 }
 
@@ -152,3 +161,21 @@
 func TestPacketLossDoesNotResetFlow(t *testing.T) {
 	checkSims(t, simVariant{noFaults: true, losses: heavyLoss}, neverViolates(simDaemonReset), 1, 67)
 }
+
+// TestDuplicatesAfterOutage checks the rules on sites whose daemons lose power together. Daemons place duplicate SYNs then
+// that callers sent while none of them ran.
+func TestDuplicatesAfterOutage(t *testing.T) {
+	for _, strict := range []bool{false, true} {
+		checkSims(t, simVariant{outages: true, strict: strict, losses: anyLoss}, func(t *rapid.T, w *sim) {
+			w.run(simMisrouted, simDuplicateMisrouted, simDuplicateRefused, simTargetReset)
+			for _, rule := range []simRule{simMisrouted, simDuplicateMisrouted, simDuplicateRefused, simTargetReset} {
+				if v := w.first(rule); v != nil {
+					t.Fatal(w.trace(v))
+				}
+			}
+			if w.counts.placedDuplicates == 0 {
+				t.Fatal("no duplicate was placed")
+			}
+		}, 1, 2)
+	}
+}
--- a/core/tags/sim_caller_test.go
+++ b/core/tags/sim_caller_test.go
@@ -63,7 +63,7 @@
 	w.ports[f.src] = f
 	w.counts.flows++
 	for duplicates, at := range []time.Duration{0, 200, 600} {
-		w.after(at*time.Millisecond, func() { f.sendSYN(uint32(duplicates)) })
+		w.after(at*time.Millisecond, func() { f.sendSYN(uint32(duplicates), at*time.Millisecond) })
 	}
 	w.after(1400*time.Millisecond, func() {
 		if f.chosen == nil {
@@ -72,9 +72,9 @@
 	})
 }
 
-func (f *simFlow) sendSYN(duplicates uint32) {
+func (f *simFlow) sendSYN(duplicates uint32, age time.Duration) {
 	if f.chosen == nil && !f.done {
-		f.transmit(packet.Meta{Flags: packet.SYN, Seq: f.isn, Ack: duplicates, DuplicateSYN: duplicates > 0})
+		f.transmit(packet.Meta{Flags: packet.SYN, Seq: f.isn, Ack: duplicates, DuplicateSYN: duplicates > 0, FirstSYNAge: age})
 	}
 }
 
--- a/core/tags/sim_daemon_test.go
+++ b/core/tags/sim_daemon_test.go
@@ -10,6 +10,7 @@
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/internal/admission"
 	"github.com/fireflypin/fireflypin/internal/flowtag"
+	"github.com/fireflypin/fireflypin/internal/outage"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 	"github.com/fireflypin/fireflypin/placement"
@@ -22,6 +23,8 @@
 	// its lists. simStallLimit is that from which it drops SYNs that waited in its socket.
 	simPauseLimit = time.Second
 	simStallLimit = 500 * time.Millisecond
+	// simArrivalSlack is the uncertainty of a waiting SYN's arrival.
+	simArrivalSlack = 50 * time.Millisecond
 )
 
 // simDaemon is a daemon with a Engine, run as in package edge: a socket that buffers packets while the daemon is
@@ -36,9 +39,13 @@
 	// instance is the daemon's instance number. Work that an earlier instance began is discarded.
 	instance int
 	// blocked is true while the daemon is stalled or restarting.
-	blocked  bool
+	blocked bool
+	// off is true while it has no power, so that packets to it are lost.
+	off      bool
 	socket   []simPacket
 	deferred []func()
+	// outage knows when no daemon that this one hears was able to place flows.
+	outage *outage.Tracker
 	// outReasons counts the reasons for which the routers send it no flows.
 	outReasons int
 	probes     simProbes
@@ -58,7 +65,11 @@
 // start starts a new instance of the daemon, with the current lists and no records.
 func (d *simDaemon) start() {
 	d.instance++
+	d.outage = outage.NewTracker(d.w.now())
+	d.outage.Begin(d.w.now())
+	d.hearOthers()
 	d.engine = New(Config{
+		Outage:       d.outage,
 		Policy:       placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: d.zone}}),
 		Epoch:        d.w.now(),
 		RequestProbe: func(t *model.Target) { d.probe(t.ID, simReasonMissed) },
@@ -70,6 +81,19 @@
 	d.engine.SetCurrent(true)
 }
 
+// hearOthers lets the daemon and the others that it reaches hear for how long they have placed flows, as starting daemons
+// do.
+func (d *simDaemon) hearOthers() {
+	now := d.w.now()
+	for _, other := range d.w.daemons {
+		if other == d || other.blocked || other.outage == nil || other.zone != d.zone && d.w.cut.active {
+			continue
+		}
+		d.outage.Heard(now, other.outage.Placing(now))
+		other.outage.Heard(now, d.outage.Placing(now))
+	}
+}
+
 func (d *simDaemon) applyLists(version int, lists *model.Snapshot) {
 	if version <= d.version {
 		return
@@ -105,13 +129,31 @@
 	d.instance++
 	d.w.after(span, func() {
 		d.start()
-		if span >= simStallLimit {
-			d.dropSYNs()
+		switch {
+		case span >= simStallLimit:
+			d.dropSYNs(func(*packet.Meta) bool { return true })
+		case d.outage.Covers(d.w.now().Add(-span)):
+			d.dropSYNs(func(m *packet.Meta) bool { return span >= m.NextDuplicate()+simArrivalSlack })
 		}
 		d.resume()
 	})
 }
 
+// powerOff stops the daemon and closes its socket. After off the socket is open again, and some time later the daemon has
+// its first lists.
+func (d *simDaemon) powerOff(off time.Duration) {
+	if d.blocked {
+		return
+	}
+	d.blocked, d.off = true, true
+	d.instance++
+	d.socket = nil
+	d.w.after(off, func() {
+		d.blocked, d.off = false, false
+		d.restart(d.w.between(20*time.Millisecond, simStallLimit))
+	})
+}
+
 // stall blocks the daemon for a time. If the stall was long enough for the routers to move flows to other daemons, it
 // drops the SYNs that waited. After a longer stall it also opens no flow until it has received reports of other
 // daemons.
@@ -125,7 +167,7 @@
 	}
 	d.w.after(span, func() {
 		if span >= simStallLimit {
-			d.dropSYNs()
+			d.dropSYNs(func(*packet.Meta) bool { return true })
 		}
 		if span >= simPauseLimit {
 			d.engine.SetCurrent(false)
@@ -140,8 +182,9 @@
 	})
 }
 
-func (d *simDaemon) dropSYNs() {
-	d.socket = slices.DeleteFunc(d.socket, func(p simPacket) bool { return p.meta.Flags.Has(packet.SYN) })
+// dropSYNs drops the waiting SYNs that match.
+func (d *simDaemon) dropSYNs(match func(*packet.Meta) bool) {
+	d.socket = slices.DeleteFunc(d.socket, func(p simPacket) bool { return p.meta.Flags.Has(packet.SYN) && match(&p.meta) })
 }
 
 // resume ends a stall. A tick may run before or after the waiting packets are handled, since each has its own
@@ -164,11 +207,13 @@
 }
 
 func (d *simDaemon) receive(p simPacket) {
-	if d.blocked {
+	switch {
+	case d.off:
+	case d.blocked:
 		d.socket = append(d.socket, p)
-		return
+	default:
+		d.handle(p, d.w.now())
 	}
-	d.handle(p, d.w.now())
 }
 
 func (d *simDaemon) handle(p simPacket, now time.Time) {
@@ -191,6 +236,10 @@
 		d.w.counts.moved++
 	case Learned:
 		d.w.counts.learned++
+	case Placed:
+		if p.meta.DuplicateSYN {
+			d.w.counts.placedDuplicates++
+		}
 	}
 	if v.Reason != Steered || t != p.flow.chosen {
 		p.flow.note("daemon "+d.name+" forwards to target "+t.name+" ("+v.Reason.String()+")", &p.meta, p.tag)
@@ -232,6 +281,7 @@
 }
 
 func (d *simDaemon) tick() {
+	d.hearOthers()
 	resets := d.engine.Tick(d.w.now())
 	// The order of the engine's records is random; sorting keeps the run reproducible.
 	slices.SortFunc(resets, func(a, b FlowReset) int { return cmp.Compare(a.Caller.Port(), b.Caller.Port()) })
--- a/core/tags/sim_fault_test.go
+++ b/core/tags/sim_fault_test.go
@@ -32,6 +32,9 @@
 	"daemon restarts": {100 * time.Millisecond, 900 * time.Millisecond, func(w *sim, who int, span time.Duration) {
 		w.daemon(who).restart(span)
 	}},
+	"all daemons lose power": {300 * time.Millisecond, 1500 * time.Millisecond, func(w *sim, _ int, span time.Duration) {
+		w.powerOff(span)
+	}},
 	"daemon leaves the rotation": {300 * time.Millisecond, 5 * time.Second, func(w *sim, who int, span time.Duration) {
 		w.daemon(who).leaveRotation(0, span)
 	}},
@@ -94,6 +97,13 @@
 	kind.do(w, f.who, kind.low+time.Duration(f.span*float64(kind.high-kind.low)))
 }
 
+// powerOff stops all daemons, which lose the packets in their sockets. They start again after a time, within a third of it.
+func (w *sim) powerOff(span time.Duration) {
+	for _, d := range w.daemons {
+		d.powerOff(span + w.between(0, span/3))
+	}
+}
+
 func (w *sim) daemon(who int) *simDaemon { return w.daemons[who%len(w.daemons)] }
 
 func (w *sim) target(who int) *simTarget { return w.order[who%len(w.order)] }
--- a/core/tags/sim_test.go
+++ b/core/tags/sim_test.go
@@ -63,6 +63,8 @@
 type simCounts struct {
 	flows, opened, requests, answered int
 	moved, learned, absent            int
+	// placedDuplicates counts duplicate SYNs that were placed like first ones.
+	placedDuplicates int
 }
 
 func newSim(cfg simConfig) *sim {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/news"
+	"github.com/fireflypin/fireflypin/internal/outage"
 	"github.com/fireflypin/fireflypin/internal/room"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/udpio"
@@ -131,6 +132,8 @@
 	gate        *room.Gate
 	waiting     room.Queue
 	controlLoop *controlLoop
+	// outage knows when no daemon of the fleet was able to place flows.
+	outage *outage.Tracker
 
 	// newsMu guards the news engine, which the handler of other daemons' requests uses as well as the control loop.
 	newsMu sync.Mutex
@@ -159,6 +162,7 @@
 		pauses:          pauseDetector{sinceBoot: deps.System.SinceBoot},
 	}
 	demand := newDemandControl(s.Zone)
+	d.outage = outage.NewTracker(deps.Now)
 	d.warmup = newWarmupGate(s, deps.Metrics)
 	d.gate = room.NewGate(s.Zone)
 	d.engine = tags.New(tags.Config{
@@ -168,6 +172,7 @@
 		RequestProbe: d.probeQueue.request,
 		Observer:     tags.Observers{demand.meter, d.gate},
 		Gate:         d.gate,
+		Outage:       d.outage,
 	})
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_open_flows", Help: "Flows with a record."},
 		func() float64 { return float64(d.engine.OpenFlows()) })
@@ -188,6 +193,7 @@
 			Reports: func(now time.Time, leading bool) []news.Report {
 				return d.controlLoop.ownReports(now, leading)
 			},
+			Outage:   d.outage,
 			Describe: d.describe,
 		}),
 		directory: directory.New(directory.Config{
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -22,10 +22,15 @@
 }
 
 type heldSYN struct {
-	raw     []byte
+	raw []byte
+	// arrived is the earliest time at which it may have arrived.
 	arrived time.Time
 }
 
+// arrivalSlack is how much later than heldSYN.arrived a SYN may have arrived: the usual time between the opening of the
+// socket and the first targets, before which it is not read.
+const arrivalSlack = 50 * time.Millisecond
+
 // hold stores a copy of a packet that arrived at a time. It returns false if the packet has to be decided on now,
 // because the queue is full or closed.
 func (q *synQueue) hold(raw []byte, arrived time.Time) bool {
@@ -59,11 +64,8 @@
 	for len(heldSYNs) > 0 {
 		n := min(len(heldSYNs), len(fw.in))
 		for i, p := range heldSYNs[:n] {
-			if now.Sub(p.arrived) >= stallLimit {
-				outdated++
-			}
 			fw.in[i].N = copy(fw.in[i].Buf, p.raw)
-			_ = d.guard.Contain("packets", p.raw, func() { fw.processHeld(now, i, p) }) // logged by Contain
+			_ = d.guard.Contain("packets", p.raw, func() { outdated += fw.processHeld(now, i, p) }) // logged by Contain
 		}
 		fw.flush()
 		heldSYNs = heldSYNs[n:]
@@ -71,15 +73,25 @@
 	d.log.Info("held SYNs were processed", "op", "lists", "event", "held", "packets", count, "late", outdated)
 }
 
-func (f *forwarder) processHeld(now time.Time, i int, p heldSYN) {
+// processHeld decides on a held SYN and returns 1 if it drops it as outdated, otherwise 0.
+func (f *forwarder) processHeld(now time.Time, i int, p heldSYN) (outdated int) {
 	raw := f.in[i].Buf[:f.in[i].N]
 	tag, kind := f.d.transport.Decode(raw, &f.meta)
 	switch {
 	case kind != errkind.None:
 		f.d.metrics.errorKinds.Add(kind, 1)
-	case now.Sub(p.arrived) >= stallLimit:
+	case f.isOutdated(now, p.arrived):
 		f.d.recordDropped(now, &f.meta, tag, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated})
+		return 1
 	default:
 		f.process(now, i, raw, tag)
 	}
+	return 0
+}
+
+// isOutdated reports whether the last decoded SYN, held since it arrived, must not be placed any more. After an outage any
+// daemon places duplicates, so a SYN is outdated once its caller has sent the next one.
+func (f *forwarder) isOutdated(now, arrived time.Time) bool {
+	held := now.Sub(arrived)
+	return held >= stallLimit || held >= f.meta.NextDuplicate()+arrivalSlack && f.d.outage.Covers(arrived)
 }
--- a/internal/edge/held_test.go
+++ b/internal/edge/held_test.go
@@ -53,6 +53,35 @@
 	})
 }
 
+// A duplicate SYN that was sent while no daemon ran is placed by the first one that runs again, unless another daemon may
+// have placed the flow.
+func TestDuplicateSYNAfterOutage(t *testing.T) {
+	duplicate := func(o *oneTarget, d *node, port uint16, n uint32) int {
+		o.caller.send(d, o.caller.packetOf(port, 1, wireSYN, 100, n, 0, 0))
+		time.Sleep(5 * time.Millisecond)
+		return len(o.target.take())
+	}
+	untilReady := func(d *node) {
+		for d.daemon.Ready() != nil {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	runOneTarget(t, func(ctx context.Context, o *oneTarget) {
+		a := o.start(ctx, 1)
+		untilReady(a)
+		So(duplicate(o, a, 1026, 1), ShouldEqual, 1)
+		So(duplicate(o, a, 1027, 2), ShouldEqual, 1)
+		time.Sleep(time.Second)
+		So(duplicate(o, a, 1028, 2), ShouldEqual, 0)
+
+		b := o.start(ctx, 2)
+		untilReady(b)
+		So(duplicate(o, b, 1029, 1), ShouldEqual, 0)
+		So(duplicate(o, b, 1030, 2), ShouldEqual, 0)
+		So(o.sendSYN(b, 1031), ShouldEqual, 1)
+	})
+}
+
 // While a daemon holds a SYN, its caller may open the flow through another daemon. The held SYN must not reach a
 // second target then.
 func TestSYNsHeldTooLongAreDropped(t *testing.T) {
--- a/packet/build_test.go
+++ b/packet/build_test.go
@@ -54,7 +54,7 @@
 					checkChecksums(b)
 					var m Meta
 					So(d.Decode(b, &m), ShouldEqual, errkind.None)
-					So(m, ShouldResemble, Meta{e.service, e.caller, c.want, c.wantSeq, c.wantAck, len(text), generatedHopLimit, len(b), false})
+					So(m, ShouldResemble, Meta{e.service, e.caller, c.want, c.wantSeq, c.wantAck, len(text), generatedHopLimit, len(b), false, 0})
 					So(string(b[len(b)-len(text):]), ShouldEqual, text)
 				})
 			}
--- a/packet/decode_test.go
+++ b/packet/decode_test.go
@@ -76,16 +76,16 @@
 		b    []byte
 		want Meta
 	}{
-		{"IPv4", ipv4Packet(), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 50, false}},
-		{"IPv4 with options", withOptions(ipv4Packet(), []byte{1, 1, 1, 0}), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 54, false}},
-		{"IPv4 with don't fragment cleared", editPacket(ipv4Packet(), func(b []byte) { b[6] = 0 }), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 50, false}},
-		{"IPv4 with ECN bits", editPacket(ipv4Packet(), func(b []byte) { b[33] |= 0xe0 }), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 50, false}},
-		{"IPv4 with the lowest hop limit", editPacket(ipv4Packet(), func(b []byte) { b[8] = 2 }), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 2, 50, false}},
-		{"IPv6", ipv6Packet(), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 70, false}},
-		{"IPv6 hop-by-hop", withExtension(ipv6Packet(), layers.IPProtocolIPv6HopByHop), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 78, false}},
-		{"IPv6 destination options", withExtension(ipv6Packet(), layers.IPProtocolIPv6Destination), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 78, false}},
-		{"IPv6 hop-by-hop and destination options", withExtension(withExtension(ipv6Packet(), layers.IPProtocolIPv6Destination), layers.IPProtocolIPv6HopByHop), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 86, false}},
-		{"TCP with options", withTCPOptions(ipv6Packet(), mptcp), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 82, false}},
+		{"IPv4", ipv4Packet(), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 50, false, 0}},
+		{"IPv4 with options", withOptions(ipv4Packet(), []byte{1, 1, 1, 0}), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 54, false, 0}},
+		{"IPv4 with don't fragment cleared", editPacket(ipv4Packet(), func(b []byte) { b[6] = 0 }), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 50, false, 0}},
+		{"IPv4 with ECN bits", editPacket(ipv4Packet(), func(b []byte) { b[33] |= 0xe0 }), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 64, 50, false, 0}},
+		{"IPv4 with the lowest hop limit", editPacket(ipv4Packet(), func(b []byte) { b[8] = 2 }), Meta{caller4, service4, PSH | ACK, 1000, 2000, 10, 2, 50, false, 0}},
+		{"IPv6", ipv6Packet(), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 70, false, 0}},
+		{"IPv6 hop-by-hop", withExtension(ipv6Packet(), layers.IPProtocolIPv6HopByHop), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 78, false, 0}},
+		{"IPv6 destination options", withExtension(ipv6Packet(), layers.IPProtocolIPv6Destination), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 78, false, 0}},
+		{"IPv6 hop-by-hop and destination options", withExtension(withExtension(ipv6Packet(), layers.IPProtocolIPv6Destination), layers.IPProtocolIPv6HopByHop), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 86, false, 0}},
+		{"TCP with options", withTCPOptions(ipv6Packet(), mptcp), Meta{caller6, service6, SYN, 1000, 0, 10, 64, 82, false, 0}},
 	}
 	Convey("Valid packets are decoded without an allocation", t, func() {
 		d := NewDecoder(DecoderConfig{})
