Place fewer flows on targets that respond much slower than the others of their zone

Placement compared open flows by slots and knew no speed.

Hypothesis: callers' packets show the time to a response; relative to the route's mean and to the median of the zone's targets it is the same for all kinds of requests and distances. Change: internal/speed keeps that ratio for each target (rejections, warming targets and silence left out; forgotten with the instance, and 2 s after the last response); placement multiplies a target's load by it from 1.7 on, 8 at most. No messages between daemons.

TestSlowTargets replays the load in the lab (2.4 and 5 times slower, recovery, two slow of three, distance, warm-up, rejections) and fails without estimates.

The size by which a rejection is told moves to internal/rejection, which internal/room and internal/speed share. METRICS, log lines (speed/slow, slow_ended; slowness of a placed flow) and the list of names follow.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -171,6 +171,7 @@
 	now := time.Now()
 	c.checkPause(now)
 	c.sendResets(now, c.d.engine.Tick(now))
+	c.tickSpeeds(now)
 	c.tickShortage(now)
 }
 
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -27,6 +27,7 @@
 	"github.com/fireflypin/fireflypin/internal/outage"
 	"github.com/fireflypin/fireflypin/internal/room"
 	"github.com/fireflypin/fireflypin/internal/settings"
+	"github.com/fireflypin/fireflypin/internal/speed"
 	"github.com/fireflypin/fireflypin/internal/udpio"
 	"github.com/fireflypin/fireflypin/internal/warmup"
 	"github.com/fireflypin/fireflypin/internal/wire"
@@ -132,6 +133,8 @@
 	gate        *room.Gate
 	waiting     room.Queue
 	controlLoop *controlLoop
+	// speeds knows which targets are slow.
+	speeds *speed.Estimator
 	// outage knows when no daemon of the fleet was able to place flows.
 	outage *outage.Tracker
 
@@ -162,15 +165,16 @@
 		pauses:          pauseDetector{sinceBoot: deps.System.SinceBoot},
 	}
 	demand := newDemandControl(s.Zone)
+	d.speeds = speed.NewEstimator()
 	d.outage = outage.NewTracker(deps.Now)
 	d.warmup = newWarmupGate(s, deps.Metrics)
 	d.gate = room.NewGate(s.Zone)
 	d.engine = tags.New(tags.Config{
-		Policy:       placement.NewNearest(placement.NearestConfig{Zone: s.Zone, Spread: demand.spread, Warmup: d.warmup}),
+		Policy:       placement.NewNearest(placement.NearestConfig{Zone: s.Zone, Spread: demand.spread, Warmup: d.warmup, Speeds: d.speeds}),
 		Warmup:       d.warmup,
 		Epoch:        deps.Now,
 		RequestProbe: d.probeQueue.request,
-		Observer:     tags.Observers{demand.meter, d.gate},
+		Observer:     tags.Observers{demand.meter, d.gate, d.speeds},
 		Gate:         d.gate,
 		Outage:       d.outage,
 	})
@@ -178,6 +182,8 @@
 		func() float64 { return float64(d.engine.OpenFlows()) })
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_spread_services", Help: "Services whose new flows are spread over zones, since the demand of the own zone exceeds its slots."},
 		func() float64 { return float64(demand.spread.Len()) })
+	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_slow_targets", Help: "Targets that respond much slower than the others of their zone, by the flows of this daemon."},
+		func() float64 { return float64(d.speeds.Len()) })
 	incarnation := wire.NewIncarnation(deps.Now)
 	d.guard = contain.NewGuard(deps.Metrics, deps.Log)
 	d.peers = newPeerLink(s, deps.Keys, incarnation, d.metrics, d.guard)
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -63,7 +63,7 @@
 		return
 	}
 	d.log.Info("flow placed", "op", "flow", "event", event, "flow", flowID(m.Src, m.Dst, m.Seq), "route", v.Route.Name,
-		"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "tag", tagText(v.Tag), "open", o.Open,
+		"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "tag", tagText(v.Tag), "open", o.Open, "slowness", d.speeds.Slowness(v.Target.ID),
 		"misses", o.ConsecutiveMisses, "lapsed", v.Target.Expired, "plan", d.planVersion.Load(), "age_ms", d.listsAge(now).Milliseconds())
 }
 
--- a/internal/edge/lists.go
+++ b/internal/edge/lists.go
@@ -121,6 +121,7 @@
 	}
 	c.demand.setLists(s)
 	c.d.gate.ApplyLists(s)
+	c.d.speeds.SetLists(s)
 	c.d.engine.ApplyLists(now, s, admission.NewTable(s))
 	c.reportDrains(now, s.DrainingZones)
 	if first {
--- a/internal/edge/shortage.go
+++ b/internal/edge/shortage.go
@@ -80,6 +80,20 @@
 	return true
 }
 
+// tickSpeeds compares the targets' speeds and logs those that have become slow or are no longer slow.
+func (c *controlLoop) tickSpeeds(now time.Time) {
+	for _, change := range c.d.speeds.Tick(now) {
+		t := c.d.engine.Target(change.Target)
+		switch {
+		case t == nil || !c.d.stateLogLimit.allow(now, targetSpeed):
+		case change.Slow:
+			c.d.log.Info("target is slow", "op", "speed", "event", "slow", "target", t.Name, "service", change.Service, "zone", t.Zone.Name, "slowness", change.Slowness)
+		default:
+			c.d.log.Info("target is no longer slow", "op", "speed", "event", "slow_ended", "target", t.Name, "service", change.Service, "zone", t.Zone.Name)
+		}
+	}
+}
+
 // tickShortage decides on the SYNs that wait and logs the services that have become short or are no longer short.
 func (c *controlLoop) tickShortage(now time.Time) {
 	for _, change := range c.d.gate.Tick(now) {
--- a/internal/room/sizes.go
+++ b/internal/rejection/sizes.go
@@ -1,6 +1,4 @@
-// How a rejection is told from other responses of a route.
-
-package room
+package rejection
 
 const (
 	// maxRejectBytes is the most bytes of a rejection: a status line and a few headers.
@@ -11,21 +9,23 @@
 	sizeSamples = 50
 )
 
-// sizes is the moving mean of the bytes of a route's responses, as first acknowledged.
+// Sizes is the moving mean of the bytes of a route's responses, as first acknowledged.
 //
 // Load pattern: a target whose queue is full answers within the flow, which daemons cannot read. The answer is a few
 // headers without a body, while the route's responses are larger. A route with small responses is never taken to be
 // rejected.
-type sizes struct {
+type Sizes struct {
 	mean float64
 	n    int
 }
 
-func (s *sizes) isRejection(bytes uint32) bool {
+// IsRejection reports whether a response of which so many bytes were acknowledged first is a rejection.
+func (s *Sizes) IsRejection(bytes uint32) bool {
 	return bytes <= maxRejectBytes && float64(bytes) <= rejectSizeShare*s.mean
 }
 
-func (s *sizes) add(bytes uint32) {
+// Add adds a response that is no rejection.
+func (s *Sizes) Add(bytes uint32) {
 	s.n = min(s.n+1, sizeSamples)
 	s.mean += (float64(bytes) - s.mean) / float64(s.n)
 }
--- a/internal/room/gate.go
+++ b/internal/room/gate.go
@@ -113,11 +113,11 @@
 func (g *Gate) ResponseBegan(now time.Time, f tags.FlowEvent, after time.Duration, bytes uint32) {
 	g.update(f.Target, f.Address, func(w *window, r *route) {
 		w.running.remove(now, now.Add(-after), r.level)
-		if r.sizes.isRejection(bytes) {
+		if r.sizes.IsRejection(bytes) {
 			w.reject(now, r.level)
 			return
 		}
-		r.sizes.add(bytes)
+		r.sizes.Add(bytes)
 		w.served(now, r.times.isQuick(after))
 		if !w.short {
 			r.times.add(after)
--- a/internal/room/index.go
+++ b/internal/room/index.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/rejection"
 	"github.com/fireflypin/fireflypin/model"
 )
 
@@ -23,7 +24,7 @@
 type route struct {
 	// level is the importance of the route within its service, 0 for the highest.
 	level int
-	sizes sizes
+	sizes rejection.Sizes
 	times times
 }
 
--- a/placement/nearest.go
+++ b/placement/nearest.go
@@ -9,6 +9,8 @@
 
 // NearestConfig configures Nearest. Zero values select the defaults.
 type NearestConfig struct {
+	// Speeds knows which targets are slow. Default: none is.
+	Speeds Speeds
 	// Zone is the availability zone of the daemon.
 	Zone model.Zone
 	// Samples is the number of targets that are compared for a flow; default 3. A higher number makes daemons
@@ -71,6 +73,12 @@
 	return c
 }
 
+// Speeds knows how fast targets respond. It must be safe for concurrent use.
+type Speeds interface {
+	// Slowness returns how many times longer a target takes than others that could take the flow; 1 or more.
+	Slowness(id model.TargetID) float64
+}
+
 // suspectDuration returns how long a target with the given number of consecutive missed responses stays suspect.
 func (c NearestConfig) suspectDuration(misses int) time.Duration {
 	return min(c.SuspectTime*time.Duration(max(misses-c.SuspectMisses, 1)), c.MaxSuspectTime)
@@ -275,5 +283,8 @@
 	if now.Before(t.WarmUntil) {
 		load *= p.cfg.WarmupFactor
 	}
+	if p.cfg.Speeds != nil {
+		load *= p.cfg.Speeds.Slowness(t.ID)
+	}
 	return load
 }
