Remove the spread of new flows over zones by demand: the gate does its work

It guards no rule.

Reports of kind 1 from daemons of an earlier release are ignored, as any kind that is not known.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -46,7 +46,6 @@
 	d         *Daemon
 	news      *news.Engine
 	directory *directory.Directory
-	demand    *demandControl
 	status    atomic.Pointer[Status]
 	// waitingForwarder places the SYNs that wait while no packet arrives.
 	waitingForwarder *forwarder
@@ -196,7 +195,6 @@
 	if c.news.Confirmed() {
 		c.d.confirmedAt.Store(now.Add(-c.news.Age(now)).UnixNano())
 	}
-	c.updateDemand(now)
 	if next, ok := c.directory.NextChange(now); ok && !now.Before(next) {
 		c.applyAt = now
 	}
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -164,24 +164,21 @@
 		targetsApplied:  make(chan struct{}),
 		pauses:          pauseDetector{sinceBoot: deps.System.SinceBoot},
 	}
-	demand := newDemandControl(s.Zone)
 	d.speeds = speed.NewEstimator()
 	d.outage = outage.NewTracker(deps.Now)
 	d.warmup = newWarmupGate(s, deps.Metrics)
 	d.gate = room.NewGate(s.Zone)
 	d.engine = tags.New(tags.Config{
-		Policy:       placement.NewNearest(placement.NearestConfig{Zone: s.Zone, Spread: demand.spread, Warmup: d.warmup, Speeds: d.speeds}),
+		Policy:       placement.NewNearest(placement.NearestConfig{Zone: s.Zone, Warmup: d.warmup, Speeds: d.speeds}),
 		Warmup:       d.warmup,
 		Epoch:        deps.Now,
 		RequestProbe: d.probeQueue.request,
-		Observer:     tags.Observers{demand.meter, d.gate, d.speeds},
+		Observer:     tags.Observers{d.gate, d.speeds},
 		Gate:         d.gate,
 		Outage:       d.outage,
 	})
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_open_flows", Help: "Flows with a record."},
 		func() float64 { return float64(d.engine.OpenFlows()) })
-	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_spread_services", Help: "Services whose new flows are spread over zones, since the demand of the own zone exceeds its slots."},
-		func() float64 { return float64(demand.spread.Len()) })
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_slow_targets", Help: "Targets that respond much slower than the others of their zone, by the flows of this daemon."},
 		func() float64 { return float64(d.speeds.Len()) })
 	incarnation := wire.NewIncarnation(deps.Now)
@@ -189,15 +186,14 @@
 	d.peers = newPeerLink(s, deps.Keys, incarnation, d.metrics, d.guard)
 	seed := uint64(model.MachineIDOf(s.Name))
 	d.controlLoop = &controlLoop{
-		d:      d,
-		demand: demand,
+		d: d,
 		news: news.New(news.Config{
 			Self:      news.Member{Addr: s.Peer, Zone: s.Zone.Name, Link: uint32(s.Link)},
 			Seeds:     s.Seeds,
 			Rand:      rand.New(rand.NewPCG(seed, incarnation)),
 			WatchWait: s.Platform.WatchWait,
-			Reports: func(now time.Time, leading bool) []news.Report {
-				return d.controlLoop.ownReports(now, leading)
+			Reports: func(now time.Time) []news.Report {
+				return d.controlLoop.ownReports(now)
 			},
 			Outage:   d.outage,
 			Describe: d.describe,
--- a/internal/edge/lists.go
+++ b/internal/edge/lists.go
@@ -119,7 +119,6 @@
 	if s == nil {
 		return
 	}
-	c.demand.setLists(s)
 	c.d.gate.ApplyLists(s)
 	c.d.speeds.SetLists(s)
 	c.d.engine.ApplyLists(now, s, admission.NewTable(s))
--- a/internal/edge/loglimit.go
+++ b/internal/edge/loglimit.go
@@ -27,15 +27,13 @@
 	peerChanged
 	targetBorne
 	targetHeld
-	spreadChanged
-	reportRefused
 	targetSpeed
 	logEventCount
 )
 
 // String returns the event's name in logs.
 func (e logEvent) String() string {
-	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "target", "peer", "bearer", "held", "spread", "report", "speed"}[e]
+	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "target", "peer", "bearer", "held", "speed"}[e]
 }
 
 const (
--- a/internal/news/config.go
+++ b/internal/news/config.go
@@ -19,9 +19,8 @@
 	Rand *rand.Rand
 
 	// Reports returns what other modules tell the daemons that get this daemon's heartbeats; nil for nothing. At most
-	// MaxReportBytes of it are sent. leading is true for the first daemons of a zone, which exchange heartbeats with
-	// other zones. It must not call the engine.
-	Reports func(now time.Time, leading bool) []Report
+	// MaxReportBytes of it are sent. It must not call the engine.
+	Reports func(now time.Time) []Report
 
 	// Outage takes from heartbeats how long other daemons have been able to place flows, and tells it of this one; nil if
 	// that is not reported.
--- a/internal/news/heartbeat.go
+++ b/internal/news/heartbeat.go
@@ -68,7 +68,7 @@
 	if e.cfg.Reports == nil {
 		return nil
 	}
-	reports, size := e.cfg.Reports(now, e.members.readerRank(now) < leadingDaemons || e.reader.reading), 0
+	reports, size := e.cfg.Reports(now), 0
 	for i, r := range reports {
 		size += len(r.Data)
 		if size > e.cfg.MaxReportBytes {
--- a/internal/news/heartbeat_test.go
+++ b/internal/news/heartbeat_test.go
@@ -18,7 +18,7 @@
 	return New(Config{
 		Self: Member{Addr: netip.MustParseAddrPort("10.0.0.1:8166"), Zone: "zone-0"},
 		Rand: rand.New(rand.NewPCG(1, 2)),
-		Reports: func(time.Time, bool) []Report {
+		Reports: func(time.Time) []Report {
 			var out []Report
 			for i, size := range sizes {
 				out = append(out, Report{Kind: ReportKind(i + 1), Data: make([]byte, size)})
--- a/internal/news/members.go
+++ b/internal/news/members.go
@@ -44,11 +44,8 @@
 // ReportKind is the number of a module that adds to heartbeats.
 type ReportKind uint32
 
-// The kinds of reports. Daemons ignore kinds that they do not know.
+// The kinds of reports. Daemons ignore kinds that they do not know. Earlier releases send kind 1.
 const (
-	// ReportDemand is what a daemon's callers ask for, and what it knows of the demand of zones, of package
-	// internal/spill.
-	ReportDemand ReportKind = 1
 	// ReportRoom is how many requests a daemon may have in progress at services that are short, of package
 	// internal/room.
 	ReportRoom ReportKind = 2
--- a/placement/nearest.go
+++ b/placement/nearest.go
@@ -34,20 +34,10 @@
 	SuspectTime, MaxSuspectTime time.Duration
 	// WarmupFactor is the factor by which the load of a target that is warming up is multiplied; default 2.
 	WarmupFactor float64
-	// Spread says which zones' targets take the new flows of services whose demand exceeds the daemon's own zone; nil
-	// for none. Services without shares follow LocalShare and MaxLocalRecent.
-	Spread ZoneSpread
 	// Warmup limits the flows to targets that warm up and have a published rate; nil limits none.
 	Warmup WarmupGate
 }
 
-// ZoneSpread assigns new flows to zones. It must be safe for concurrent use and must not allocate.
-type ZoneSpread interface {
-	// ZoneFor returns the zone whose targets take the flow at point u, 0 to 1, of a service's flows; false if the
-	// service has no shares.
-	ZoneFor(service string, u float64) (model.Zone, bool)
-}
-
 func (c NearestConfig) withDefaults() NearestConfig {
 	if c.Samples <= 0 {
 		c.Samples = 3
