room: remove the reports between daemons: each goes by its own flows

No rule depends on them. With them go 16 bytes a heartbeat for each service and zone that is short, and a window that other daemons' mistakes can move.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -261,7 +261,7 @@
 	case news.ItemsChanged:
 		c.applyItems(now, a.Items)
 	case news.ReportsReceived:
-		c.handleReports(now, a)
+		c.handleReports(a)
 	case news.TargetsSuspected:
 		c.handleSuspected(now, a.Targets)
 	case news.ReadAll:
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -192,11 +192,9 @@
 			Seeds:     s.Seeds,
 			Rand:      rand.New(rand.NewPCG(seed, incarnation)),
 			WatchWait: s.Platform.WatchWait,
-			Reports: func(now time.Time) []news.Report {
-				return d.controlLoop.ownReports(now)
-			},
-			Outage:   d.outage,
-			Describe: d.describe,
+			Reports:   func(time.Time) []news.Report { return d.controlLoop.warmupReports() },
+			Outage:    d.outage,
+			Describe:  d.describe,
 		}),
 		directory: directory.New(directory.Config{
 			Regions: lo.SliceToMap(s.Zones, func(z model.Zone) (string, string) { return z.Name, z.Region }),
--- a/internal/edge/warmup.go
+++ b/internal/edge/warmup.go
@@ -66,6 +66,16 @@
 	return []news.Report{{Kind: news.ReportZone, Data: binary.AppendUvarint(nil, uint64(c.d.warmup.Known()))}}
 }
 
+// handleReports takes what other daemons added to their heartbeats. Reports of other kinds come from daemons of another
+// release.
+func (c *controlLoop) handleReports(a news.ReportsReceived) {
+	for _, r := range a.Reports {
+		if r.Kind == news.ReportZone {
+			c.recordZoneSize(a.From, r)
+		}
+	}
+}
+
 // recordZoneSize records how many daemons another one knows in its zone. Data that cannot be read counts as not told.
 func (c *controlLoop) recordZoneSize(from news.Member, r news.Report) {
 	if c.zoneSizes == nil || len(c.zoneSizes) > maxZoneSizes {
--- a/internal/news/members.go
+++ b/internal/news/members.go
@@ -44,11 +44,8 @@
 // ReportKind is the number of a module that adds to heartbeats.
 type ReportKind uint32
 
-// The kinds of reports. Daemons ignore kinds that they do not know. Earlier releases send kind 1.
+// The kinds of reports. Daemons ignore kinds that they do not know. Earlier releases send kinds 1 and 2.
 const (
-	// ReportRoom is how many requests a daemon may have in progress at services that are short, of package
-	// internal/room.
-	ReportRoom ReportKind = 2
 	// ReportZone is the number of daemons of its zone that a daemon knows, of package internal/warmup.
 	ReportZone ReportKind = 3
 )
--- a/internal/room/gate.go
+++ b/internal/room/gate.go
@@ -18,8 +18,7 @@
 	index   atomic.Pointer[index]
 	applyMu sync.Mutex
 	// daemons is the number of live daemons of the zone, this one included.
-	daemons  atomic.Int64
-	mergedAt time.Time
+	daemons atomic.Int64
 }
 
 // NewGate returns the gate of a daemon in a zone. Without lists it admits every flow.
--- a/internal/room/tick.go
+++ b/internal/room/tick.go
@@ -32,14 +32,7 @@
 		return nil
 	}
 	var out []Change
-	merge := now.Sub(g.mergedAt) >= mergeInterval
-	if merge {
-		g.mergedAt = now
-	}
 	for _, s := range x.services {
-		if merge {
-			s.merge(now)
-		}
 		if c, changed := s.tick(now); changed {
 			out = append(out, c)
 		}
--- a/internal/room/window.go
+++ b/internal/room/window.go
@@ -72,7 +72,6 @@
 	limitedAt [levels]time.Time
 	// slots is the number of slots of the zone's targets that take new flows, fair this daemon's part of them.
 	slots, fair float64
-	peers       peers
 	// keptBack is true once the shortage has kept a flow back.
 	keptBack bool
 }
--- a/placement/candidates.go
+++ b/placement/candidates.go
@@ -41,16 +41,6 @@
 	return s.local == c.local
 }
 
-func (v *evaluation) countCandidates(st *ServiceTable, c candidateSet) int {
-	n := 0
-	for i, s := range v.states {
-		if c.contains(st, i, s) {
-			n++
-		}
-	}
-	return n
-}
-
 // nthCandidate returns the index of the n-th target of a set, counted from 0. The set must have more than n targets.
 func (v *evaluation) nthCandidate(st *ServiceTable, c candidateSet, n int) int {
 	for i, s := range v.states {
