news: send single changes again, so that a lost datagram does not cost a heartbeat

Change: whoever passes on up to 8 changes of a moment sends them twice more, after 0.2 and 0.4 s. Mass registrations are not repeated.

--- a/cmd/fireflypin/main.go
+++ b/cmd/fireflypin/main.go
@@ -42,6 +42,7 @@
 			newCapacityCommand(),
 			newTraceCommand(),
 			newLogsCommand(),
+			newLossesCommand(),
 			newSoakCommand(),
 			newReportCommand(),
 		},
--- a/cmd/fireflypin/trace.go
+++ b/cmd/fireflypin/trace.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fireflypin/fireflypin/internal/flowtrace"
+	"github.com/fireflypin/fireflypin/internal/losses"
 )
 
 var (
@@ -64,6 +65,42 @@
 	}
 }
 
+func newLossesCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "losses",
+		Usage:     "count from the daemons' logs the flows that callers lost, by cause, second, service, route and zone",
+		ArgsUsage: "FILES...",
+		Flags:     []cli.Flag{&cli.IntFlag{Name: "most", Usage: "print `N` rows at most", Value: 40}},
+		Action: func(_ context.Context, c *cli.Command) error {
+			if c.Args().Len() == 0 {
+				return errNoFiles
+			}
+			var t losses.Table
+			for _, path := range c.Args().Slice() {
+				if err := scanLog(&t, path); err != nil {
+					return err
+				}
+			}
+			return t.Write(c.Root().Writer, int(c.Int("most")))
+		},
+	}
+}
+
+// scanLog adds a file's lines to a table without keeping them.
+func scanLog(t *losses.Table, path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open log: %w", err)
+	}
+	defer f.Close()
+	unparsed, err := flowtrace.Scan(f, t.Add)
+	t.Unparsed += unparsed
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	return nil
+}
+
 // readLogs reads all files into one log.
 func readLogs(paths []string) (*flowtrace.Log, error) {
 	if len(paths) == 0 {
--- a/internal/flowtrace/line.go
+++ b/internal/flowtrace/line.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -49,21 +50,37 @@
 // maxLineBytes limits the length of a log line.
 const maxLineBytes = 1 << 20
 
-// Read adds the log lines of one or more daemons. Text before the time field of a line, such as a prefix
+// Scan passes the log lines of one or more daemons to each, in their order, and returns the number of other inputs: lines
+// that are no log lines, were cut, or are longer than maxLineBytes. Text before the time field of a line, such as a prefix
 // added by a log collector, is ignored.
-func (l *Log) Read(r io.Reader) error {
-	scanner := bufio.NewScanner(r)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		line, ok := parse(scanner.Bytes())
-		if !ok {
-			l.Unparsed++
+func Scan(r io.Reader, each func(*Line)) (unparsed int, err error) {
+	reader := bufio.NewReaderSize(r, maxLineBytes)
+	for {
+		raw, isPrefix, err := reader.ReadLine()
+		for rest := isPrefix; rest && err == nil; {
+			_, rest, err = reader.ReadLine()
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return unparsed, nil
+		case err != nil:
+			return unparsed, fmt.Errorf("read log: %w", err)
+		}
+		line, ok := parse(raw)
+		if isPrefix || !ok {
+			unparsed++
 			continue
 		}
-		l.Lines = append(l.Lines, line)
+		each(&line)
 	}
-	if err := scanner.Err(); err != nil {
-		return fmt.Errorf("read log: %w", err)
+}
+
+// Read adds the log lines of one or more daemons.
+func (l *Log) Read(r io.Reader) error {
+	unparsed, err := Scan(r, func(line *Line) { l.Lines = append(l.Lines, *line) })
+	l.Unparsed += unparsed
+	if err != nil {
+		return err
 	}
 	slices.SortStableFunc(l.Lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
 	return nil
@@ -103,8 +120,8 @@
 	}
 }
 
-// omittedLines returns the number of omitted lines that this line reports, or 0 if it is not such a report.
-func (l *Line) omittedLines() int {
+// Omitted returns the number of omitted lines that this line reports, or 0 if it is not such a report.
+func (l *Line) Omitted() int {
 	if l.Op != "log" || l.Event != "left_out" {
 		return 0
 	}
--- a/internal/flowtrace/summary.go
+++ b/internal/flowtrace/summary.go
@@ -24,7 +24,7 @@
 	s := Summary{Outcomes: make(map[string]int), Unparsed: l.Unparsed}
 	for i := range l.Lines {
 		line := &l.Lines[i]
-		s.OmittedLines += line.omittedLines()
+		s.OmittedLines += line.Omitted()
 		s.Outcomes[outcomeKey(line)]++
 	}
 	return s
--- a/internal/flowtrace/trace.go
+++ b/internal/flowtrace/trace.go
@@ -84,7 +84,7 @@
 		if !inPeriod {
 			continue
 		}
-		h.OmittedLines[line.Entry] += line.omittedLines()
+		h.OmittedLines[line.Entry] += line.Omitted()
 		if include(line) {
 			h.Lines = append(h.Lines, *line)
 		}
--- a/internal/news/engine.go
+++ b/internal/news/engine.go
@@ -28,6 +28,8 @@
 	scheduledFetchAt   time.Time
 	scheduledFetchFrom netip.AddrPort
 	draining           bool
+	// repeats holds changes that are to be sent again.
+	repeats []repeat
 
 	// era is the newest era of the platform's history that any answer or daemon has reported.
 	era   uint64
@@ -153,6 +155,7 @@
 // step performs all work that is due.
 func (e *Engine) step(now time.Time) []Action {
 	actions := e.stepReader(now)
+	actions = append(actions, e.stepRepeats(now)...)
 	actions = append(actions, e.stepHeartbeat(now)...)
 	actions = append(actions, e.stepScheduledFetch(now)...)
 	actions = append(actions, e.stepRepair(now)...)
--- a/internal/news/gossip.go
+++ b/internal/news/gossip.go
@@ -2,7 +2,10 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 // HandleDatagram processes a datagram from another daemon.
@@ -125,8 +128,42 @@
 	if len(to) == 0 {
 		return actions
 	}
-	for _, d := range e.packIntoDatagrams(changes) {
-		actions = append(actions, Send{To: to, Datagram: d})
+	sends := lo.Map(e.packIntoDatagrams(changes), func(d Datagram, _ int) Action { return Send{To: to, Datagram: d} })
+	if len(changes) <= maxRepeatedItems {
+		for i := range repeats {
+			e.repeats = append(e.repeats, repeat{at: now.Add(time.Duration(i+1) * repeatDelay), sends: sends})
+		}
 	}
-	return actions
+	return append(actions, sends...)
+}
+
+const (
+	// repeats is how often changes are sent again, each repeatDelay after the last time: well before the next heartbeat
+	// of most daemons shows what a lost datagram kept from them.
+	repeats     = 2
+	repeatDelay = 200 * time.Millisecond
+	// maxRepeatedItems bounds the changes of a moment that are sent again: many targets register at once, and what is lost
+	// of that is repaired after heartbeats.
+	maxRepeatedItems = 8
+)
+
+// repeat holds datagrams that are to be sent again.
+type repeat struct {
+	at    time.Time
+	sends []Action
+}
+
+// stepRepeats returns the datagrams that are due to be sent again.
+//
+// Load pattern: links lose single packets, while a change has to be in force at all daemons of a large fleet.
+func (e *Engine) stepRepeats(now time.Time) []Action {
+	var out []Action
+	e.repeats = slices.DeleteFunc(e.repeats, func(r repeat) bool {
+		due := !now.Before(r.at)
+		if due {
+			out = append(out, r.sends...)
+		}
+		return due
+	})
+	return out
 }
