Keep a held SYN after an outage while no other daemon places flows; users of warming targets instead of bearers

TestSYNsQueuedBeforeFirstLists failed once under load (a load average of 27): a SYN that waited 200 ms was dropped.

internal/warmup: the daemons that may use a warming target are its users, in code and pages; names in logs, metrics and status stay. No behaviour changes there.

--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -64,8 +64,8 @@
 	pausedAt        time.Time
 	omittedLoggedAt time.Time
 	statusUpdatedAt time.Time
-	// borne holds the names of the targets that warm up and that this daemon bears.
-	borne map[string]bool
+	// used holds the names of the targets that warm up and that this daemon uses.
+	used map[string]bool
 	// zoneSizes holds the numbers of daemons that live daemons say they know in their zones.
 	zoneSizes map[netip.AddrPort]int
 }
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -90,8 +90,9 @@
 }
 
 // isOutdated reports whether the last decoded SYN, held since it arrived, must not be placed any more. After an outage any
-// daemon places duplicates, so a SYN is outdated once its caller has sent the next one.
+// daemon places duplicates, so a SYN is outdated once its caller has sent the next one, if another daemon may have got it.
 func (f *forwarder) isOutdated(now, arrived time.Time) bool {
 	held := now.Sub(arrived)
-	return held >= stallLimit || held >= f.meta.NextDuplicate()+arrivalSlack && f.d.outage.Covers(arrived)
+	duplicatePlaced := held >= f.meta.NextDuplicate()+arrivalSlack && f.d.outage.Covers(arrived) && f.d.outage.OthersPlace()
+	return held >= stallLimit || duplicatePlaced
 }
--- a/internal/edge/loglimit.go
+++ b/internal/edge/loglimit.go
@@ -25,7 +25,7 @@
 	flowConflict
 	targetChanged
 	peerChanged
-	targetBorne
+	targetUse
 	targetHeld
 	targetSpeed
 	logEventCount
--- a/internal/edge/status.go
+++ b/internal/edge/status.go
@@ -22,8 +22,8 @@
 	Stopping        bool     `json:"stopping"`
 	NotCurrent      bool     `json:"not_current"`
 	LinesOmitted    int64    `json:"lines_left_out_total"`
-	// Borne is the number of targets that warm up with a published rate and that this daemon may use.
-	Borne int `json:"warming_borne"`
+	// Used is the number of targets that warm up with a published rate and that this daemon may use.
+	Used int `json:"warming_borne"`
 }
 
 func (c *controlLoop) buildStatus(now time.Time) *Status {
@@ -39,7 +39,7 @@
 		LivePeers:    len(c.news.Members(now)),
 		Stopping:     c.d.stopping.Load(),
 		NotCurrent:   !c.pausedAt.IsZero(),
-		Borne:        len(c.borne),
+		Used:         len(c.used),
 		LinesOmitted: c.d.flowLogLimit.total.Load() + c.d.stateLogLimit.total.Load(),
 	}
 	if s := c.d.engine.Lists(); s != nil {
--- a/internal/edge/warmup.go
+++ b/internal/edge/warmup.go
@@ -30,26 +30,26 @@
 }
 
 // updateWarmup passes the known daemons to the gate of targets that warm up, and logs the targets that this daemon begins
-// or ceases to bear.
+// or ceases to use.
 func (c *controlLoop) updateWarmup(now time.Time) {
-	if !c.limitsWarmup() && len(c.borne) == 0 {
+	if !c.limitsWarmup() && len(c.used) == 0 {
 		return
 	}
 	c.d.warmup.SetPeers(now, lo.Map(c.news.Peers(now), func(p news.Peer, _ int) warmup.Peer {
 		return warmup.Peer{Addr: p.Addr, Zone: p.Zone, Heard: p.Heard, Live: p.Live, Leaving: p.Leaving, Known: c.zoneSizes[p.Addr]}
 	}))
-	borne := c.borneTargets(now)
-	for name := range borne {
-		if !c.borne[name] {
-			c.logBorne(now, name, "begun")
+	used := c.usedTargets(now)
+	for name := range used {
+		if !c.used[name] {
+			c.logUse(now, name, "begun")
 		}
 	}
-	for name := range c.borne {
-		if !borne[name] {
-			c.logBorne(now, name, "ended")
+	for name := range c.used {
+		if !used[name] {
+			c.logUse(now, name, "ended")
 		}
 	}
-	c.borne = borne
+	c.used = used
 }
 
 // limitsWarmup reports whether a service has a published rate for targets that warm up.
@@ -92,33 +92,33 @@
 	maxZoneSize = 1 << 20
 )
 
-// borneTargets returns the names of the targets that this daemon bears, nil if there are none.
-func (c *controlLoop) borneTargets(now time.Time) map[string]bool {
+// usedTargets returns the names of the targets that this daemon uses, nil if there are none.
+func (c *controlLoop) usedTargets(now time.Time) map[string]bool {
 	s := c.d.engine.Lists()
 	if s == nil {
 		return nil
 	}
-	var borne map[string]bool
+	var used map[string]bool
 	for _, svc := range s.Services {
 		for _, t := range svc.Targets {
-			if !c.bears(now, t) {
+			if !c.uses(now, t) {
 				continue
 			}
-			if borne == nil {
-				borne = make(map[string]bool)
+			if used == nil {
+				used = make(map[string]bool)
 			}
-			borne[t.Name] = true
+			used[t.Name] = true
 		}
 	}
-	return borne
+	return used
 }
 
-func (c *controlLoop) bears(now time.Time, t *model.Target) bool {
-	return !t.Draining && !t.ZoneDraining && c.d.warmup.Bears(now, t)
+func (c *controlLoop) uses(now time.Time, t *model.Target) bool {
+	return !t.Draining && !t.ZoneDraining && c.d.warmup.Uses(now, t)
 }
 
-func (c *controlLoop) logBorne(now time.Time, target, event string) {
-	if c.d.stateLogLimit.allow(now, targetBorne) {
+func (c *controlLoop) logUse(now time.Time, target, event string) {
+	if c.d.stateLogLimit.allow(now, targetUse) {
 		c.d.log.Info("use of a target that warms up", "op", "warmup", "event", event, "target", target)
 	}
 }
--- a/internal/edge/warmup_test.go
+++ b/internal/edge/warmup_test.go
@@ -22,7 +22,7 @@
 		t.conn.LocalAddr(), i, warmup.Milliseconds()))
 }
 
-// A target that warms up must not get more first packets in a second than it bears, over all daemons.
+// A target that warms up must not get more first packets in a second than it can serve, over all daemons.
 func TestWarmingTargetBound(t *testing.T) {
 	const daemons, rounds = 6, 60
 	run(t, func(ctx context.Context, f *fleet) {
--- a/internal/outage/tracker.go
+++ b/internal/outage/tracker.go
@@ -19,6 +19,8 @@
 	// nanoseconds since the epoch; own is math.MinInt64 before. earliest never grows: a daemon that was heard once may
 	// have placed flows.
 	own, earliest atomic.Int64
+	// othersPlace is true once another daemon was heard that may place flows.
+	othersPlace atomic.Bool
 }
 
 // NewTracker returns a tracker of a daemon that starts.
@@ -42,6 +44,9 @@
 
 // Heard records for how long another daemon says that it has been able to place flows.
 func (t *Tracker) Heard(now time.Time, placing time.Duration) {
+	if placing != 0 {
+		t.othersPlace.Store(true)
+	}
 	if placing < 0 {
 		t.lower(math.MinInt64)
 		return
@@ -63,6 +68,12 @@
 	return t.own.Load() != math.MinInt64 && int64(sent.Sub(t.epoch)) < t.earliest.Load()
 }
 
+// OthersPlace reports whether another daemon that was heard may place flows, and so the duplicates of a SYN that this one
+// holds.
+func (t *Tracker) OthersPlace() bool {
+	return t.othersPlace.Load()
+}
+
 // lower lowers earliest to a time.
 func (t *Tracker) lower(at int64) {
 	for {
--- a/internal/outage/tracker_test.go
+++ b/internal/outage/tracker_test.go
@@ -22,6 +22,12 @@
 		Convey("also if another daemon began later, or has not begun", func() {
 			tr.Heard(at(400), NewTracker(start).Placing(at(400)))
 			So(tr.Covers(at(99)), ShouldBeTrue)
+			So(tr.OthersPlace(), ShouldBeFalse)
+			later := NewTracker(start)
+			later.Begin(at(300))
+			tr.Heard(at(400), later.Placing(at(400)))
+			So(tr.Covers(at(99)), ShouldBeTrue)
+			So(tr.OthersPlace(), ShouldBeTrue)
 		})
 		Convey("but not those sent after another daemon began, whatever delay its report had", func() {
 			other := NewTracker(at(-300))
--- a/internal/warmup/gate.go
+++ b/internal/warmup/gate.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// bearerCount is the number of daemons that may use a target that warms up.
-	bearerCount = 2
-	// shareCount is the number of equal shares of a target's bound. Each bearer takes one; the others are for daemons
-	// that wrongly count themselves among the bearers.
+	// userCount is the number of daemons that may use a target that warms up.
+	userCount = 2
+	// shareCount is the number of equal shares of a target's bound. Each user takes one; the others are for daemons
+	// that wrongly count themselves among the users.
 	shareCount = 3
 	// logWindow is the length of the sliding log: the second of the bound and the highest difference in the delays of
 	// two packets to one target.
@@ -28,8 +28,8 @@
 const (
 	// Allowed means that the flow may be offered to the target.
 	Allowed Cause = iota
-	// NotBearer means that other daemons bear the target.
-	NotBearer
+	// NotUser means that other daemons use the target.
+	NotUser
 	// Unsettled means that this daemon does not know its zone well enough: it started, paused or lost touch with half of
 	// the zone a short time ago, or it is draining.
 	Unsettled
@@ -45,7 +45,7 @@
 
 // Causes returns all causes.
 func Causes() []Cause {
-	return []Cause{Allowed, NotBearer, Unsettled, Exhausted}
+	return []Cause{Allowed, NotUser, Unsettled, Exhausted}
 }
 
 // Config configures a Gate.
@@ -70,8 +70,8 @@
 
 // targetState is what the gate keeps of a target that warms up.
 type targetState struct {
-	// bears is whether this daemon is a bearer, as of the given version of the zone.
-	bears   bool
+	// uses is whether this daemon is a user, as of the given version of the zone.
+	uses    bool
 	version uint64
 	// sent holds the times of the first packets that were sent within logWindow, in ascending order.
 	sent      []time.Time
@@ -144,8 +144,8 @@
 	return c == Allowed
 }
 
-// Bears reports whether this daemon may use the target now: it warms up with a rate and this daemon is a settled bearer.
-func (g *Gate) Bears(now time.Time, t *model.Target) bool {
+// Uses reports whether this daemon may use the target now: it warms up with a rate and this daemon is a settled user.
+func (g *Gate) Uses(now time.Time, t *model.Target) bool {
 	if !Limited(now, t) {
 		return false
 	}
@@ -160,7 +160,7 @@
 	return g.counts[c].Load()
 }
 
-// share returns the number of first packets that one bearer may send to the target within logWindow.
+// share returns the number of first packets that one user may send to the target within logWindow.
 func (g *Gate) share(t *model.Target) int {
 	return int(math.Floor((t.WarmupRate*g.cfg.Overage + g.cfg.Slack) / shareCount))
 }
@@ -168,13 +168,13 @@
 func (g *Gate) decide(now time.Time, t *model.Target) Cause {
 	switch {
 	case t.Zone != g.cfg.Zone:
-		return NotBearer
+		return NotUser
 	case g.stopped || !g.zone.usable(now):
 		return Unsettled
 	}
 	s := g.state(t)
-	if !s.bears {
-		return NotBearer
+	if !s.uses {
+		return NotUser
 	}
 	s.prune(now)
 	if len(s.sent) >= g.share(t) {
@@ -183,17 +183,17 @@
 	return Allowed
 }
 
-// state returns the state of a target, with bears up to date.
+// state returns the state of a target, with uses up to date.
 func (g *Gate) state(t *model.Target) *targetState {
 	s := g.targets[t.ID]
 	if s == nil {
 		s = &targetState{}
 		g.targets[t.ID] = s
-		s.version = g.zone.version + 1 // differs, so that bears is computed
+		s.version = g.zone.version + 1 // differs, so that uses is computed
 	}
 	s.warmUntil = t.WarmUntil
 	if s.version != g.zone.version {
-		s.version, s.bears = g.zone.version, g.zone.bears(uint64(t.ID))
+		s.version, s.uses = g.zone.version, g.zone.uses(uint64(t.ID))
 	}
 	return s
 }
--- a/internal/warmup/zone.go
+++ b/internal/warmup/zone.go
@@ -88,7 +88,7 @@
 // update replaces what is known about the other daemons.
 //
 // Load pattern: a daemon that starts, wakes or is cut off may miss daemons of its zone, and would then take itself for a
-// bearer of many targets.
+// user of many targets.
 func (z *zone) update(now time.Time, peers []Peer) {
 	if now.Sub(z.updated) > maxUpdateGap {
 		z.unsettle(now)
@@ -168,13 +168,13 @@
 	}
 }
 
-// bears reports whether this daemon is a bearer of the target: fewer than bearerCount daemons precede it in the
+// uses reports whether this daemon is a user of the target: fewer than userCount daemons precede it in the
 // target's rendezvous order.
-func (z *zone) bears(target uint64) bool {
+func (z *zone) uses(target uint64) bool {
 	own, preceding := mix(z.self^target), 0
 	for _, r := range z.peers {
 		if mix(r.hash^target) > own {
-			if preceding++; preceding >= bearerCount {
+			if preceding++; preceding >= userCount {
 				return false
 			}
 		}
