news: repeats in a file of their own, for changes that fit one datagram and carry their values

An announcement of a withheld value makes daemons fetch it, so a repeated one would make them fetch it twice over the reader's link.

--- a/internal/news/gossip.go
+++ b/internal/news/gossip.go
@@ -2,10 +2,7 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
-
-	"github.com/samber/lo"
 )
 
 // HandleDatagram processes a datagram from another daemon.
@@ -128,42 +125,12 @@
 	if len(to) == 0 {
 		return actions
 	}
-	sends := lo.Map(e.packIntoDatagrams(changes), func(d Datagram, _ int) Action { return Send{To: to, Datagram: d} })
-	if len(changes) <= maxRepeatedItems {
-		for i := range repeats {
-			e.repeats = append(e.repeats, repeat{at: now.Add(time.Duration(i+1) * repeatDelay), sends: sends})
-		}
+	datagrams := e.packIntoDatagrams(changes)
+	if len(datagrams) == 1 {
+		e.scheduleRepeats(now, Send{To: to, Datagram: datagrams[0]})
 	}
-	return append(actions, sends...)
-}
-
-const (
-	// repeats is how often changes are sent again, each repeatDelay after the last time: well before the next heartbeat
-	// of most daemons shows what a lost datagram kept from them.
-	repeats     = 2
-	repeatDelay = 200 * time.Millisecond
-	// maxRepeatedItems bounds the changes of a moment that are sent again: many targets register at once, and what is lost
-	// of that is repaired after heartbeats.
-	maxRepeatedItems = 8
-)
-
-// repeat holds datagrams that are to be sent again.
-type repeat struct {
-	at    time.Time
-	sends []Action
-}
-
-// stepRepeats returns the datagrams that are due to be sent again.
-//
-// Load pattern: links lose single packets, while a change has to be in force at all daemons of a large fleet.
-func (e *Engine) stepRepeats(now time.Time) []Action {
-	var out []Action
-	e.repeats = slices.DeleteFunc(e.repeats, func(r repeat) bool {
-		due := !now.Before(r.at)
-		if due {
-			out = append(out, r.sends...)
-		}
-		return due
-	})
-	return out
+	for _, d := range datagrams {
+		actions = append(actions, Send{To: to, Datagram: d})
+	}
+	return actions
 }
