review: case 3, a daemon's wait after one failed call outlives the outage

Cause: after a failed call a daemon that is not among the first three of its zone waits up to 1.5 x rank/3 seconds; the wait ends neither when others report that the store is back nor when no other daemon is left.

Seen: the store answers 503 for 5.2 s; 0.2 s after it is back all machines of a zone of 43 but one are lost; a route is moved. The survivor makes no call to the store and gives new flows to the old service beyond config_apply_ms (6,000).

--- a/review/standin/lonesurvivor.go
+++ b/review/standin/lonesurvivor.go
@@ -14,7 +14,7 @@
 // a route to another service. The survivor has had no impairment and reaches the store all the while.
 func loneSurvivor(w *world) {
 	// Figures of the large sheet: 295 machines in five zones, config_apply_ms and stability_window_ms 6,000.
-	number := 40
+	number := 43
 	apply, stability, outage := 6*time.Second, 6*time.Second, 5200*time.Millisecond
 	if n, err := strconv.Atoi(os.Getenv("DAEMONS")); err == nil {
 		number = n
@@ -46,7 +46,7 @@
 		w.note("the store serves again")
 	}
 	back := time.Now()
-	time.Sleep(800 * time.Millisecond)
+	time.Sleep(200 * time.Millisecond)
 	if w.trouble {
 		for _, d := range w.daemons {
 			if d != survivor {
@@ -55,7 +55,7 @@
 		}
 		w.note("all machines but %s (%v) are lost", survivor.name, survivor.ip)
 	}
-	time.Sleep(200 * time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
 	acked := w.store.put("op/config", manifest(9, 2000, r("south"), "north", "south"))
 	w.note("the store acknowledged version 9: %v is sent to south", address)
 
