--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -18,6 +18,8 @@
 	historyTime  = 20 * time.Second
 	maxPageItems = 500
 	maxWatchWait = 30 * time.Second
+	// notedBytes is the size from which an answer to a watch is noted in the record.
+	notedBytes = 4 << 20
 )
 
 // kvItem is an item or its removal, as the store encodes it.
@@ -41,13 +43,14 @@
 	changed  chan struct{}
 	down     bool
 	server   *http.Server
+	note     func(format string, args ...any)
 	// log holds all writes, for reads that accept an older state; lag is how old that state is.
 	log []kvItem
 	lag time.Duration
 }
 
-func newStore(addr string) *store {
-	s := &store{revision: 100, dropped: 100, items: make(map[string]kvItem), changed: make(chan struct{})}
+func newStore(addr string, note func(format string, args ...any)) *store {
+	s := &store{note: note, revision: 100, dropped: 100, items: make(map[string]kvItem), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.serveKey)
 	mux.HandleFunc("GET /-/kv-range", s.serveRange)
@@ -226,7 +229,12 @@
 			w.WriteHeader(http.StatusGone)
 			return
 		case len(events) > 0 || ended:
-			reply(w, map[string]any{"events": events, "as_of": asOf})
+			body := mustJSON(map[string]any{"events": events, "as_of": asOf})
+			if len(body) > notedBytes {
+				s.note("the store answers a watch from revision %d with %d changes, %d bytes", after, len(events), len(body))
+			}
+			w.Header().Set("Content-Type", "application/json")
+			_, _ = w.Write(body)
 			return
 		}
 		select {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -65,7 +65,7 @@
 	w := &world{began: time.Now(), record: record, dir: dir, net: byte(64 + os.Getpid()%128), trouble: os.Getenv("TROUBLE") != "0"}
 	current = w
 	w.note("run in the network 127.%d.0.0/16, TROUBLE=%v", w.net, w.trouble)
-	w.store = newStore(netip.AddrPortFrom(w.ip(1, 1), storePort).String())
+	w.store = newStore(netip.AddrPortFrom(w.ip(1, 1), storePort).String(), w.note)
 	return w
 }
 
