--- a/review/standin/lonesurvivor.go
+++ b/review/standin/lonesurvivor.go
@@ -27,7 +27,9 @@
 	north := w.newTarget("i-7f3a91c2", 0x7f3a91c2, "north", "zone-a", netip.AddrPortFrom(w.ip(100, 1), 8080), 2000)
 	w.newTarget("i-51b0c7d4", 0x51b0c7d4, "south", "zone-a", netip.AddrPortFrom(w.ip(100, 2), 8080), 2000)
 	for i := range number {
-		w.addDaemon(fmt.Sprintf("entry-a-%d", i+1), "zone-a", w.ip(2, 10+i))
+		d := w.addDaemon(fmt.Sprintf("entry-a-%d", i+1), "zone-a", w.ip(2, 10+i))
+		d.store = netip.AddrPortFrom(w.ip(3, 10+i), storePort)
+		w.store.listen(d.store.String(), d.name)
 	}
 	w.startAll()
 	time.Sleep(8 * time.Second)
@@ -38,6 +40,7 @@
 	if a := c.open(address, fixed(survivor)); a.request(time.Second) != "north" {
 		couldNotRun("no service before the outage")
 	}
+	down := time.Now()
 	if w.trouble {
 		w.note("the store answers 503 from now on")
 		w.store.setDown(true)
@@ -48,6 +51,18 @@
 	back := time.Now()
 	time.Sleep(200 * time.Millisecond)
 	if w.trouble {
+		// Any of the machines that called the store in vain could be the one that is left; it is the last of these in the
+		// order of the zone, which is mostly the last of all.
+		refused := w.store.refusedSince(down)
+		for survivor = nil; survivor == nil && len(byOrder) > 0; byOrder = byOrder[:len(byOrder)-1] {
+			if last := byOrder[len(byOrder)-1]; refused[last.name] {
+				survivor = last
+			}
+		}
+		if survivor == nil {
+			couldNotRun("no machine called the store during the outage")
+		}
+		w.note("the store refused calls of %d machines", len(refused))
 		for _, d := range w.daemons {
 			if d != survivor {
 				d.kill()
@@ -55,6 +70,7 @@
 		}
 		w.note("all machines but %s (%v) are lost", survivor.name, survivor.ip)
 	}
+	calls := w.store.callsOf(survivor.name)
 	time.Sleep(100 * time.Millisecond)
 	acked := w.store.put("op/config", manifest(9, 2000, r("south"), "north", "south"))
 	w.note("the store acknowledged version 9: %v is sent to south", address)
@@ -70,7 +86,8 @@
 		a := c.open(address, fixed(survivor))
 		body := a.request(time.Second)
 		a.close()
-		w.note("a flow sent %.1f s after the acknowledgement: %s, run by %q", sent.Sub(acked).Seconds(), a.outcome, body)
+		w.note("a flow sent %.1f s after the acknowledgement: %s, run by %q; calls of the machine to the store since the loss: %d",
+			sent.Sub(acked).Seconds(), a.outcome, body, w.store.callsOf(survivor.name)-calls)
 		if !sent.After(from.Add(200 * time.Millisecond)) {
 			continue
 		}
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -42,24 +42,60 @@
 	dropped  uint64 // highest revision that is no longer in the history
 	changed  chan struct{}
 	down     bool
-	server   *http.Server
-	note     func(format string, args ...any)
+	handler  http.Handler
+	// calls counts the calls of each machine, refused holds when the last refused one came.
+	calls   map[string]int
+	refused map[string]time.Time
+	note    func(format string, args ...any)
 	// log holds all writes, for reads that accept an older state; lag is how old that state is.
 	log []kvItem
 	lag time.Duration
 }
 
 func newStore(addr string, note func(format string, args ...any)) *store {
-	s := &store{note: note, revision: 100, dropped: 100, items: make(map[string]kvItem), changed: make(chan struct{})}
+	s := &store{note: note, revision: 100, dropped: 100, items: make(map[string]kvItem), calls: make(map[string]int), refused: make(map[string]time.Time), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.serveKey)
 	mux.HandleFunc("GET /-/kv-range", s.serveRange)
 	mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
+	s.handler = mux
+	s.listen(addr, "")
+	return s
+}
+
+// listen serves the store at one more address. Calls there count as those of the named machine.
+func (s *store) listen(addr, machine string) {
 	l, err := net.Listen("tcp", addr)
 	must(err)
-	s.server = &http.Server{Handler: mux}
-	go s.server.Serve(l)
-	return s
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		if s.calls[machine]++; s.down {
+			s.refused[machine] = time.Now()
+		}
+		s.mu.Unlock()
+		s.handler.ServeHTTP(w, r)
+	})}
+	go server.Serve(l)
+}
+
+// refusedSince returns the machines whose calls the store has refused since a time.
+func (s *store) refusedSince(at time.Time) map[string]bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]bool)
+	for machine, last := range s.refused {
+		if last.After(at) {
+			out[machine] = true
+		}
+	}
+	return out
+}
+
+// callsOf returns the number of calls of a machine.
+func (s *store) callsOf(machine string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[machine]
 }
 
 func (s *store) wake() {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -116,13 +116,15 @@
 	cmd     *exec.Cmd
 	mu      sync.Mutex
 	running bool
+	// store is where this machine reaches the store.
+	store netip.AddrPort
 }
 
 func (d *daemon) data() netip.AddrPort { return netip.AddrPortFrom(d.ip, dataPort) }
 
 // addDaemon adds an entry VM. Its settings follow deploy/settings.yaml.
 func (w *world) addDaemon(name, zone string, ip netip.Addr) *daemon {
-	d := &daemon{w: w, name: name, zone: zone, ip: ip}
+	d := &daemon{w: w, name: name, zone: zone, ip: ip, store: netip.AddrPortFrom(w.ip(1, 1), storePort)}
 	w.daemons = append(w.daemons, d)
 	return d
 }
@@ -153,12 +155,12 @@
 metrics: %v:9650
 seeds: [%s]
 platform:
-  url: http://%v:%d
+  url: http://%v
   watch_wait: 1500ms
 drain_timeout: 6s
 memory_limit: 284
 link: 1000
-`, d.name, d.zone, quoted(zs), d.ip, dataPort, d.ip, controlPort, d.ip, controlPort, d.ip, readyPort, d.ip, quoted(seeds), d.w.ip(1, 1), storePort)
+`, d.name, d.zone, quoted(zs), d.ip, dataPort, d.ip, controlPort, d.ip, controlPort, d.ip, readyPort, d.ip, quoted(seeds), d.store)
 }
 
 // start starts the process by the run line of the deploy file.
