--- a/review/standin/lonesurvivor.go
+++ b/review/standin/lonesurvivor.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// loneSurvivor: the store answers 503 for some seconds and is back. Then all entry VMs but one are lost. The operator moves
+// loneSurvivor: the store is silent for some seconds and is back. Then all entry VMs but one are lost. The operator moves
 // a route to another service. The survivor has had no impairment and reaches the store all the while.
 func loneSurvivor(w *world) {
 	// Figures of the large sheet: 295 machines in five zones, config_apply_ms and stability_window_ms 6,000.
@@ -42,7 +42,7 @@
 	}
 	down := time.Now()
 	if w.trouble {
-		w.note("the store answers 503 from now on")
+		w.note("the store is silent from now on")
 		w.store.setDown(true)
 		time.Sleep(outage)
 		w.store.setDown(false)
@@ -53,16 +53,16 @@
 	if w.trouble {
 		// Any of the machines that called the store in vain could be the one that is left; it is the last of these in the
 		// order of the zone, which is mostly the last of all.
-		refused := w.store.refusedSince(down)
+		inVain := w.store.swallowedSince(down)
 		for survivor = nil; survivor == nil && len(byOrder) > 0; byOrder = byOrder[:len(byOrder)-1] {
-			if last := byOrder[len(byOrder)-1]; refused[last.name] {
+			if last := byOrder[len(byOrder)-1]; inVain[last.name] {
 				survivor = last
 			}
 		}
 		if survivor == nil {
 			couldNotRun("no machine called the store during the outage")
 		}
-		w.note("the store refused calls of %d machines", len(refused))
+		w.note("%d machines called the store in vain", len(inVain))
 		for _, d := range w.daemons {
 			if d != survivor {
 				d.kill()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -43,17 +43,17 @@
 	changed  chan struct{}
 	down     bool
 	handler  http.Handler
-	// calls counts the calls of each machine, refused holds when the last refused one came.
-	calls   map[string]int
-	refused map[string]time.Time
-	note    func(format string, args ...any)
+	// calls counts the calls of each machine, swallowed holds when the last one came that got no answer.
+	calls     map[string]int
+	swallowed map[string]time.Time
+	note      func(format string, args ...any)
 	// log holds all writes, for reads that accept an older state; lag is how old that state is.
 	log []kvItem
 	lag time.Duration
 }
 
 func newStore(addr string, note func(format string, args ...any)) *store {
-	s := &store{note: note, revision: 100, dropped: 100, items: make(map[string]kvItem), calls: make(map[string]int), refused: make(map[string]time.Time), changed: make(chan struct{})}
+	s := &store{note: note, revision: 100, dropped: 100, items: make(map[string]kvItem), calls: make(map[string]int), swallowed: make(map[string]time.Time), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /-/kv-key", s.serveKey)
 	mux.HandleFunc("GET /-/kv-range", s.serveRange)
@@ -70,7 +70,7 @@
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.mu.Lock()
 		if s.calls[machine]++; s.down {
-			s.refused[machine] = time.Now()
+			s.swallowed[machine] = time.Now()
 		}
 		s.mu.Unlock()
 		s.handler.ServeHTTP(w, r)
@@ -78,12 +78,12 @@
 	go server.Serve(l)
 }
 
-// refusedSince returns the machines whose calls the store has refused since a time.
-func (s *store) refusedSince(at time.Time) map[string]bool {
+// swallowedSince returns the machines whose calls have got no answer since a time.
+func (s *store) swallowedSince(at time.Time) map[string]bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := make(map[string]bool)
-	for machine, last := range s.refused {
+	for machine, last := range s.swallowed {
 		if last.After(at) {
 			out[machine] = true
 		}
@@ -176,7 +176,7 @@
 	return items, asOf
 }
 
-// setDown makes the store answer each call with 503, or serve again. Waiting watches are cut.
+// setDown makes the store silent, or serve again. Calls that come meanwhile, and waiting watches, are never answered.
 func (s *store) setDown(down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -184,13 +184,15 @@
 	s.wake()
 }
 
-func (s *store) refuses(w http.ResponseWriter) bool {
+// swallows reports whether the store is silent; it then returns only when the caller has given up.
+func (s *store) swallows(r *http.Request) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.down {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		<-r.Context().Done()
 	}
-	return s.down
+	return down
 }
 
 func reply(w http.ResponseWriter, body any) {
@@ -199,7 +201,7 @@
 }
 
 func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
-	if s.refuses(w) {
+	if s.swallows(r) {
 		return
 	}
 	s.mu.Lock()
@@ -213,7 +215,7 @@
 }
 
 func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
-	if s.refuses(w) {
+	if s.swallows(r) {
 		return
 	}
 	q := r.URL.Query()
@@ -259,7 +261,7 @@
 		s.mu.Unlock()
 		switch {
 		case down:
-			w.WriteHeader(http.StatusServiceUnavailable)
+			<-r.Context().Done()
 			return
 		case after < dropped || after > asOf:
 			w.WriteHeader(http.StatusGone)
