--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,6 +13,7 @@
 		"lone-survivor": loneSurvivor,
 		"large-changes": largeChanges,
 		"equal-ids":     equalIDs,
+		"other-writer":  otherWriter,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
