--- a/review/standin/lonesurvivor.go
+++ b/review/standin/lonesurvivor.go
@@ -5,8 +5,6 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
-	"strconv"
 	"time"
 )
 
@@ -14,17 +12,18 @@
 // a route to another service. The survivor has had no impairment and reaches the store all the while.
 func loneSurvivor(w *world) {
 	// Figures of the large sheet: 295 machines in five zones, config_apply_ms and stability_window_ms 6,000.
-	number := 43
-	apply, stability, outage := 6*time.Second, 6*time.Second, 5200*time.Millisecond
-	if n, err := strconv.Atoi(os.Getenv("DAEMONS")); err == nil {
-		number = n
-	}
+	const (
+		number    = 43
+		apply     = 6 * time.Second
+		stability = 6 * time.Second
+		outage    = 5200 * time.Millisecond
+	)
 	address := netip.AddrPortFrom(w.ip(200, 1), 443)
 	r := func(service string) []route {
 		return []route{{"r-hold", address.Addr().String(), "443", "unsafe", service}}
 	}
 	w.store.put("op/config", manifest(7, 2000, r("north"), "north", "south"))
-	north := w.newTarget("i-7f3a91c2", 0x7f3a91c2, "north", "zone-a", netip.AddrPortFrom(w.ip(100, 1), 8080), 2000)
+	w.newTarget("i-7f3a91c2", 0x7f3a91c2, "north", "zone-a", netip.AddrPortFrom(w.ip(100, 1), 8080), 2000)
 	w.newTarget("i-51b0c7d4", 0x51b0c7d4, "south", "zone-a", netip.AddrPortFrom(w.ip(100, 2), 8080), 2000)
 	for i := range number {
 		d := w.addDaemon(fmt.Sprintf("entry-a-%d", i+1), "zone-a", w.ip(2, 10+i))
@@ -99,7 +98,6 @@
 			now++
 		}
 	}
-	_ = north
 	if stale > 0 {
 		w.finish(true, "CONFIG broken: %d flows sent later than %v after the acknowledgement of version 9 were run by north, the last %.1f s after it", stale, apply, last.Seconds())
 	}
