--- a/review/standin/largechanges.go
+++ b/review/standin/largechanges.go
@@ -19,7 +19,7 @@
 		// config_storm: for_s 2.0, gap_s 0.08.
 		changes  = 25
 		gap      = 80 * time.Millisecond
-		staleBy  = 3 * time.Second
+		staleBy  = 4 * time.Second
 		downTime = 300 * time.Millisecond
 		apply    = 5 * time.Second
 		touch    = 5 * time.Second
