--- a/review/standin/equalids.go
+++ b/review/standin/equalids.go
@@ -26,7 +26,9 @@
 	}, "north", "south"))
 	old := w.newTarget(oldID, oldGuard, "north", "zone-a", netip.AddrPortFrom(w.ip(100, 1), 8080), 2000)
 	w.newTarget("i-7f3a91c2", 0x7f3a91c2, "north", "zone-a", netip.AddrPortFrom(w.ip(100, 2), 8080), 2000)
-	w.newTarget("i-51b0c7d4", 0x51b0c7d4, "south", "zone-a", netip.AddrPortFrom(w.ip(100, 3), 8080), 2000)
+	for i, guard := range []uint64{0x51b0c7d4, 0x0c6e19a3, 0x83d2f750, 0x2a9b44e8} {
+		w.newTarget(fmt.Sprintf("i-%08x", guard), guard, "south", "zone-a", netip.AddrPortFrom(w.ip(100, 10+i), 8080), 2000)
+	}
 	for i, zone := range []string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-b", "zone-b", "zone-c", "zone-c"} {
 		w.addDaemon(fmt.Sprintf("entry-%d", i+1), zone, w.ip(2, 10+i))
 	}
