directory: number targets, so that equal name hashes do not share flows

Cause: tables of targets were keyed by model.TargetIDOf, a 32-bit hash of the name; the last target with an id took the place of the others in core/tags, placement, internal/room and internal/speed. The tag in the packets named the right target; the id in the flow's record did not.

Ruled out: the flow tag (the two tags of the case differ), the guard (differs).

Fix: package directory numbers targets in the order of their first registration, and gives no number out twice while the process runs. Daemons exchange names and tags, not these ids. The choice of the daemons that use a warming target goes by the hash of the name as before, since all daemons have to compute the same. A flow whose target was forgotten and came back under a new number is learned again from its tag.

Considered: a check for equal ids in core/tags alone (every other table would need its own), 64-bit hashes (rarer, not ruled out), numbers found by probing from the hash (can be given out again while records of the earlier target exist).

--- a/core/tags/corner_cases_test.go
+++ b/core/tags/corner_cases_test.go
@@ -16,7 +16,7 @@
 func (s *tagSite) restart(id model.TargetID) {
 	for i := range 8 {
 		r := s.registration("booking", i)
-		if model.TargetIDOf(r.Name) == id {
+		if s.directory.ID(r.Name) == id {
 			r.StartedAt = r.StartedAt.Add(time.Hour)
 			r.Address = netip.AddrPortFrom(r.Address.Addr(), r.Address.Port()+1)
 			s.directory.Register(s.now, r)
--- a/core/tags/engine.go
+++ b/core/tags/engine.go
@@ -301,17 +301,18 @@
 // remains its target: a caller whose duplicate SYN reached a second target may return the tag of the one that it did not
 // choose. If the packet's sequence numbers show another flow with the same addresses, the packet's tag decides.
 func (e *Engine) steer(lists *tagLists, now time.Time, h model.FlowHash, m *packet.Meta, tag flowtag.Tag) Verdict {
-	p, known := e.records.packet(now, h, m, tag, func() (tagRecord, bool) {
-		return e.recordFromTag(lists, tag)
-	})
+	learn := func() (tagRecord, bool) { return e.recordFromTag(lists, tag) }
+	p, known := e.records.packet(now, h, m, tag, learn)
+	if known && lists.targets[p.after.target] == nil {
+		// The target was forgotten, and has another id if it registered again since.
+		e.removeRecord(now, h)
+		p, known = e.records.packet(now, h, m, tag, learn)
+	}
 	if !known {
 		return dropTagged(errkind.TargetLost)
 	}
 	e.recordProgress(now, h, &p)
 	target := lists.targets[p.after.target]
-	if target == nil {
-		return dropTagged(errkind.TargetLost)
-	}
 	if p.retransmitted && e.resetsRetransmission(lists, now, m.Dst, &p.after) {
 		e.removeRecord(now, h)
 		v := refuseTagged(errkind.TargetLost, h)
--- a/core/tags/engine_test.go
+++ b/core/tags/engine_test.go
@@ -201,7 +201,7 @@
 				known := s.engine()
 				flow := s.caller(safeAddr).open(known)
 				for i := range 4 {
-					if r := s.registration("booking", i); model.TargetIDOf(r.Name) == flow.target {
+					if r := s.registration("booking", i); s.directory.ID(r.Name) == flow.target {
 						c.change(s, r)
 					}
 				}
@@ -619,7 +619,7 @@
 	Convey("When a tenth of the targets fail at once, all failed ones that new flows went to are probed", t, func() {
 		s, e, probeRequests := newEngine()
 		completeHandshakes(s, e)
-		failed := map[model.TargetID]bool{model.TargetIDOf("booking-00"): true, model.TargetIDOf("booking-01"): true}
+		failed := map[model.TargetID]bool{s.directory.ID("booking-00"): true, s.directory.ID("booking-01"): true}
 		probeExpected := make(map[string]bool)
 		for range 40 {
 			c := s.caller(safeAddr)
@@ -728,7 +728,7 @@
 	Convey("Records are removed after their flows close or become idle, and the flow counts drop with them", t, func() {
 		s := newTagSite(1)
 		e := s.engine()
-		id := model.TargetIDOf("booking-00")
+		id := s.directory.ID("booking-00")
 		closing, idle := s.caller(safeAddr).open(e), s.caller(safeAddr).open(e)
 		So(e.Loads().Open(id), ShouldEqual, 2)
 		e.FromCaller(s.now, closing.meta(packet.FIN|packet.ACK, 0), closing.tag)
--- a/core/tags/sim_target_test.go
+++ b/core/tags/sim_target_test.go
@@ -48,12 +48,13 @@
 	r := w.site.registration("booking", len(w.order))
 	r.Zone = zone
 	t := &simTarget{
-		w: w, name: r.Name, zone: zone, id: model.TargetIDOf(r.Name), registration: r,
+		w: w, name: r.Name, zone: zone, registration: r,
 		up: true, instance: 1, conns: make(map[simAddrs]*simConn),
 	}
+	w.site.directory.Register(w.now(), r)
+	t.id = w.site.directory.ID(r.Name)
 	w.targets[t.id] = t
 	w.order = append(w.order, t)
-	w.site.directory.Register(w.now(), r)
 	return t
 }
 
--- a/core/tags/steer_test.go
+++ b/core/tags/steer_test.go
@@ -9,7 +9,6 @@
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flowtag"
-	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 	"github.com/fireflypin/fireflypin/placement"
 )
@@ -56,7 +55,7 @@
 		e := s.engine()
 		s.register("booking", 1)
 		flow := s.caller(safeAddr)
-		e.Probed(s.now, model.TargetIDOf("booking-00"), placement.ProbeNoAnswer)
+		e.Probed(s.now, s.directory.ID("booking-00"), placement.ProbeNoAnswer)
 		s.now = s.now.Add(time.Second)
 		first := flow.syn(e).Target.ID
 		s.publish(e)
--- a/core/tags/warmup_test.go
+++ b/core/tags/warmup_test.go
@@ -56,7 +56,7 @@
 			So(v.Op, ShouldEqual, core.OpForward)
 			got[v.Target.ID]++
 		}
-		So(got[model.TargetIDOf("booking-00")], ShouldEqual, 2)
+		So(got[s.directory.ID("booking-00")], ShouldEqual, 2)
 		So(got, ShouldHaveLength, 4)
 	})
 	Convey("A service whose targets all warm up serves what is allowed and refuses the rest until the first one is warm", t, func() {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -86,6 +86,8 @@
 	cfg     Config
 	plan    *Plan
 	targets map[string]*record
+	// lastID is the id of the target that was registered last for the first time.
+	lastID model.TargetID
 	// drainingZones holds the names of the availability zones that operators drain.
 	drainingZones map[string]bool
 	changes       uint64
@@ -94,6 +96,9 @@
 // record is a target with the state of its registration.
 type record struct {
 	Registration
+	// id is the number of the target in the order of first registrations. No number is given out twice: flow records and
+	// evidence may outlive the target that they are about.
+	id        model.TargetID
 	warmUntil time.Time
 	// ended is when the registration ended; zero if it has not.
 	ended time.Time
@@ -130,7 +135,11 @@
 
 // Register sets the registration of a target.
 func (d *Directory) Register(now time.Time, r Registration) {
-	rec := &record{Registration: r}
+	rec := &record{Registration: r, id: d.ID(r.Name)}
+	if rec.id == 0 {
+		d.lastID++
+		rec.id = d.lastID
+	}
 	if r.Warmup > 0 {
 		rec.warmUntil = now.Add(r.Warmup)
 	}
@@ -138,6 +147,15 @@
 	d.changes++
 }
 
+// ID returns the id of the known target with a name, or 0. The target keeps it until Config.PreviousLifetime after the
+// end of its registration; one that registers later gets another id.
+func (d *Directory) ID(name string) model.TargetID {
+	if rec := d.targets[name]; rec != nil {
+		return rec.id
+	}
+	return 0
+}
+
 // EndRegistration records the end of a target's registration.
 func (d *Directory) EndRegistration(now time.Time, name string) {
 	rec := d.targets[name]
@@ -291,7 +309,7 @@
 		return t
 	}
 	rec.cached = &model.Target{
-		ID:             model.TargetIDOf(rec.Name),
+		ID:             rec.id,
 		Name:           rec.Name,
 		Service:        rec.Service,
 		Zone:           model.Zone{Region: b.d.cfg.Regions[rec.Zone], Name: rec.Zone},
--- a/internal/edge/control.go
+++ b/internal/edge/control.go
@@ -10,7 +10,6 @@
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/news"
 	"github.com/fireflypin/fireflypin/internal/udpio"
-	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 )
 
@@ -132,7 +131,7 @@
 // are avoided for new flows.
 func (c *controlLoop) handleSuspected(now time.Time, names []string) {
 	for _, name := range names {
-		t := c.d.engine.Target(model.TargetIDOf(name))
+		t := c.d.engine.Target(c.directory.ID(name))
 		switch {
 		case t == nil:
 		case c.d.engine.Loads().Open(t.ID) > 0:
--- a/internal/edge/probe_restart_test.go
+++ b/internal/edge/probe_restart_test.go
@@ -57,7 +57,7 @@
 				d.engine.ApplyLists(time.Now(), s, admission.NewTable(s))
 			}
 			register(before)
-			suspected := d.engine.Target(model.TargetIDOf("booking-01"))
+			suspected := d.engine.Target(listed.ID("booking-01"))
 			p := &addressProber{at: after, refused: func() {}}
 			if c.while {
 				p.refused = func() { register(after) }
--- a/internal/edge/slow_target_test.go
+++ b/internal/edge/slow_target_test.go
@@ -48,8 +48,8 @@
 			}
 			s := listed.Snapshot(time.Now())
 			d.engine.ApplyLists(time.Now(), s, admission.NewTable(s))
-			d.engine.Loads().Alive(time.Now(), model.TargetIDOf("healthy"))
-			So(d.probeTarget(t.Context(), d.engine.Target(model.TargetIDOf("slow")), probeAttempts), ShouldNotBeIn, targetAbsent, targetReplaced)
+			d.engine.Loads().Alive(time.Now(), listed.ID("healthy"))
+			So(d.probeTarget(t.Context(), d.engine.Target(listed.ID("slow")), probeAttempts), ShouldNotBeIn, targetAbsent, targetReplaced)
 		})
 	})
 }
--- a/internal/warmup/gate.go
+++ b/internal/warmup/gate.go
@@ -193,7 +193,7 @@
 	}
 	s.warmUntil = t.WarmUntil
 	if s.version != g.zone.version {
-		s.version, s.uses = g.zone.version, g.zone.uses(uint64(t.ID))
+		s.version, s.uses = g.zone.version, g.zone.uses(uint64(model.NameHash(t.Name)))
 	}
 	return s
 }
