edge: daemons seal datagrams under an id of their address, not of their name

What happens: of two daemons whose names have the same 32-bit hash, all others drop the datagrams of the one that started first as those of an earlier process, and the two drop each other's as forged. Nobody counts it as live.

Cause: the replay windows are kept by the sender's id, which was the hash of the daemon's name.

Fix: the id is made from the daemon's address and port, one to one for daemons with the same port or the same address. It stays a 32-bit field, so daemons of both releases read each other.

Ruled out: windows by source address (a captured datagram could be sent again from another address), a longer id (daemons of the earlier release would not read it).

--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"net/netip"
 	"time"
 
@@ -25,7 +26,7 @@
 }
 
 func newPeerLink(s *settings.Settings, keys wire.KeyringProvider, incarnation uint64, m *daemonMetrics, g *contain.Guard) *peerLink {
-	self := model.MachineIDOf(s.Name)
+	self := senderID(s.Peer)
 	return &peerLink{
 		sealer:  wire.NewSealer(keys, self, incarnation, new(wire.Counter)),
 		opener:  wire.NewOpener(keys, self, wire.NewReplayFilter(wire.ReplayFilterConfig{})),
@@ -34,6 +35,20 @@
 	}
 }
 
+// portFactor spreads the ports of daemons that share an address over the ids. It is odd, so that no two ports meet.
+const portFactor = 0x9e3779b1
+
+// senderID returns the id under which a daemon with a peer address seals datagrams, and under which the others keep its
+// replay window. Daemons with the same port, or with the same IPv4 address, have different ids, whatever they are called:
+// of two with one id, the receivers would drop the datagrams of the one that started first.
+func senderID(peer netip.AddrPort) model.MachineID {
+	if !peer.Addr().Unmap().Is4() {
+		return model.MachineIDOf(peer.String())
+	}
+	ip := peer.Addr().Unmap().As4()
+	return model.MachineID(max(binary.BigEndian.Uint32(ip[:])+uint32(peer.Port())*portFactor, 1))
+}
+
 // send seals a datagram once and sends it to all addresses. Only the control loop calls it.
 func (p *peerLink) send(to []netip.AddrPort, d news.Datagram) error {
 	body, err := d.Encode()
--- a/internal/wire/doc.go
+++ b/internal/wire/doc.go
@@ -5,7 +5,7 @@
 //	byte  0       version
 //	byte  1       key id
 //	byte  2       kind; the top bit is set if the MAC also covers the receiver's id
-//	bytes 3-6     sender's model.MachineID
+//	bytes 3-6     sender's model.MachineID, which must be unique among the daemons that hear each other
 //	bytes 7-14    sender's incarnation
 //	bytes 15-22   counter
 //	...           body
