news: the wait after a failed call follows from the daemons that are live now

Cause: a daemon that is not among the first three of its zone drew a wait of 2 to 28 s, longer for lower ranks, after one failed call, since the daemons before it notify it. Nothing ended the wait when these were lost.

Fix: the wait is computed again at each step from the rank and number of the live daemons. Followers share 5 calls a second per zone in equal parts. A watch that finds out whether the platform responds waits for 1 ms. The delay of the last daemon's first attempt is bounded to 1.5 s (at rank 58 it came to 5.9 s of 6 s). A call whose result is lost, by a contained panic, counts as failed after 12 s; before, the daemon waited for it forever.

Ruled out: the detection of lost daemons (3.15 s, within the bound), shouldRead (it was not reached while the wait lasted).

--- a/internal/news/era.go
+++ b/internal/news/era.go
@@ -53,20 +53,20 @@
 // times a usual read and the datagrams after it.
 const eraReadStagger = 100 * time.Millisecond
 
-// probeWait is the wait of the first watch after a failed one, where the platform reports eras: a watch from a revision of
-// an older era may not end before its wait is over, and only its end tells the era.
+// probeWait is the wait of a watch that finds out whether the platform responds: its end tells soon if the call failed, and
+// which era the platform is in. A watch from a revision of an older era may not end before its wait is over.
 const probeWait = time.Millisecond
 
 // eraReadDelay returns how long a daemon that would read everything in a new era leaves that to the daemons before it.
 // Load pattern: the platform was away, so that many daemons of a zone call it when it returns.
 func (e *Engine) eraReadDelay(now time.Time) time.Duration {
-	rank := e.members.rank(now)
-	return time.Duration(min(rank, leadingDaemons))*eraReadStagger + time.Duration(max(rank-leadingDaemons, 0))*followerStagger
+	return time.Duration(min(e.members.rank(now), leadingDaemons))*eraReadStagger + e.followerDelay(now)
 }
 
-// watchWait returns the wait of the next watch.
-func (e *Engine) watchWait() time.Duration {
-	if e.era > 0 && e.reader.failures > 0 {
+// watchWait returns the wait of the next watch. A daemon whose last call failed, or that takes over since nobody has
+// confirmed its replica for long, first finds out whether the platform responds.
+func (e *Engine) watchWait(now time.Time) time.Duration {
+	if e.reader.failures > 0 || e.age(now) > e.cfg.MaxAge {
 		return probeWait
 	}
 	return e.cfg.WatchWait
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -39,6 +39,8 @@
 	// rejected reports whether the platform rejects the calls of a node, unresponsive whether it does not respond to
 	// them.
 	rejected, unresponsive func(n *node) bool
+	// readTimeout is the timeout of a read of all items; 0 means callTimeout.
+	readTimeout time.Duration
 	// lateAnswers returns by how much the platform's answer to a call of a node is late; it may be nil.
 	lateAnswers func(n *node) time.Duration
 	// onItems is called with the items that a node puts in force, onAction with its other actions; they may be nil.
@@ -399,7 +401,7 @@
 }
 
 func (n *node) readAll(a ReadAll) {
-	if n.refuseCall(a.Call, callTimeout) {
+	if n.refuseCall(a.Call, cmp.Or(n.sim.readTimeout, callTimeout)) {
 		return
 	}
 	n.scheduleIfRunning(4*time.Millisecond, func() []Action {
--- a/internal/news/members.go
+++ b/internal/news/members.go
@@ -204,6 +204,17 @@
 	return n
 }
 
+// zoneSize returns the number of live daemons of this daemon's zone, itself included.
+func (ms *members) zoneSize(now time.Time) int {
+	n := 1
+	for _, m := range ms.ordered {
+		if m.Zone == ms.self.Zone && m.live(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // readerRank returns the number of live daemons of this daemon's zone that precede it in the order and whose calls to
 // the platform succeed.
 func (ms *members) readerRank(now time.Time) int {
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -1,6 +1,7 @@
 package news
 
 import (
+	"errors"
 	"net/netip"
 	"time"
 )
@@ -19,10 +20,16 @@
 	openCall callKind
 	// callNumber identifies the open call. Results of cancelled calls carry other numbers and are ignored.
 	callNumber uint64
+	// callStarted is when the last call was started.
+	callStarted time.Time
 	// acceptsStale is true for an open read that accepts a stale response.
 	acceptsStale bool
 	nextCall     time.Time
-	failures     int
+	// failures is the number of failed calls since the last one that succeeded, failedAt the time of the last one, and
+	// retryFactor the random factor, 0.5 to 1.5, of the wait after it.
+	failures    int
+	failedAt    time.Time
+	retryFactor float64
 	// failingUntil is the end of the time after a failed call in which this daemon gives up its place as a reader to
 	// others.
 	failingUntil time.Time
@@ -47,17 +54,29 @@
 // and send heartbeats at the short interval.
 const leadingDaemons = 3
 
-// followerBackoffFactor is the minimum retry delay of the daemons after the first leadingDaemons of a zone, as a
-// multiple of BackoffMax. It applies from the first failure on, because the first ones notify them once the platform
-// responds again. Daemons further back wait longer, so that a zone's call rate does not grow with its number of
-// daemons.
-const followerBackoffFactor = 4
+// The daemons after the first leadingDaemons of a zone retry failed calls later, because the first ones notify them once
+// the platform responds again. followerBackoff is their minimum mean delay, and followerCallRate the rate, per second, that
+// all of them together keep to, so that a zone's call rate does not grow with its number of daemons.
+const (
+	followerBackoff  = 1600 * time.Millisecond
+	followerCallRate = 5
+)
 
 // followerStagger is the delay between the first attempts of consecutive daemons after the first leadingDaemons of a
-// zone, so that one whose call succeeds notifies the others before they try. With 59 daemons in a zone the last one
-// tries 2.8 s after the first, which together with MaxAge is within the 6 s in which a change must take effect in that
-// zone.
-const followerStagger = 50 * time.Millisecond
+// zone, so that one whose call succeeds notifies the others before they try. maxFollowerStagger bounds the delay of the
+// last one: together with MaxAge it is within the time in which a change must take effect, since the last one may be the
+// only one that the platform serves.
+const (
+	followerStagger    = 50 * time.Millisecond
+	maxFollowerStagger = 1500 * time.Millisecond
+)
+
+// maxCallTime is the time after which an open call counts as failed. The caller ends each call sooner; if it loses the
+// result, no other event would end the wait for it.
+const maxCallTime = 12 * time.Second
+
+// errCallLost is the failure of a call whose result did not come.
+var errCallLost = errors.New("the result of the call did not come")
 
 // HandleRead processes the response to ReadAll: all published items as of the position asOf. callNumber is the Call
 // of the ReadAll.
@@ -158,12 +177,10 @@
 		}
 		return append(e.recordReachable(noted), e.step(now)...)
 	}
-	wait := min(e.cfg.BackoffMin<<min(e.reader.failures, 8), e.cfg.BackoffMax)
-	if rank := e.members.rank(now); rank >= leadingDaemons {
-		wait = e.cfg.BackoffMax * time.Duration(max(followerBackoffFactor, rank/leadingDaemons))
-	}
 	e.reader.failures++
-	e.reader.nextCall = now.Add(wait/2 + e.jitter(wait))
+	e.reader.failedAt = now
+	e.reader.retryFactor = 0.5 + e.cfg.Rand.Float64()
+	e.reader.nextCall = e.retryAt(now)
 	e.reader.failingUntil = now.Add(e.cfg.FailureWindow)
 	actions := append(noted, CancelCall{})
 	if e.reader.reachable || e.reader.failures == 1 {
@@ -186,14 +203,18 @@
 
 // stepReader starts the next call to the platform when one is due.
 func (e *Engine) stepReader(now time.Time) []Action {
+	if e.reader.openCall != callNone && now.Sub(e.reader.callStarted) >= maxCallTime {
+		return e.HandleFailure(now, e.reader.callNumber, Failure{Err: errCallLost})
+	}
 	actions := e.checkWatch(now)
 	if e.reader.openCall != callNone {
 		return actions
 	}
+	e.shortenRetry(now)
 	due := !now.Before(e.reader.nextCall)
 	if !e.replica.synced {
 		if due {
-			actions = append(actions, e.startRead(!e.reader.refuseStale))
+			actions = append(actions, e.startRead(now, !e.reader.refuseStale))
 		}
 		return actions
 	}
@@ -206,11 +227,10 @@
 	case !reading, !due:
 		return actions
 	case e.reader.needsFullRead, e.lagsEra():
-		return append(actions, e.startRead(false))
+		return append(actions, e.startRead(now, false))
 	}
-	e.reader.openCall = callWatch
-	e.reader.callNumber++
-	return append(actions, Watch{Call: e.reader.callNumber, After: e.replica.complete.Revision, Wait: e.watchWait()})
+	e.startCall(now, callWatch)
+	return append(actions, Watch{Call: e.reader.callNumber, After: e.replica.complete.Revision, Wait: e.watchWait(now)})
 }
 
 // updateReading reports whether this daemon is to watch the platform, and returns a Reading action when that has
@@ -224,11 +244,15 @@
 	return reading, []Action{Reading{Reading: reading, ReaderRank: readerRank, Age: e.age(now)}}
 }
 
+func (e *Engine) startCall(now time.Time, kind callKind) {
+	e.reader.openCall, e.reader.callStarted = kind, now
+	e.reader.callNumber++
+}
+
 // startRead starts a read of all items.
-func (e *Engine) startRead(acceptsStale bool) Action {
-	e.reader.openCall = callRead
+func (e *Engine) startRead(now time.Time, acceptsStale bool) Action {
+	e.startCall(now, callRead)
 	e.reader.acceptsStale = acceptsStale
-	e.reader.callNumber++
 	return ReadAll{Call: e.reader.callNumber, Stale: acceptsStale}
 }
 
@@ -244,7 +268,7 @@
 	maxAge := e.cfg.MaxAge
 	if !failing {
 		maxAge += time.Duration(min(readerRank, leadingDaemons)) * e.cfg.Stagger
-		maxAge += time.Duration(max(e.members.rank(now)-leadingDaemons, 0)) * followerStagger
+		maxAge += e.followerDelay(now)
 	}
 	confirmedAt := e.confirmed
 	if confirmedAt.Before(e.started) {
@@ -255,6 +279,34 @@
 	return now.Sub(confirmedAt) > maxAge || !e.members.anyLive(now), readerRank
 }
 
+// retryAt returns when the call that failed last is to be repeated, by what is known now of the other daemons.
+func (e *Engine) retryAt(now time.Time) time.Time {
+	wait := min(e.cfg.BackoffMin<<min(e.reader.failures-1, 8), e.cfg.BackoffMax)
+	if e.members.rank(now) >= leadingDaemons {
+		followers := e.members.zoneSize(now) - leadingDaemons
+		wait = max(followerBackoff, time.Duration(followers)*time.Second/followerCallRate)
+	}
+	return e.reader.failedAt.Add(time.Duration(float64(wait) * e.reader.retryFactor))
+}
+
+// shortenRetry ends the wait after a failed call sooner when daemons that this one relied on are no longer live: nobody
+// else may notify it that the platform responds again.
+func (e *Engine) shortenRetry(now time.Time) {
+	if e.reader.failures == 0 {
+		return
+	}
+	if at := e.retryAt(now); at.Before(e.reader.nextCall) {
+		e.reader.nextCall = at
+	}
+}
+
+// followerDelay returns the delay of this daemon's first attempt after those of the first leadingDaemons of its zone.
+func (e *Engine) followerDelay(now time.Time) time.Duration {
+	behind := max(e.members.rank(now)-leadingDaemons, 0)
+	followers := max(e.members.zoneSize(now)-leadingDaemons, 1)
+	return time.Duration(behind) * min(followerStagger, maxFollowerStagger/time.Duration(followers))
+}
+
 // checkWatch cancels an open watch that has not returned changes which other daemons have sent, because its connection
 // must be unresponsive.
 func (e *Engine) checkWatch(now time.Time) []Action {
