platform: an entry names a target only if all of its fields can be those of one

Cause: the parser required five of nine fields and checked no ranges; slots, warm-up, start and sequence went unchecked into what is computed from them (a warm-up of 1e308 ms became a duration by a conversion that differs between processors).

Stand-ins of internal/edge now write whole entries.

--- a/errkind/kind.go
+++ b/errkind/kind.go
@@ -49,6 +49,13 @@
 	DocumentStale
 	PlatformUnavailable
 
+	// Entries of targets that name no target to use.
+	EntryUnreadable
+	EntryFieldMissing
+	EntryFieldMistyped
+	EntryOutOfRange
+	EntryUnknownState
+
 	// ServiceShort is a new flow that is refused before a target has received a packet of it, since the targets of its
 	// service cannot serve all requests.
 	ServiceShort
--- a/errkind/table.go
+++ b/errkind/table.go
@@ -44,6 +44,12 @@
 	{Kind: DocumentStale, Name: "document_stale", Meaning: "A published list has a lower revision than one already seen."},
 	{Kind: PlatformUnavailable, Name: "platform_unavailable", Meaning: "The platform's service does not answer."},
 
+	{Kind: EntryUnreadable, Name: "entry_unreadable", Meaning: "A target's entry is no object that can be read."},
+	{Kind: EntryFieldMissing, Name: "entry_field_missing", Meaning: "A target's entry lacks a field."},
+	{Kind: EntryFieldMistyped, Name: "entry_field_mistyped", Meaning: "A field of a target's entry has another type."},
+	{Kind: EntryOutOfRange, Name: "entry_out_of_range", Meaning: "A number, address or name in a target's entry, or its id, is one that no target can have."},
+	{Kind: EntryUnknownState, Name: "entry_unknown_state", Meaning: "A target's entry has a state that is not known."},
+
 	{Kind: ServiceShort, Name: "service_short", Answer: AnswerReset, NotRun: true, RetryAfter: shortRetryDelay, Meaning: "The service's targets cannot serve all requests, and others come first."},
 }
 
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -204,7 +204,7 @@
 	conn, err := f.network.Listen(addr)
 	So(err, ShouldBeNil)
 	t := &target{conn: conn, name: fmt.Sprintf("i-%02x", i)}
-	f.store.put("servers/"+t.name, fmt.Sprintf(`{"service":"booking","address":%q,"zone":%q,"slots":%d,"state":"ready","born":%d}`, addr, zone, slots, i))
+	f.store.put("servers/"+t.name, fmt.Sprintf(`{"service":"booking","address":%q,"zone":%q,"slots":%d,"state":"ready","version":"v1","sequence":1,"warmup_remaining_ms":0,"born":%d}`, addr, zone, slots, i))
 	go t.serve()
 	return t
 }
--- a/internal/edge/forward_bench_test.go
+++ b/internal/edge/forward_bench_test.go
@@ -40,7 +40,7 @@
 	data, peer := relaybench.FreeAddr(b), relaybench.FreeAddr(b)
 	s := newStore()
 	s.put("op/config", `{"version":1,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","kind":"safe","service":"booking"}],"services":[{"name":"booking","max_connections":100000}]}`)
-	s.put("servers/"+benchTarget, fmt.Sprintf(`{"service":"booking","address":%q,"zone":"a","slots":3,"state":"ready"}`, sink))
+	s.put("servers/"+benchTarget, fmt.Sprintf(`{"service":"booking","address":%q,"zone":"a","slots":3,"state":"ready","version":"v1","sequence":1,"warmup_remaining_ms":0,"born":1}`, sink))
 	ring, err := wire.LoadKeyringOrDefault(nil)
 	if err != nil {
 		b.Fatal(err)
--- a/internal/edge/lists.go
+++ b/internal/edge/lists.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"errors"
 	"time"
 
+	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/admission"
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/news"
@@ -34,8 +36,7 @@
 	p, err := c.interpret(it)
 	switch {
 	case err != nil:
-		c.d.metrics.unusable.Inc(1)
-		c.d.log.Warn("published item is unusable", "op", "lists", "event", "refused", "key", it.Key, "revision", it.Position(), "err", err)
+		c.reportUnusable(now, it, err)
 		if isTarget {
 			c.endRegistration(now, name, it.Position())
 		}
@@ -46,6 +47,25 @@
 	}
 }
 
+// maxLoggedKeyBytes bounds the part of an item's key that is logged.
+const maxLoggedKeyBytes = 200
+
+// reportUnusable counts and logs an item that cannot be used. Another writer may write such items all the time.
+func (c *controlLoop) reportUnusable(now time.Time, it news.Item, err error) {
+	kind := errkind.DocumentInvalid
+	var unusable *UnusableItem
+	if errors.As(err, &unusable) {
+		kind = unusable.Kind
+	}
+	c.d.metrics.unusable.Inc(1)
+	c.d.metrics.errorKinds.Add(kind, 1)
+	if !c.d.stateLogLimit.allow(now, itemUnusable) {
+		return
+	}
+	c.d.log.Warn("published item is unusable", "op", "lists", "event", "refused", "key", it.Key[:min(len(it.Key), maxLoggedKeyBytes)],
+		"kind", errkind.RowOf(kind).Name, "bytes", len(it.Value), "revision", it.Position(), "err", err)
+}
+
 // interpret parses a published item. An item whose parsing panics is unusable.
 func (c *controlLoop) interpret(it news.Item) (p ParsedItem, err error) {
 	if fault := c.d.guard.Contain("items", it.Value, func() { p, err = c.d.interpreter.Interpret(it) }); fault != nil {
--- a/internal/edge/loglimit.go
+++ b/internal/edge/loglimit.go
@@ -28,12 +28,13 @@
 	targetUse
 	targetHeld
 	targetSpeed
+	itemUnusable
 	logEventCount
 )
 
 // String returns the event's name in logs.
 func (e logEvent) String() string {
-	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "target", "peer", "bearer", "held", "speed"}[e]
+	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "target", "peer", "bearer", "held", "speed", "unusable"}[e]
 }
 
 const (
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -60,9 +60,22 @@
 	Target *directory.Registration
 }
 
+// UnusableItem is the error for a published item that cannot be used.
+type UnusableItem struct {
+	Kind errkind.Kind
+	Err  error
+}
+
+// Error implements error.
+func (u *UnusableItem) Error() string { return u.Err.Error() }
+
+// Unwrap returns the cause.
+func (u *UnusableItem) Unwrap() error { return u.Err }
+
 // Interpreter parses published items.
 type Interpreter interface {
-	// Interpret returns the content of an item, or why it cannot be used.
+	// Interpret returns the content of an item, or why it cannot be used, for known reasons as an *UnusableItem. An item
+	// names a target only if all that it says can be true of one.
 	Interpret(it news.Item) (ParsedItem, error)
 	// TargetName returns the name of the target that an item registers; false for other items.
 	TargetName(key string) (string, bool)
--- a/internal/edge/warmup_test.go
+++ b/internal/edge/warmup_test.go
@@ -18,7 +18,7 @@
 
 // warm registers a target that warms up for the given time from now on.
 func (f *fleet) warm(t *target, i int, warmup time.Duration) {
-	f.store.put("servers/"+t.name, fmt.Sprintf(`{"service":"booking","address":%q,"zone":"a","slots":3,"state":"ready","born":%d,"warmup_remaining_ms":%d}`,
+	f.store.put("servers/"+t.name, fmt.Sprintf(`{"service":"booking","address":%q,"zone":"a","slots":3,"state":"ready","version":"v1","sequence":1,"born":%d,"warmup_remaining_ms":%d}`,
 		t.conn.LocalAddr(), i, warmup.Milliseconds()))
 }
 
