A response of the platform that cannot be decoded leads to a whole read

Cause: the response to the watch exceeded 8 MiB, was cut, failed to decode, counted as an unreachable platform and was asked for again from the same revision. All daemons were at that revision, so none could help the others.

Fix: a response that is too large, malformed or not complete in its time is a failure of its own, with a log line and a counter; after such a watch everything is read at once, in pages.

Same class: responses with members exceeded the 2,048 bytes that a daemon reads where names of zones are long; they are spread over datagrams that fit.

Ruled out: a higher limit alone (no limit fits every rate and history), decoding of what was received of a cut response (its revision would be a guess).

--- a/internal/edge/calls.go
+++ b/internal/edge/calls.go
@@ -82,7 +82,14 @@
 
 func (c *controlLoop) handleFailure(now time.Time, call, era uint64, err error) []news.Action {
 	c.d.metrics.storeFailures.Inc(1)
-	return c.news.HandleFailure(now, call, news.Failure{Err: err, Compacted: errors.Is(err, ErrCompacted), Era: era})
+	undecodable := errors.Is(err, ErrUndecodable)
+	if undecodable {
+		c.d.metrics.storeUndecodable.Inc(1)
+		if c.d.stateLogLimit.allow(now, responseUndecodable) {
+			c.d.log.Warn("response of the platform cannot be used", "op", "platform", "event", "undecodable", "revision", c.news.Complete(), "err", err)
+		}
+	}
+	return c.news.HandleFailure(now, call, news.Failure{Err: err, Compacted: errors.Is(err, ErrCompacted), Undecodable: undecodable, Era: era})
 }
 
 func (c *controlLoop) fetch(ctx context.Context, a news.Fetch) {
--- a/internal/edge/loglimit.go
+++ b/internal/edge/loglimit.go
@@ -29,12 +29,13 @@
 	targetHeld
 	targetSpeed
 	itemUnusable
+	responseUndecodable
 	logEventCount
 )
 
 // String returns the event's name in logs.
 func (e logEvent) String() string {
-	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "target", "peer", "bearer", "held", "speed", "unusable"}[e]
+	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "target", "peer", "bearer", "held", "speed", "unusable", "undecodable"}[e]
 }
 
 const (
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -27,12 +27,14 @@
 	storeReads      gometrics.Counter
 	storeWatches    gometrics.Counter
 	storeFailures   gometrics.Counter
-	fetches         gometrics.Counter
-	unusable        gometrics.Counter
-	drainingZones   gometrics.Gauge
-	eras            *eraMetrics
-	errorKinds      *metrics.KindCounters
-	placements      *metrics.HistogramVec
+	// storeUndecodable counts the failures of storeFailures after which everything is read.
+	storeUndecodable gometrics.Counter
+	fetches          gometrics.Counter
+	unusable         gometrics.Counter
+	drainingZones    gometrics.Gauge
+	eras             *eraMetrics
+	errorKinds       *metrics.KindCounters
+	placements       *metrics.HistogramVec
 	// set holds the series of services, which are known from the lists only.
 	set *metrics.Set
 
@@ -48,28 +50,29 @@
 		return s.Counter(metrics.Family{Name: "fireflypin_" + name, Help: help})
 	}
 	return &daemonMetrics{
-		set:             s,
-		forwarded:       counter("forwarded_packets_total", "Packets sent to targets."),
-		placed:          counter("placed_flows_total", "New flows that were given a target."),
-		repeated:        counter("repeated_opens_total", "Repeated first packets sent to the same target."),
-		moved:           counter("moved_opens_total", "Repeated first packets sent to another target."),
-		learned:         counter("learned_flows_total", "Flows that another daemon opened and whose packets came here."),
-		replaced:        counter("replaced_records_total", "First packets on ends that had a record of another flow."),
-		conflicts:       counter("tag_conflicts_total", "Packets whose tag names another target than their flow's record."),
-		refused:         counter("refused_flows_total", "New flows that were refused."),
-		reset:           counter("reset_flows_total", "Open flows that were ended at their callers, since their targets are silent."),
-		probes:          counter("target_probes_total", "Suspected targets to which connections were tried."),
-		sendErrors:      counter("send_errors_total", "Datagrams that the system refused to send."),
-		controlSent:     counter("control_sent_bytes_total", "Payload of control datagrams sent to peers."),
-		controlReceived: counter("control_received_bytes_total", "Payload of control datagrams received from peers."),
-		storeReads:      counter("platform_reads_total", "Reads of all published items."),
-		storeWatches:    counter("platform_watches_total", "Watches for published changes."),
-		storeFailures:   counter("platform_failures_total", "Calls to the platform that failed."),
-		fetches:         counter("item_fetches_total", "Fetches of items from other daemons."),
-		unusable:        counter("unusable_items_total", "Published items that cannot be used."),
-		drainingZones:   s.Gauge(metrics.Family{Name: "fireflypin_draining_zones", Help: "Availability zones whose drain is in force here."}),
-		eras:            newEraMetrics(s),
-		errorKinds:      s.KindCounters(metrics.Family{Name: "fireflypin_errors_total", Help: "Packets, flows, messages and lists that were not taken."}),
+		set:              s,
+		forwarded:        counter("forwarded_packets_total", "Packets sent to targets."),
+		placed:           counter("placed_flows_total", "New flows that were given a target."),
+		repeated:         counter("repeated_opens_total", "Repeated first packets sent to the same target."),
+		moved:            counter("moved_opens_total", "Repeated first packets sent to another target."),
+		learned:          counter("learned_flows_total", "Flows that another daemon opened and whose packets came here."),
+		replaced:         counter("replaced_records_total", "First packets on ends that had a record of another flow."),
+		conflicts:        counter("tag_conflicts_total", "Packets whose tag names another target than their flow's record."),
+		refused:          counter("refused_flows_total", "New flows that were refused."),
+		reset:            counter("reset_flows_total", "Open flows that were ended at their callers, since their targets are silent."),
+		probes:           counter("target_probes_total", "Suspected targets to which connections were tried."),
+		sendErrors:       counter("send_errors_total", "Datagrams that the system refused to send."),
+		controlSent:      counter("control_sent_bytes_total", "Payload of control datagrams sent to peers."),
+		controlReceived:  counter("control_received_bytes_total", "Payload of control datagrams received from peers."),
+		storeReads:       counter("platform_reads_total", "Reads of all published items."),
+		storeWatches:     counter("platform_watches_total", "Watches for published changes."),
+		storeFailures:    counter("platform_failures_total", "Calls to the platform that failed."),
+		storeUndecodable: counter("platform_undecodable_total", "Responses of the platform that are too large or cannot be decoded."),
+		fetches:          counter("item_fetches_total", "Fetches of items from other daemons."),
+		unusable:         counter("unusable_items_total", "Published items that cannot be used."),
+		drainingZones:    s.Gauge(metrics.Family{Name: "fireflypin_draining_zones", Help: "Availability zones whose drain is in force here."}),
+		eras:             newEraMetrics(s),
+		errorKinds:       s.KindCounters(metrics.Family{Name: "fireflypin_errors_total", Help: "Packets, flows, messages and lists that were not taken."}),
 		placements: s.HistogramVec(metrics.Family{Name: "fireflypin_target_open_flows", Help: "Open flows of this daemon on the target that a new flow was given, with it."},
 			maxServiceSeries, "service"),
 	}
--- a/internal/edge/ports.go
+++ b/internal/edge/ports.go
@@ -32,6 +32,10 @@
 // ErrCompacted is wrapped by errors of Store.Watch if the platform no longer holds the requested changes.
 var ErrCompacted = errors.New("the platform no longer holds the requested changes")
 
+// ErrUndecodable is wrapped by errors of Store for a response that is too large or too long for its time, or malformed: the
+// same call would have the same response again.
+var ErrUndecodable = errors.New("the response is too large or cannot be decoded")
+
 // Store is the platform's service that publishes items. A call whose response does not begin in time or makes no
 // progress must end with an error; one that is slow must not.
 type Store interface {
--- a/internal/news/fleet_test.go
+++ b/internal/news/fleet_test.go
@@ -39,6 +39,8 @@
 	// rejected reports whether the platform rejects the calls of a node, unresponsive whether it does not respond to
 	// them.
 	rejected, unresponsive func(n *node) bool
+	// watchLimit is the size in bytes above which responses to watches cannot be decoded; 0 means none.
+	watchLimit int
 	// readTimeout is the timeout of a read of all items; 0 means callTimeout.
 	readTimeout time.Duration
 	// lateAnswers returns by how much the platform's answer to a call of a node is late; it may be nil.
@@ -455,6 +457,14 @@
 			n.scheduleFailure(a.Call, callTimeout, Failure{Err: errors.New("timeout")})
 			return
 		}
+		size := 0
+		for _, it := range changes {
+			size += len(it.Value)
+		}
+		if n.sim.watchLimit > 0 && size > n.sim.watchLimit {
+			n.scheduleFailure(a.Call, 5*time.Millisecond, Failure{Err: errors.New("too large"), Undecodable: true, Era: n.sim.platform.era})
+			return
+		}
 		asOf := n.sim.platform.position()
 		n.scheduleIfRunning(n.answerDelay(4*time.Millisecond), func() []Action { return n.engine.HandleWatch(n.sim.now, a.Call, changes, asOf) })
 	}
--- a/internal/news/gossip.go
+++ b/internal/news/gossip.go
@@ -26,9 +26,11 @@
 	}
 	if d.Asks {
 		known := e.members.sampleFor(now, m.Zone, e.cfg.Relays, e.cfg.MaxMembers, e.cfg.Rand)
-		response := Datagram{Heartbeat: e.ownHeartbeat(now), Members: known}
-		response.Heartbeat.Reports = nil // with them it would exceed an Ethernet frame
-		actions = append(actions, Send{To: []netip.AddrPort{from}, Datagram: response})
+		heartbeat := e.ownHeartbeat(now)
+		heartbeat.Reports = nil // with them it would exceed an Ethernet frame
+		for _, response := range memberDatagrams(heartbeat, known) {
+			actions = append(actions, Send{To: []netip.AddrPort{from}, Datagram: response})
+		}
 	}
 	if len(d.Absent) > 0 {
 		actions = append(actions, TargetsSuspected{Targets: d.Absent})
@@ -41,6 +43,21 @@
 	return append(actions, e.step(now)...)
 }
 
+// maxFrameBytes is the size of a datagram that fits into an Ethernet frame, less protocol headers, key ids and
+// authentication codes.
+const maxFrameBytes = 1400
+
+// memberDatagrams distributes members over datagrams of at most maxFrameBytes. Names of zones may be long, and receivers do
+// not read more than a frame.
+func memberDatagrams(heartbeat *Heartbeat, members []Member) []Datagram {
+	d := Datagram{Heartbeat: heartbeat, Members: members}
+	if data, err := d.Encode(); err != nil || len(data) <= maxFrameBytes || len(members) <= 1 {
+		return []Datagram{d} // an error of the encoding is reported when it is sent
+	}
+	half := len(members) / 2
+	return append(memberDatagrams(heartbeat, members[:half]), memberDatagrams(heartbeat, members[half:])...)
+}
+
 // ReportAbsentTarget notifies the daemons of the zone that a target did not respond to probes. Their engines
 // report it as a TargetsSuspected action, on which a daemon with flows on the target probes it itself.
 func (e *Engine) ReportAbsentTarget(now time.Time, target string) []Action {
--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -33,9 +33,11 @@
 	// failingUntil is the end of the time after a failed call in which this daemon gives up its place as a reader to
 	// others.
 	failingUntil time.Time
-	// needsFullRead is true when the platform no longer has all changes since the replica's complete revision, so that
-	// a watch is not possible and all items have to be read.
+	// needsFullRead is true when the platform no longer has all changes since the replica's complete revision, or when its
+	// response with them cannot be used, so that a watch is not possible and all items have to be read. fullReadAt is when
+	// they were last read.
 	needsFullRead bool
+	fullReadAt    time.Time
 	// refuseStale is true once a stale response was of an older era than one known.
 	refuseStale bool
 	reading     bool
@@ -103,6 +105,7 @@
 	}
 	if !acceptsStale {
 		e.reader.needsFullRead = false
+		e.reader.fullReadAt = now
 		e.confirmed = now
 	}
 	e.reader.nextCall = now
@@ -156,6 +159,8 @@
 	Err error
 	// Compacted is true when the platform no longer has the changes that a watch requested.
 	Compacted bool
+	// Undecodable is true for a response that is too large or cannot be decoded: the same call would have it again.
+	Undecodable bool
 	// Era is the era that the platform reported with the failure, or 0.
 	Era uint64
 }
@@ -165,15 +170,19 @@
 	if callNumber != e.reader.callNumber {
 		return nil
 	}
+	watched := e.reader.openCall == callWatch
 	e.reader.openCall = callNone
 	noted := e.noteEra(now, f.Era, netip.AddrPort{})
-	if f.Compacted {
+	if f.Compacted || f.Undecodable && watched {
 		if f.Era != 0 && f.Era < e.era {
 			return append(noted, e.handleOlderEra(now, callNumber)...)
 		}
 		if !e.lagsEra() {
 			e.reader.needsFullRead = true
 			e.reader.nextCall = now
+			if now.Sub(e.reader.fullReadAt) < e.cfg.BatchInterval {
+				e.reader.nextCall = now.Add(e.cfg.BatchInterval)
+			}
 		}
 		return append(e.recordReachable(noted), e.step(now)...)
 	}
