tags: a copy of a SYN goes to its target only where the lists in force let it take the flow

Cause: a copy goes to the target in the record; its service was not compared with the services of the route.

Fix: one function says whether a target may still take a flow that was offered to it: not in a drained zone, outside the route's regions, or of a service without a share. The caller's permission is checked again, too. Copies that it excludes are dropped, as the target may have answered the first SYN.

Ruled out: moving the copy to a target of the new service (both might answer), dropping copies to targets that announced their stop or whose registration ended (copies come within 0.6 s; they are served, and no other target may get them).

--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -157,16 +157,20 @@
 
 // handleDuplicateSYN handles a duplicate SYN of a half-open flow. It sends the SYN to the same target unless a probe
 // did not find that one. If two targets accept one SYN, both answer and the caller may return the tag of either; and a
-// target that refuses the SYN ends a flow that is open at the other. A target that may take no first packets any more,
-// since its zone is drained or the route's regions changed, may have answered the first SYN already: the duplicate goes
-// nowhere then, and the caller continues with that answer or opens another flow.
+// target that refuses the SYN ends a flow that is open at the other. A target that the lists in force would not let take
+// the flow any more may have answered the first SYN already: the duplicate goes nowhere then, and the caller continues with
+// that answer or opens another flow.
 func (e *Engine) handleDuplicateSYN(lists *tagLists, now time.Time, h model.FlowHash, m *packet.Meta, f tagRecord) Verdict {
 	e.handleMiss(now, h, f.target, true)
 	f.synDuplicates++
 	f.packetAt = e.records.millis(now)
+	_, _, kind := lists.admitter.Admit(m.Src.Addr(), m.Dst)
 	route := lists.snapshot.RouteAt(m.Dst)
-	if route == nil {
-		return refuseTagged(errkind.NoSuchService, h)
+	if kind == errkind.None && route == nil {
+		kind = errkind.NoSuchService
+	}
+	if kind != errkind.None {
+		return refuseTagged(kind, h)
 	}
 	target := lists.targets[f.target]
 	if target == nil || e.absentSinceSYN(f) {
@@ -176,13 +180,11 @@
 		}
 	}
 	e.records.put(h, f)
-	switch {
-	case target == nil:
+	if target == nil {
 		return refuseTagged(errkind.NoTargetReachable, h)
-	case target.ZoneDraining:
-		return dropTagged(errkind.ZoneDraining)
-	case !route.InRegions(target.Zone):
-		return dropTagged(errkind.NoTargetReachable)
+	}
+	if kind := excludes(route, target); kind != errkind.None {
+		return dropTagged(kind)
 	}
 	if !e.cfg.Warmup.Take(now, target) {
 		return dropTagged(errkind.TargetsWarming)
@@ -190,6 +192,19 @@
 	return Verdict{Op: core.OpForward, Reason: Repeated, Target: target, Tag: f.tag, Route: route}
 }
 
+// excludes returns why the lists in force do not let a target take a flow of a route that was offered to it before, or
+// errkind.None. The announced stop of a target, and the end of its registration, do not exclude it: it serves for longer than
+// a caller sends duplicates, and no other target may get them.
+func excludes(route *model.Route, target *model.Target) errkind.Kind {
+	switch {
+	case target.ZoneDraining:
+		return errkind.ZoneDraining
+	case !route.InRegions(target.Zone), !route.IsServedBy(target.Service):
+		return errkind.NoTargetReachable
+	}
+	return errkind.None
+}
+
 // absentSinceSYN reports whether a probe since the flow's SYN did not find the target, and the target has answered
 // nothing since that probe.
 func (e *Engine) absentSinceSYN(f tagRecord) bool {
--- a/model/route.go
+++ b/model/route.go
@@ -53,6 +53,11 @@
 	return len(r.Regions) == 0 || slices.Contains(r.Regions, z.Region)
 }
 
+// IsServedBy reports whether a service takes new flows of the route.
+func (r *Route) IsServedBy(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service.Name == service })
+}
+
 // shareShift shifts a flow's hash, so that the share does not depend on the bits that order the targets.
 const shareShift = 32
 
