news: the stagger of reads in a new era is not shortened by an earlier failure

The wait after a failed call was also shortened where a new era had set the next call to a later time, so that more daemons of a zone could read everything at once than the stagger of such reads allows. It is shortened only while the wait that runs is the one after a failure. TestLoneSurvivorAfterOutage, TestChangesReachServedDaemons and the tests of returns hold.

--- a/internal/news/reader.go
+++ b/internal/news/reader.go
@@ -25,11 +25,13 @@
 	// acceptsStale is true for an open read that accepts a stale response.
 	acceptsStale bool
 	nextCall     time.Time
-	// failures is the number of failed calls since the last one that succeeded, failedAt the time of the last one, and
-	// retryFactor the random factor, 0.5 to 1.5, of the wait after it.
+	// failures is the number of failed calls since the last one that succeeded, failedAt the time of the last one,
+	// retryFactor the random factor, 0.5 to 1.5, of the wait after it, and retryAt its end; nextCall may have been set to
+	// another time since.
 	failures    int
 	failedAt    time.Time
 	retryFactor float64
+	retryAt     time.Time
 	// failingUntil is the end of the time after a failed call in which this daemon gives up its place as a reader to
 	// others.
 	failingUntil time.Time
@@ -189,7 +191,8 @@
 	e.reader.failures++
 	e.reader.failedAt = now
 	e.reader.retryFactor = 0.5 + e.cfg.Rand.Float64()
-	e.reader.nextCall = e.retryAt(now)
+	e.reader.retryAt = e.endOfRetryWait(now)
+	e.reader.nextCall = e.reader.retryAt
 	e.reader.failingUntil = now.Add(e.cfg.FailureWindow)
 	actions := append(noted, CancelCall{})
 	if e.reader.reachable || e.reader.failures == 1 {
@@ -253,6 +256,7 @@
 	return reading, []Action{Reading{Reading: reading, ReaderRank: readerRank, Age: e.age(now)}}
 }
 
+// startCall records that a call is open from now on.
 func (e *Engine) startCall(now time.Time, kind callKind) {
 	e.reader.openCall, e.reader.callStarted = kind, now
 	e.reader.callNumber++
@@ -288,8 +292,8 @@
 	return now.Sub(confirmedAt) > maxAge || !e.members.anyLive(now), readerRank
 }
 
-// retryAt returns when the call that failed last is to be repeated, by what is known now of the other daemons.
-func (e *Engine) retryAt(now time.Time) time.Time {
+// endOfRetryWait returns when the call that failed last is to be repeated, by what is known now of the other daemons.
+func (e *Engine) endOfRetryWait(now time.Time) time.Time {
 	wait := min(e.cfg.BackoffMin<<min(e.reader.failures-1, 8), e.cfg.BackoffMax)
 	if e.members.rank(now) >= leadingDaemons {
 		followers := e.members.zoneSize(now) - leadingDaemons
@@ -301,11 +305,11 @@
 // shortenRetry ends the wait after a failed call sooner when daemons that this one relied on are no longer live: nobody
 // else may notify it that the platform responds again.
 func (e *Engine) shortenRetry(now time.Time) {
-	if e.reader.failures == 0 {
+	if e.reader.failures == 0 || !e.reader.nextCall.Equal(e.reader.retryAt) {
 		return
 	}
-	if at := e.retryAt(now); at.Before(e.reader.nextCall) {
-		e.reader.nextCall = at
+	if at := e.endOfRetryWait(now); at.Before(e.reader.retryAt) {
+		e.reader.retryAt, e.reader.nextCall = at, at
 	}
 }
 
