--- a/internal/soak/return.go
+++ b/internal/soak/return.go
@@ -23,6 +23,9 @@
 	h.after(absence, func() {
 		h.store.returnFromCopy(copied)
 		h.after(h.randomUpTo(maxRewriteDelay), func() { h.store.put(h.dialect.ConfigItem(h.config)) })
+		for _, zone := range h.zones {
+			h.after(h.randomUpTo(maxRewriteDelay), func() { h.writeZoneDrain(zone) })
+		}
 		for _, t := range h.targets {
 			h.registerAgain(t)
 		}
--- a/internal/soak/zone_drain.go
+++ b/internal/soak/zone_drain.go
@@ -40,6 +40,17 @@
 	})
 }
 
+// writeZoneDrain publishes the drain of a zone if it stands, and takes it back if the store still has one that does not.
+func (h *harness) writeZoneDrain(zone string) {
+	key, value := h.dialect.ZoneDrainItem(zone)
+	switch {
+	case h.drains[zone] != nil:
+		h.store.put(key, value)
+	case h.store.has(key):
+		h.store.put(key, nil)
+	}
+}
+
 // checkZoneDrain checks that no flow opens at a target whose zone has been drained for longer than zoneDrainBound. Daemons
 // affected by a fault are not checked.
 func (h *harness) checkZoneDrain(now time.Time, e *entry, t *target, key packet.FlowKey) {
--- a/internal/soak/zone_drain_test.go
+++ b/internal/soak/zone_drain_test.go
@@ -46,3 +46,33 @@
 		}
 	})
 }
+
+// drainDialect is a Dialect whose items for drains have the zone as their key.
+type drainDialect struct{ Dialect }
+
+func (drainDialect) ZoneDrainItem(zone string) (string, []byte) { return zone, []byte("drained") }
+
+// TestDrainAfterReturn guards against drains that the operator of the soak leaves out after a return of the store, which the
+// users' operator writes again.
+func TestDrainAfterReturn(t *testing.T) {
+	Convey("After a return of the store from a copy, drains that stand are written again and others are taken back", t, func() {
+		h, _ := newTestHarness()
+		h.dialect = drainDialect{}
+		h.store.put("config", []byte("x"))
+		h.store.put("ended", []byte("drained"))
+		copied := time.Now()
+		time.Sleep(time.Millisecond)
+		h.store.put("ended", nil)
+		h.store.put("standing", []byte("drained"))
+		h.drains["standing"] = &zoneDrain{since: time.Now(), steps: 1}
+		h.store.returnFromCopy(copied)
+		So(h.store.has("ended"), ShouldBeTrue)
+		So(h.store.has("standing"), ShouldBeFalse)
+		for _, zone := range []string{"standing", "ended", "never"} {
+			h.writeZoneDrain(zone)
+		}
+		So(h.store.has("ended"), ShouldBeFalse)
+		So(h.store.has("standing"), ShouldBeTrue)
+		So(h.store.has("never"), ShouldBeFalse)
+	})
+}
