--- a/internal/news/reach_test.go
+++ b/internal/news/reach_test.go
@@ -185,9 +185,9 @@
 	})
 }
 
-// TestLoneSurvivorAfterOutage plays the loss of all other daemons of a zone right after an outage of the platform, for
+// TestLastDaemonOfZoneAfterOutage plays the loss of all other daemons of a zone right after an outage of the platform, for
 // each rank of the one that is left.
-func TestLoneSurvivorAfterOutage(t *testing.T) {
+func TestLastDaemonOfZoneAfterOutage(t *testing.T) {
 	for _, kind := range []string{"silent", "refused"} {
 		for rank := 0; rank < 43; rank += 7 {
 			t.Run(fmt.Sprint(kind, " rank ", rank), func(t *testing.T) {
