tags: a copy of a SYN is never answered with a reset

What callers may see: a caller's first SYN is answered by its target, the answer is lost once, and the route ends (or the caller's plan changes) before the copy of the SYN. The target repeats its answer while the copy is on its way, the flow opens, and then the daemon's refusal of the copy arrives. Its number is the copy's acknowledgement field, 1 or 2: nothing bounds its distance from the caller's own, and it ends a flow that is open.

Cause: the copy was decided like a first SYN where the lists in force no longer allow the flow. Only a SYN that no target has seen can be refused, since any number is right while a flow is not open.

Fix: such a copy is dropped, as it already was where the target's service or zone no longer takes the flow. The caller goes on with the target's answer or opens another flow.

Test: TestCopyOfSYNIsNotRefused, random ends of routes on links that lose packets.

--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -159,7 +159,8 @@
 // did not find that one. If two targets accept one SYN, both answer and the caller may return the tag of either; and a
 // target that refuses the SYN ends a flow that is open at the other. A target that the lists in force would not let take
 // the flow any more may have answered the first SYN already: the duplicate goes nowhere then, and the caller continues with
-// that answer or opens another flow.
+// that answer or opens another flow. For the same reason no duplicate is refused: the flow may be open, and a reset that answers
+// a SYN has no number that fits it.
 func (e *Engine) handleDuplicateSYN(lists *tagLists, now time.Time, h model.FlowHash, m *packet.Meta, f tagRecord) Verdict {
 	e.handleMiss(now, h, f.target, true)
 	f.synDuplicates++
@@ -170,7 +171,7 @@
 		kind = errkind.NoSuchService
 	}
 	if kind != errkind.None {
-		return refuseTagged(kind, h)
+		return dropTagged(kind)
 	}
 	target := lists.targets[f.target]
 	if target == nil || e.absentSinceSYN(f) {
@@ -181,7 +182,7 @@
 	}
 	e.records.put(h, f)
 	if target == nil {
-		return refuseTagged(errkind.NoTargetReachable, h)
+		return dropTagged(errkind.NoTargetReachable)
 	}
 	if kind := excludes(route, target); kind != errkind.None {
 		return dropTagged(kind)
--- a/core/tags/rules_test.go
+++ b/core/tags/rules_test.go
@@ -25,6 +25,8 @@
 	strict, reuse, noFaults bool
 	// moves moves flows often between daemons while targets fail, and makes answers large.
 	moves bool
+	// routesEnd ends routes for a while, on links that lose packets.
+	routesEnd bool
 	// outages lets all daemons lose power several times, besides other faults.
 	outages bool
 	losses  []float64
@@ -56,6 +58,8 @@
 	case v.moves:
 		cfg.bulk = true
 		cfg.faults = drawSimFaults(t, cfg.seed, simMoveNames)
+	case v.routesEnd:
+		cfg.faults = drawSimFaults(t, cfg.seed, simRouteNames)
 	case !v.noFaults:
 		cfg.faults = drawSimFaults(t, cfg.seed, simFaultNames)
 	}
@@ -181,6 +185,12 @@
 	}
 }
 
+// TestCopyOfSYNIsNotRefused guards against a reset that answers a copy of a SYN whose route has ended since the first one: the
+// target may have answered that, and the reset has no number that fits the caller's open flow.
+func TestCopyOfSYNIsNotRefused(t *testing.T) {
+	checkSims(t, simVariant{routesEnd: true, losses: []float64{0.03, 0.1}}, neverViolates(simStrayReset), lo.RangeFrom(1, 100)...)
+}
+
 // TestDuplicatesAfterOutage checks the rules on sites whose daemons lose power together. Daemons place duplicate SYNs then
 // that callers sent while none of them ran.
 func TestDuplicatesAfterOutage(t *testing.T) {
--- a/core/tags/sim_fault_test.go
+++ b/core/tags/sim_fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"pgregory.net/rapid"
@@ -52,7 +53,10 @@
 	"registration is missing":  {200 * time.Millisecond, 2 * time.Second, func(w *sim, who int, span time.Duration) { w.target(who).unregister(span) }},
 	"target drains and leaves": {time.Second, 3 * time.Second, func(w *sim, who int, span time.Duration) { w.target(who).drain(span) }},
 	"zones are partitioned":    {500 * time.Millisecond, 4 * time.Second, func(w *sim, _ int, span time.Duration) { w.cutZones(span) }},
-	"target joins":             {0, 0, func(w *sim, who int, _ time.Duration) { w.addTarget(simZones[who%2]); w.publish() }},
+	"route ends": {100 * time.Millisecond, time.Second, func(w *sim, who int, span time.Duration) {
+		w.endRoute(who%2, span)
+	}},
+	"target joins": {0, 0, func(w *sim, who int, _ time.Duration) { w.addTarget(simZones[who%2]); w.publish() }},
 }
 
 // simFaultNames lists the kinds to draw from. Frequent ones are listed more than once.
@@ -71,6 +75,9 @@
 	"target restarts", "target restarts", "target loses its link", "target fails", "target fails",
 }
 
+// simRouteNames lists the kinds of a run in which routes end for a while.
+var simRouteNames = []string{"route ends", "route ends", "route ends", "daemon leaves the rotation", "daemon restarts", "target loses its link"}
+
 const simNothing = "nothing"
 
 const (
@@ -125,6 +132,28 @@
 	w.after(span, func() { w.cut = simCut{endedAt: w.at} })
 }
 
+// endRoute takes a route out of the plan for a time.
+func (w *sim) endRoute(i int, span time.Duration) {
+	with := w.site.directory.Plan()
+	if len(with.Routes) < simRoutes {
+		return // another route has ended
+	}
+	without := *with
+	without.Version++
+	without.Routes = slices.Delete(slices.Clone(with.Routes), i, i+1)
+	w.site.directory.SetPlan(&without)
+	w.publish()
+	w.after(span, func() {
+		again := *with
+		again.Version = without.Version + 1
+		w.site.directory.SetPlan(&again)
+		w.publish()
+	})
+}
+
+// simRoutes is the number of routes of the plan.
+const simRoutes = 3
+
 // crash stops a target without notice. If span is not 0 the target restarts after it, under the same name; otherwise
 // its registration ends after 3 s. An unreachable target answers nothing, any other refuses connections.
 func (t *simTarget) crash(unreachable bool, span time.Duration) {
