edge: a packet that waited in the socket is not answered with the reset of its flow

What callers may see: a daemon does not run for a while, and a repeated packet of an open flow waits in its socket. The flow goes on through another daemon. When the daemon runs again it answers the packet with a reset whose number is that of the packet, as far from the caller's last acknowledgement as the flow went on meanwhile.

Cause: only first packets were dropped after a stall, from 0.5 s on. A reset of an open flow is right only if its packet was just sent.

Fix: a packet that may have waited for 0.1 s is sent on to its target instead: after a gap of that length between two checks of the clock, detected or not, while the packets of the start are read, and while each read fills the buffers for that long. 0.1 s is half of the time after which callers repeat a packet, so the packet that is answered is the last one with data. The next repetition is answered as before.

Ruled out: dropping such packets; the target is suspected, not known to be lost.

Test: TestRepeatThatWaitedIsNotReset, waits of 0.1 s and 3 s.

--- a/core/tags/engine.go
+++ b/core/tags/engine.go
@@ -239,6 +239,7 @@
 	Op     core.Op
 	Kind   errkind.Kind
 	Reason Reason
+	// Target and Tag are also set for the reset of an open flow: a packet that may have waited is forwarded in its place.
 	Target *model.Target
 	Tag    flowtag.Tag
 	// Route is the flow's route; set only for SYNs that are forwarded, kept back, or refused by the gate.
@@ -335,7 +336,7 @@
 			e.releaseCounts(now, f)
 		}
 		v := refuseTagged(errkind.TargetLost, h)
-		v.Target, v.ISN = target, p.after.isn
+		v.Target, v.Tag, v.ISN = target, p.after.tag, p.after.isn
 		v.Conflict = lists.conflictOf(m, tag, &p)
 		return v
 	}
--- a/internal/edge/consent_test.go
+++ b/internal/edge/consent_test.go
@@ -77,14 +77,42 @@
 func (m *movingFlows) failTarget(failed *target, waiting uint16, nodes ...*node) {
 	m.kill(failed)
 	for range 4 {
-		m.send(nodes[0], waiting, 10)
-		for port, f := range m.flows {
-			if f.target != failed {
-				m.request(nodes[int(port)%len(nodes)], port, 100)
-			}
+		m.repeat(failed, waiting, nodes...)
+	}
+}
+
+// repeat sends the request of a flow of a failed target once more, lets the other flows go on and waits for the time after which
+// callers repeat.
+func (m *movingFlows) repeat(failed *target, waiting uint16, nodes ...*node) {
+	m.send(nodes[0], waiting, 10)
+	for port, f := range m.flows {
+		if f.target != failed {
+			m.request(nodes[int(port)%len(nodes)], port, 100)
 		}
-		time.Sleep(200 * time.Millisecond)
 	}
+	time.Sleep(200 * time.Millisecond)
+}
+
+// startTwo starts two daemons and opens flows through the first one. It returns the ports of the flows of one target.
+func (m *movingFlows) startTwo(ctx context.Context) (a, b *node, ports []uint16) {
+	for i := range 3 {
+		m.targets = append(m.targets, m.target(1+i))
+	}
+	a, b = m.start(ctx, 1), m.start(ctx, 2)
+	time.Sleep(4 * time.Second)
+	failed := m.open(a, 3000).target
+	for port := uint16(3000); port < 3060; port++ {
+		if port == 3000 || m.open(a, port).target == failed {
+			ports = append(ports, port)
+		}
+	}
+	return a, b, ports
+}
+
+// cutOff cuts a daemon off from the other one; the client reaches both.
+func (m *movingFlows) cutOff(n *node) {
+	m.network.Assign("b", n.peer)
+	m.network.Cut("", "b")
 }
 
 // TestMovedFlowIsNotResetByItsRecord guards against a daemon that resets an open flow by its own record, while the flow went on
@@ -99,8 +127,7 @@
 	}{
 		{"the other daemon runs", func(_ context.Context, _ *fleet, b *node) *node { return b }, true},
 		{"the other daemon is cut off from this one", func(_ context.Context, f *fleet, b *node) *node {
-			f.network.Assign("b", b.peer)
-			f.network.Cut("", "b")
+			(&movingFlows{fleet: f}).cutOff(b)
 			return b
 		}, false},
 		{"the other daemon has been restarted", func(ctx context.Context, f *fleet, b *node) *node {
@@ -114,20 +141,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(ctx context.Context, f *fleet) {
 				m := &movingFlows{fleet: f, client: f.client(), flows: make(map[uint16]*movingFlow)}
-				for i := range 3 {
-					m.targets = append(m.targets, f.target(1+i))
-				}
 				defer m.close()
-				a, b := f.start(ctx, 1), f.start(ctx, 2)
-				time.Sleep(4 * time.Second)
-				failed := m.open(a, 3000).target
-				ofFailed := []uint16{3000}
-				for port := uint16(3001); port < 3060; port++ {
-					if m.open(a, port).target == failed {
-						ofFailed = append(ofFailed, port)
-					}
-				}
+				a, b, ofFailed := m.startTwo(ctx)
 				moved, idle, waiting := ofFailed[0], ofFailed[1], ofFailed[2]
+				failed := m.flows[moved].target
 				for range 5 {
 					m.request(b, moved, 24_000)
 				}
@@ -149,3 +166,43 @@
 		})
 	}
 }
+
+// TestRepeatThatWaitedIsNotReset guards against a reset in answer to a packet that waited in the socket while the daemon did not
+// run: its flow may have gone on through another daemon, far beyond the packet's number.
+func TestRepeatThatWaitedIsNotReset(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		wait time.Duration
+	}{
+		{"0.1 s", 100 * time.Millisecond},
+		{"3 s", 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			run(t, func(ctx context.Context, f *fleet) {
+				m := &movingFlows{fleet: f, client: f.client(), flows: make(map[uint16]*movingFlow)}
+				defer m.close()
+				a, b, ofFailed := m.startTwo(ctx)
+				m.cutOff(b) // so that nothing is reset without a packet
+				time.Sleep(500 * time.Millisecond)
+				waiting := ofFailed[0]
+				failed := m.flows[waiting].target
+				m.kill(failed)
+				m.repeat(failed, waiting, a, b)
+				m.repeat(failed, waiting, a, b)
+				So(m.resets(), ShouldBeEmpty)
+				f.mu.Lock()
+				a.suspended += c.wait
+				f.mu.Unlock()
+				m.send(a, waiting, 10)
+				time.Sleep(5 * time.Millisecond)
+				So(m.resets(), ShouldBeEmpty)
+
+				// A later packet is answered.
+				for range 4 {
+					m.repeat(failed, waiting, a, b)
+				}
+				So(m.resets()[waiting], ShouldContain, m.flows[waiting].ack)
+			})
+		})
+	}
+}
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -36,6 +36,11 @@
 	// have waited in the socket during a stall.
 	seenStalls int64
 	stale      bool
+	// seenWaits and waited are the same for shorter gaps, and fullSince is the time since which every read has filled its
+	// buffers; zero if the last one did not.
+	seenWaits int64
+	waited    bool
+	fullSince time.Time
 	// backlogSince is the time since which the packets that are read may have waited for the first lists; zero once
 	// these packets have been read.
 	backlogSince time.Time
@@ -62,13 +67,18 @@
 		now := time.Now()
 		f.d.metrics.lastPacket.Store(now.UnixNano())
 		f.stale = f.d.pauses.newStall(&f.seenStalls) || f.stale
+		f.waited = f.d.pauses.newWait(&f.seenWaits) || f.waited
 		for i := 0; i < n; {
 			i = f.handleBatch(now, i, n)
 		}
 		f.flush()
 		f.releaseWaiting(now)
-		if n < len(f.in) {
-			f.stale, f.backlogSince = false, time.Time{} // the socket's backlog has been read
+		switch {
+		case n < len(f.in):
+			// the socket's backlog has been read
+			f.stale, f.waited, f.backlogSince, f.fullSince = false, false, time.Time{}, time.Time{}
+		case f.fullSince.IsZero():
+			f.fullSince = now
 		}
 	}
 }
@@ -107,6 +117,13 @@
 	return f.stale
 }
 
+// mayHaveWaited reports whether the current packet may have waited in the socket for waitLimit or longer. Its flow may have
+// gone on through another daemon since. It is called for few packets, as it reads the clock.
+func (f *forwarder) mayHaveWaited(now time.Time) bool {
+	f.waited = f.waited || f.d.pauses.undetectedWait() || f.d.pauses.newWait(&f.seenWaits)
+	return f.waited || f.stale || !f.backlogSince.IsZero() || !f.fullSince.IsZero() && now.Sub(f.fullSince) >= waitLimit
+}
+
 // handle decides on one packet. SYNs that waited during a stall are dropped: their callers have opened the flows
 // through other daemons since, and a second target that refuses such a SYN would end the flow at the first one.
 func (f *forwarder) handle(now time.Time, i int) {
@@ -151,6 +168,11 @@
 	if v.Conflict != nil {
 		f.d.recordConflict(now, &f.meta, v)
 	}
+	if v.Op == core.OpReset && v.Target != nil && f.mayHaveWaited(now) {
+		// The reset of an open flow needs the number of a packet that was just sent.
+		v.Op, v.Reason = core.OpForward, tags.Steered
+		f.d.metrics.resetsLate.Inc(1)
+	}
 	switch v.Op {
 	case core.OpForward:
 		frame := f.frames[i][:f.headroom+len(raw)]
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -22,6 +22,7 @@
 	reset           gometrics.Counter
 	resetQuestions  gometrics.Counter
 	resetsUnasked   gometrics.Counter
+	resetsLate      gometrics.Counter
 	probes          gometrics.Counter
 	sendErrors      gometrics.Counter
 	controlSent     gometrics.Counter
@@ -64,6 +65,7 @@
 		reset:            counter("reset_flows_total", "Open flows that were ended at their callers, since their targets are silent."),
 		resetQuestions:   counter("reset_questions_total", "Questions to the other daemons about flows that are to be reset."),
 		resetsUnasked:    counter("resets_unasked_total", "Ticks at which the flows of a silent target were kept, since not all daemons of the zone could be asked."),
+		resetsLate:       counter("resets_late_total", "Packets that were not answered with a reset, since they may have waited in the socket."),
 		probes:           counter("target_probes_total", "Suspected targets to which connections were tried."),
 		sendErrors:       counter("send_errors_total", "Datagrams that the system refused to send."),
 		controlSent:      counter("control_sent_bytes_total", "Payload of control datagrams sent to peers."),
