tags: the time that a flow spent at another daemon is no handshake

What operators see: after flows moved to another daemon and back, targets have mean handshakes of seconds, and late handshakes of these targets count as missed responses only after 120 ms in place of 60 ms.

Cause: the first packet after a SYN ends the handshake in the record, whatever passed another daemon in between.

Fix: it does so only if it continues the SYN's number; otherwise it only shows that the target lives. A caller that acknowledged the answer through another daemon and sent no data there is not recognized.

--- a/core/tags/engine.go
+++ b/core/tags/engine.go
@@ -365,9 +365,9 @@
 		e.loads.Opened(p.after.target)
 	}
 	switch {
-	case p.established:
+	case p.completed:
 		e.loads.Answered(now, p.after.target, p.sinceProgress)
-	case p.ackAdvanced:
+	case p.established, p.ackAdvanced:
 		e.loads.Alive(now, p.after.target)
 	case p.retransmitted:
 		e.handleMiss(now, h, p.after.target, p.after.retransmits >= strongRetransmits)
--- a/core/tags/engine_test.go
+++ b/core/tags/engine_test.go
@@ -703,6 +703,24 @@
 	})
 }
 
+// TestHandshakeThroughOtherDaemon guards against the time that a flow spent at another daemon being taken for its target's
+// handshake.
+func TestHandshakeThroughOtherDaemon(t *testing.T) {
+	Convey("A flow whose handshake and first request passed another daemon says nothing about its target's handshakes", t, func() {
+		s := newTagSite(1)
+		e, other := s.engine(), s.engine()
+		usual := s.caller(safeAddr).open(e)
+		handshake := e.Loads().Handshake(usual.target)
+		moved := s.caller(safeAddr)
+		moved.syn(e)
+		moved.finishHandshake(other)
+		moved.request(other)
+		s.now = s.now.Add(2 * time.Second)
+		So(moved.send(e, 100).Target.ID, ShouldEqual, usual.target)
+		So(e.Loads().Handshake(usual.target), ShouldEqual, handshake)
+	})
+}
+
 func TestTargetReportedAbsent(t *testing.T) {
 	Convey("A target that another daemon and a probe of this one did not find gets no new flow, and its idle flows are reset", t, func() {
 		s := newFailedTargetSite(safeAddr, 40)
--- a/core/tags/record.go
+++ b/core/tags/record.go
@@ -122,8 +122,9 @@
 	// added is true if the flow had no record. replaced is true if its addresses had the record of another flow,
 	// which is in before.
 	added, replaced bool
-	// established is true for the packet that completes the handshake.
-	established bool
+	// established is true for the first packet after the handshake, completed if it is also the one that completes the
+	// handshake. Otherwise earlier packets went through another daemon.
+	established, completed bool
 	// retargeted is true if that packet names another target than the record did.
 	retargeted bool
 	// ackAdvanced is true if the acknowledgement number advanced, which proves that the target has sent data.
@@ -287,7 +288,7 @@
 	ms := t.millis(now)
 	p := tagProgress{before: f, after: f}
 	if known {
-		p.established = true
+		p.established, p.completed = true, m.Seq == f.seq
 		p.sinceProgress = time.Duration(ms-f.progressAt) * time.Millisecond
 		p.retargeted = f.target != learned.target
 	}
