tags: a target that responds while the other daemons are asked keeps its flows

Up to 0.2 s pass between the question to the other daemons and the resets. A target that is found by a probe or sends data in that time lost its flows.

--- a/core/tags/reset.go
+++ b/core/tags/reset.go
@@ -92,9 +92,13 @@
 	return hasFailed || idle || route.Kind.Idempotent()
 }
 
-// ResetConfirmed returns the resets of candidates of which no other daemon received a later packet. Flows that this daemon has received a packet of since stay.
+// ResetConfirmed returns the resets of candidates of which no other daemon received a later packet. Flows that this daemon has
+// received a packet of since stay, and so do all of them if the target has responded since.
 func (e *Engine) ResetConfirmed(now time.Time, r consent.Request) []FlowReset {
 	e.suspects.drop(r.Target)
+	if ev := e.loads.Evidence(r.Target); ev.LastAnswer.After(r.At) || ev.Probed() && ev.Connected {
+		return nil
+	}
 	at := e.records.millis(r.At)
 	var out []FlowReset
 	for _, c := range r.Flows {
--- a/core/tags/reset_test.go
+++ b/core/tags/reset_test.go
@@ -373,6 +373,32 @@
 	})
 }
 
+// TestResponseWhileOthersAreAsked guards against resets of the flows of a target that responds while the answers of the other
+// daemons are on their way.
+func TestResponseWhileOthersAreAsked(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		respond func(s *probedSite)
+		kept    bool
+	}{
+		{"the target does not respond", func(*probedSite) {}, false},
+		{"a caller acknowledges data of the target", func(s *probedSite) { s.engine.Loads().Alive(s.now, s.failed) }, true},
+		{"a probe finds the target", func(s *probedSite) { s.engine.Probed(s.now, s.failed, placement.ProbeConnected) }, true},
+	} {
+		Convey("When "+c.name, t, func() {
+			s := newProbedSite(safeAddr, 40)
+			s.sendAndRetransmit(s.flowsOfFailed()[:1], firstRetransmit)
+			s.engine.Probed(s.now, s.failed, placement.ProbeNoAnswer)
+			So(s.engine.Tick(s.now), ShouldContain, s.failed)
+			request := s.engine.ResetCandidates(s.now, s.failed)
+			So(request.Flows, ShouldNotBeEmpty)
+			s.now = s.now.Add(20 * time.Millisecond)
+			c.respond(s)
+			So(len(s.engine.ResetConfirmed(s.now, request)) == 0, ShouldEqual, c.kept)
+		})
+	}
+}
+
 func TestReach(t *testing.T) {
 	Convey("The reach is the time since the start, or since a flow got no record", t, func() {
 		s := newTagSite(1)
