edge: a seed that does not run does not keep idle flows from being reset

A seed that was never heard has no zone and counted as a silent daemon of this one's zone for its first minute. A daemon that runs is known to the others of its zone, which tell how many they know.

TestMovedFlowIsNotResetByItsRecord, case "a seed does not run", fails without this change.

--- a/internal/edge/consent.go
+++ b/internal/edge/consent.go
@@ -71,8 +71,8 @@
 		silence := now.Sub(p.Heard)
 		ended := p.Leaving && silence >= leavingSilence
 		responsive := p.Live || p.Leaving && silence < leavingAnswers
-		switch inZone := p.Zone == "" || p.Zone == c.d.settings.Zone.Name; {
-		case ended:
+		switch inZone := p.Zone == c.d.settings.Zone.Name; {
+		case ended, p.Zone == "": // a seed that was never heard has no zone; a daemon that runs is known to others
 		case inZone && !responsive:
 			return consent.Others{}, false
 		case inZone:
--- a/internal/edge/consent_test.go
+++ b/internal/edge/consent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -122,26 +123,29 @@
 		name string
 		// change happens between the last packet of the moved flow and the failure, and returns the other daemon.
 		change func(ctx context.Context, f *fleet, b *node) *node
+		seeds  []netip.AddrPort
 		// reset is true if a daemon resets the idle flows.
 		reset bool
 	}{
-		{"the other daemon runs", func(_ context.Context, _ *fleet, b *node) *node { return b }, true},
+		{"the other daemon runs", func(_ context.Context, _ *fleet, b *node) *node { return b }, nil, true},
+		{"a seed does not run", func(_ context.Context, _ *fleet, b *node) *node { return b }, []netip.AddrPort{netip.MustParseAddrPort("10.1.0.9:8166")}, true},
 		{"the other daemon is cut off from this one", func(_ context.Context, f *fleet, b *node) *node {
 			(&movingFlows{fleet: f}).cutOff(b)
 			return b
-		}, false},
+		}, nil, false},
 		{"the other daemon has been restarted", func(ctx context.Context, f *fleet, b *node) *node {
 			b.stop()
 			<-b.done
 			b = f.start(ctx, 2)
 			time.Sleep(2 * time.Second)
 			return b
-		}, false},
+		}, nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			run(t, func(ctx context.Context, f *fleet) {
 				m := &movingFlows{fleet: f, client: f.client(), flows: make(map[uint16]*movingFlow)}
 				defer m.close()
+				f.seeds = c.seeds
 				a, b, ofFailed := m.startTwo(ctx)
 				moved, idle, waiting := ofFailed[0], ofFailed[1], ofFailed[2]
 				failed := m.flows[moved].target
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -156,6 +156,8 @@
 	interpreter edge.Interpreter
 	// zoneOf returns the zone of the daemon entry-i, if set; else all are in zone a.
 	zoneOf func(i int) string
+	// seeds are seeds besides entry-1.
+	seeds []netip.AddrPort
 }
 
 type node struct {
@@ -248,7 +250,7 @@
 		Data:         n.data,
 		Peer:         n.peer,
 		Bulk:         n.peer,
-		Seeds:        []netip.AddrPort{netip.MustParseAddrPort("10.1.0.1:8166")},
+		Seeds:        append([]netip.AddrPort{netip.MustParseAddrPort("10.1.0.1:8166")}, f.seeds...),
 		DrainTimeout: 6 * time.Second,
 		Steering:     settings.SteerTags,
 		Warmup:       settings.Warmup{Overage: 1.5, Slack: 3},
