news: daemons that learn their zone ask two others at each heartbeat

Cause: a response names up to 60 members, and a daemon asked one random daemon every 2 s. In 15 s two daemons miss each other's names with a probability that leaves some pairs of 40,000.

Fix: while a response of the last 4 s named an unknown daemon of the zone, the next heartbeat is followed by requests to two daemons. A fleet that is complete asks as before. It matters for the questions before resets, too: a zone that is not known as a whole keeps idle flows from being reset.

Tried before: one further request 0.5 s after a response with a new name, 197 of 199; heartbeats of a large fleet are 1 s apart, so few of them were sent.

--- a/internal/news/engine.go
+++ b/internal/news/engine.go
@@ -20,6 +20,8 @@
 	confirmed         time.Time
 	nextHeartbeat     time.Time
 	nextMemberRequest time.Time
+	// zoneGrewAt is when a response last named an unknown daemon of the zone.
+	zoneGrewAt time.Time
 	// nextUnresponsiveHeartbeat is when the next heartbeat to unresponsive daemons is due.
 	nextUnresponsiveHeartbeat time.Time
 	fetching                  bool
--- a/internal/news/gossip.go
+++ b/internal/news/gossip.go
@@ -21,6 +21,9 @@
 	}
 	for _, named := range d.Members {
 		if e.members.byAddr[named.Addr] == nil && e.members.upsert(now, named) != nil {
+			if named.Zone == e.cfg.Self.Zone {
+				e.zoneGrewAt = now
+			}
 			actions = append(actions, Send{To: []netip.AddrPort{named.Addr}, Datagram: Datagram{Heartbeat: e.ownHeartbeat(now)}})
 		}
 	}
--- a/internal/news/heartbeat.go
+++ b/internal/news/heartbeat.go
@@ -103,7 +103,7 @@
 		return actions
 	}
 	e.nextMemberRequest = now.Add(e.cfg.MemberRequestInterval)
-	if !e.members.anyLive(now) {
+	if !e.members.anyLive(now) || e.learnsZone(now) {
 		e.nextMemberRequest = now.Add(e.heartbeatInterval(now))
 	}
 	if recipients := e.memberRequestRecipients(now); len(recipients) > 0 {
@@ -112,8 +112,14 @@
 	return actions
 }
 
-// memberRequestRecipients returns the daemons to request members from: a random live daemon of this daemon's zone, or
-// the seeds while the zone has fewer than two other live daemons.
+// learnsZone reports whether a response has named an unknown daemon of the zone lately. A response holds a part of a large zone,
+// so more are likely to be unknown.
+func (e *Engine) learnsZone(now time.Time) bool {
+	return !e.zoneGrewAt.IsZero() && now.Sub(e.zoneGrewAt) <= 2*e.cfg.MemberRequestInterval
+}
+
+// memberRequestRecipients returns the daemons to request members from: a random live daemon of this daemon's zone, two while it
+// learns the zone, or the seeds while the zone has fewer than two other live daemons.
 func (e *Engine) memberRequestRecipients(now time.Time) []netip.AddrPort {
 	var sameZone []netip.AddrPort
 	for _, m := range e.members.live(now) {
@@ -122,7 +128,12 @@
 		}
 	}
 	if len(sameZone) > 1 {
-		return []netip.AddrPort{sameZone[e.cfg.Rand.IntN(len(sameZone))]}
+		first := e.cfg.Rand.IntN(len(sameZone))
+		if !e.learnsZone(now) {
+			return []netip.AddrPort{sameZone[first]}
+		}
+		second := (first + 1 + e.cfg.Rand.IntN(len(sameZone)-1)) % len(sameZone)
+		return []netip.AddrPort{sameZone[first], sameZone[second]}
 	}
 	var out []netip.AddrPort
 	for _, a := range e.cfg.Seeds {
