tags: the record of a flow that its caller closed still answers other daemons

A record went 2 s after its caller's FIN. A caller that sends nothing for longer while the target still answers has an open flow, and a daemon with an older record of it was told that nobody had received a later packet.

Flows that were reset already did so. TestYield asks for it and fails before.

--- a/core/tags/record.go
+++ b/core/tags/record.go
@@ -20,9 +20,9 @@
 	tagOpen
 	// tagClosing is the state after the caller has sent a FIN or RST.
 	tagClosing
-	// tagReset is the state after this daemon has reset the flow. The record does not count any more and only shows the
-	// flow's last packet; a later packet starts it anew.
-	tagReset
+	// tagEnded is the state after this daemon has reset the flow, or some time after its caller has closed it. The record does
+	// not count any more and only shows the flow's last packet; a later packet starts it anew.
+	tagEnded
 )
 
 const (
@@ -31,7 +31,7 @@
 	// minRetransmitAge is the age from which the same data counts as a retransmission. Earlier it may be a duplicate
 	// made by the network: senders retransmit after 200 ms.
 	minRetransmitAge = 150 * time.Millisecond
-	// closedRecordTTL is how long the record of a closed flow is kept, for the last packets of its two sides.
+	// closedRecordTTL is how long a closed flow counts, for the last packets of its two sides.
 	closedRecordTTL = 2 * time.Second
 )
 
@@ -144,7 +144,8 @@
 	epoch      time.Time
 	idleMillis uint32
 	max        int64
-	count      atomic.Int64
+	// count is the number of records, ended that of those in the state tagEnded.
+	count, ended atomic.Int64
 	// overflowed is true if a flow got no record since the last tick because of the maximum number.
 	overflowed atomic.Bool
 	nextShard  int
@@ -176,8 +177,9 @@
 	return &t.shards[uint64(h)%tagShards]
 }
 
+// len returns the number of records of flows that have not ended.
 func (t *tagRecords) len() int {
-	return int(t.count.Load())
+	return int(t.count.Load() - t.ended.Load())
 }
 
 // get returns a flow's record.
@@ -186,7 +188,7 @@
 	s.Lock()
 	defer s.Unlock()
 	f, ok := s.records[h]
-	return f, ok && f.state != tagReset
+	return f, ok && f.state != tagEnded
 }
 
 // put stores a flow's record and reports whether it did: at the maximum number, only existing records are updated.
@@ -198,17 +200,36 @@
 }
 
 func (t *tagRecords) store(s *tagShard, h model.FlowHash, f tagRecord) bool {
-	if _, ok := s.records[h]; !ok {
-		if t.count.Load() >= t.max {
-			t.overflowed.Store(true)
-			return false
-		}
+	previous, ok := s.records[h]
+	switch {
+	case ok && previous.state == tagEnded:
+		t.ended.Add(-1)
+	case !ok && t.count.Load() >= t.max:
+		t.overflowed.Store(true)
+		return false
+	case !ok:
 		t.count.Add(1)
 	}
 	s.records[h] = f
 	return true
 }
 
+// end puts a record into the state tagEnded. The shard is locked.
+func (t *tagRecords) end(s *tagShard, h model.FlowHash, f tagRecord) {
+	f.state = tagEnded
+	s.records[h] = f
+	t.ended.Add(1)
+}
+
+// drop deletes a record. The shard is locked.
+func (t *tagRecords) drop(s *tagShard, h model.FlowHash, f *tagRecord) {
+	delete(s.records, h)
+	t.count.Add(-1)
+	if f.state == tagEnded {
+		t.ended.Add(-1)
+	}
+}
+
 // remove deletes a flow's record, and returns it if it counts.
 func (t *tagRecords) remove(h model.FlowHash) (tagRecord, bool) {
 	s := t.shard(h)
@@ -216,10 +237,9 @@
 	defer s.Unlock()
 	f, ok := s.records[h]
 	if ok {
-		delete(s.records, h)
-		t.count.Add(-1)
+		t.drop(s, h, &f)
 	}
-	return f, ok && f.state != tagReset
+	return f, ok && f.state != tagEnded
 }
 
 // markReset marks a flow as reset if it satisfies match, and returns its record as it was.
@@ -228,12 +248,10 @@
 	s.Lock()
 	defer s.Unlock()
 	f, ok := s.records[h]
-	if !ok || f.state == tagReset || !match(&f) {
+	if !ok || f.state == tagEnded || !match(&f) {
 		return tagRecord{}, false
 	}
-	marked := f
-	marked.state = tagReset
-	s.records[h] = marked
+	t.end(s, h, f)
 	return f, true
 }
 
@@ -247,7 +265,7 @@
 		return tagProgress{yielded: true}, false
 	}
 	f, known := s.records[h]
-	if f.state == tagReset {
+	if f.state == tagEnded {
 		f, known = tagRecord{}, false
 	}
 	if known && !f.continuedBy(m) {
@@ -275,8 +293,7 @@
 	if !found {
 		return tagProgress{}, false
 	}
-	delete(s.records, h)
-	t.count.Add(-1)
+	t.drop(s, h, &previous)
 	p := t.start(now, s, h, m, tagRecord{}, false, learned)
 	p.before, p.replaced = previous, true
 	return p, true
@@ -410,16 +427,17 @@
 	}
 	var expired []tagRecord
 	for h, f := range s.records {
-		limit := t.idleMillis
-		if f.state == tagClosing {
-			limit = uint32(closedRecordTTL / time.Millisecond)
+		age := int32(ms - f.packetAt)
+		isOver := age > int32(t.idleMillis)
+		hasClosed := f.state == tagClosing && age > int32(closedRecordTTL/time.Millisecond)
+		if f.state != tagEnded && (isOver || hasClosed) {
+			expired = append(expired, f)
 		}
-		if int32(ms-f.packetAt) > int32(limit) {
-			delete(s.records, h)
-			t.count.Add(-1)
-			if f.state != tagReset {
-				expired = append(expired, f)
-			}
+		switch {
+		case isOver:
+			t.drop(s, h, &f)
+		case hasClosed:
+			t.end(s, h, f)
 		}
 	}
 	return expired
--- a/core/tags/reset_test.go
+++ b/core/tags/reset_test.go
@@ -12,6 +12,7 @@
 	"github.com/fireflypin/fireflypin/internal/consent"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/model"
+	"github.com/fireflypin/fireflypin/packet"
 	"github.com/fireflypin/fireflypin/placement"
 )
 
@@ -362,6 +363,18 @@
 		So(e.Yield(s.now, []flow.LastPacket{{Flow: unknown.meta(0, 0).Key().Hash()}}), ShouldResemble, []bool{false})
 		So(unknown.send(e, 100).Op, ShouldEqual, core.OpDrop)
 	})
+	Convey("A daemon through which a caller closed its side 4 s ago still knows the flow's last packet", t, func() {
+		s := newTagSite(1)
+		e := s.engine()
+		closing := s.caller(safeAddr).open(e)
+		e.FromCaller(s.now, closing.meta(packet.FIN|packet.ACK, 0), closing.tag)
+		for range 16 {
+			s.now = s.now.Add(4 * time.Second / 16)
+			e.Tick(s.now)
+		}
+		So(e.OpenFlows(), ShouldEqual, 0)
+		So(e.Yield(s.now, []flow.LastPacket{{Flow: closing.meta(0, 0).Key().Hash(), Ack: closing.ack, Since: 5 * time.Second}}), ShouldResemble, []bool{true})
+	})
 	Convey("A daemon that has reset a flow still knows the flow's last packet", t, func() {
 		s := newProbedSite(safeAddr, 40)
 		flows := s.flowsOfFailed()
