tags: a packet that was under way for long is no repetition

A packet without new data counted as repeated whatever its acknowledgement number. One that arrives late, after the flow went on here, was answered with a reset of its old number if the target had become unresponsive.

A sender that repeats a packet puts its current acknowledgement into it, so a lower one than recorded shows a late packet. TestDelayedPacketIsNoRepeat fails before.

--- a/core/tags/record.go
+++ b/core/tags/record.go
@@ -351,7 +351,7 @@
 	if progressed {
 		p.after.progressAt = ms
 		p.after.retransmits = 0
-	} else if m.SegmentLen() > 0 && p.sinceProgress >= minRetransmitAge {
+	} else if m.SegmentLen() > 0 && p.sinceProgress >= minRetransmitAge && !serialAfter(f.ack, m.Ack) {
 		p.retransmitted = true
 		p.after.retransmits++
 		p.after.progressAt = ms
--- a/core/tags/reset_test.go
+++ b/core/tags/reset_test.go
@@ -386,6 +386,25 @@
 	})
 }
 
+// TestDelayedPacketIsNoRepeat guards against a reset with the number of a packet that was under way for long, while its flow went
+// on: a sender that repeats a packet puts its current acknowledgement into it.
+func TestDelayedPacketIsNoRepeat(t *testing.T) {
+	Convey("A packet that arrives late is not answered with a reset, a repeated one is", t, func() {
+		s := newProbedSite(safeAddr, 40)
+		flows := s.flowsOfFailed()
+		delayed, missing := flows[0], flows[1:2]
+		seq, ack := delayed.seq, delayed.ack
+		delayed.request(s.engine)
+		delayed.send(s.engine, 100)
+		s.sendAndRetransmit(missing, firstRetransmit)
+		s.engine.Probed(s.now, s.failed, placement.ProbeNoAnswer)
+		current := *delayed
+		delayed.seq, delayed.ack = seq, ack
+		So(delayed.send(s.engine, 100).Op, ShouldEqual, core.OpForward)
+		So(current.send(s.engine, 100).Op, ShouldEqual, core.OpReset)
+	})
+}
+
 // TestResponseWhileOthersAreAsked guards against resets of the flows of a target that responds while the answers of the other
 // daemons are on their way.
 func TestResponseWhileOthersAreAsked(t *testing.T) {
