--- a/core/tags/doc.go
+++ b/core/tags/doc.go
@@ -6,6 +6,6 @@
 // internal/edge adds the sockets, timers and logs.
 //
 // Invariant: this package opens no socket, reads no clock and starts no goroutine. The time comes with each event
-// and never decreases. The packet methods may be called from any number of goroutines at once; ApplyLists and Tick
-// from one goroutine at a time.
+// and never decreases. The packet methods may be called from any number of goroutines at once; ApplyLists, Tick and
+// the calls around resets (reset.go) from one goroutine at a time.
 package tags
