tags: unit tests of ticks ask that what is not reset is no candidate, either

Tick returned resets; it returns unresponsive targets now, and resets follow from ResetCandidates and ResetConfirmed. tickAt takes these steps as a daemon without peers does, at one moment.

It was not quite as strict.

--- a/core/tags/engine_test.go
+++ b/core/tags/engine_test.go
@@ -95,11 +95,15 @@
 	return append(resets, s.tickAt(e, s.now)...)
 }
 
-// tickAt runs a tick and returns the resets of a daemon whose peers have received no later packets.
+// tickAt runs a tick and returns the resets of a daemon whose peers have received no later packets. Nothing happens between the
+// question and the answers, so all candidates have to be reset: what must not be reset must be no candidate either.
 func (s *tagSite) tickAt(e *Engine, now time.Time) []FlowReset {
 	var resets []FlowReset
 	for _, id := range e.Tick(now) {
-		resets = append(resets, e.ResetConfirmed(now, e.ResetCandidates(now, id))...)
+		request := e.ResetCandidates(now, id)
+		confirmed := e.ResetConfirmed(now, request)
+		So(len(confirmed), ShouldEqual, len(request.Flows))
+		resets = append(resets, confirmed...)
 	}
 	return resets
 }
