review: the stand-in of cases 11 and 12 stays out of the default build

Cause: its files were part of go vet, the linter and the default test run. They carry the build tag of the other stand-ins now.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -2,4 +2,4 @@
 # Builds the stand-ins that the scripts of cases 11 to 15 start, under target/.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o target/review-3/ ./review/standin-3
+go build -tags review -o target/review-3/ ./review/standin-3
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command standin-3 plays the surroundings of a small deployment for the scripts of an independent review: the platform's
 // store, targets, routers and clients. It starts daemons as processes on loopback addresses, restarts them, and checks the
 // rule FLOW by what clients and targets see.
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
