review: case 13, copies of SYNs moved after a failed probe break FLOW

Cause: a copy of a SYN goes to another target when a probe since the SYN has not found the first one. That target may have got the SYN before it was cut off; it repeats its SYN+ACK for 9.4 s, and each brings its echo to the client.

Seen: a zone is cut off for 5 s while SYN+ACKs of its targets are under way; copies of these SYNs open the flows at another target. 3.4 s after the cut has healed a daemon is stopped as planned. The other one has no record of the flows and goes by the echo, to the first target, which holds no such flow and resets it.

--- a/review/standin-3/disrupt.go
+++ b/review/standin-3/disrupt.go
@@ -119,3 +119,57 @@
 	}
 	time.Sleep(time.Until(at))
 }
+
+const (
+	// cutTime is how long the zone of the targets is cut off, cutInterval the time from one cut to the next.
+	cutTime     = 5 * time.Second
+	cutInterval = 16 * time.Second
+	// stopAfterCut is the time from the begin of a cut to the planned stop of a daemon.
+	stopAfterCut = 8400 * time.Millisecond
+)
+
+// zoneCuts cuts the zone of most targets off, again and again, and restarts one daemon as planned some seconds after it is back.
+func (w *world) zoneCuts(end time.Time, a, b *daemon) error {
+	for round := 0; time.Until(end) > cutInterval; round++ {
+		begin := time.Now()
+		if err := w.setCut(true); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(begin.Add(cutTime)))
+		if err := w.setCut(false); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(begin.Add(stopAfterCut)))
+		d := []*daemon{a, b}[round%2]
+		d.stop()
+		time.Sleep(restartDelay)
+		if err := d.start(); err != nil {
+			return err
+		}
+		time.Sleep(time.Until(begin.Add(cutInterval)))
+	}
+	return nil
+}
+
+// setCut begins or ends a cut that loses packets and refuses connections.
+func (w *world) setCut(cut bool) (err error) {
+	w.locked(func(now time.Time) {
+		w.judge.note(now, "%s is cut off: %v", zoneOfTargets, cut)
+		w.cut = cut
+		if cut {
+			w.lossyFrom, w.lossyTo = now, time.Time{}
+		} else {
+			w.lossyTo = now
+		}
+		for _, t := range w.targets {
+			switch {
+			case t.zone == zoneOfClients:
+			case cut:
+				_ = t.probes.Close()
+			case err == nil:
+				err = t.listen()
+			}
+		}
+	})
+	return err
+}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -22,7 +22,7 @@
 
 func main() {
 	var o options
-	flag.StringVar(&o.play, "case", "restarts", "what is played: restarts or outage")
+	flag.StringVar(&o.play, "case", "restarts", "what is played: restarts, outage or zonecut")
 	flag.StringVar(&o.daemon, "daemon", "target/fireflypind", "the daemon's program")
 	flag.StringVar(&o.dir, "dir", "", "folder for settings and logs")
 	flag.StringVar(&o.record, "record", "record.txt", "file for what was sent, answered and run")
--- a/review/standin-3/target.go
+++ b/review/standin-3/target.go
@@ -22,11 +22,14 @@
 
 // target is a target that lives for the whole play. Its methods need the world's lock.
 type target struct {
-	w       *world
-	id      string
-	guard   uint64
-	addr    netip.AddrPort
-	conn    *net.UDPConn
+	w     *world
+	id    string
+	zone  string
+	guard uint64
+	addr  netip.AddrPort
+	conn  *net.UDPConn
+	// probes serves health checks; it is closed while the target is cut off.
+	probes  net.Listener
 	flows   map[ends]*targetFlow
 	runs    int
 	refused int
@@ -51,31 +54,60 @@
 }
 
 func (w *world) newTarget(n int) (*target, error) {
-	t := &target{w: w, guard: w.rand.Uint64()>>32<<8 | uint64(n), flows: make(map[ends]*targetFlow)}
+	t := &target{w: w, zone: zoneOfTargets, guard: w.rand.Uint64()>>32<<8 | uint64(n), flows: make(map[ends]*targetFlow)}
+	if n <= w.nearTargets {
+		t.zone = zoneOfClients
+	}
 	t.id = fmt.Sprintf("i-%x", t.guard)
 	t.addr = w.at(netTargets, n, w.ports.target)
 	var err error
 	if t.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(t.addr)); err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp4", t.addr.String())
-	if err != nil {
+	if err := t.listen(); err != nil {
 		return nil, err
 	}
-	go http.Serve(l, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("Target-Id", t.id) })) // until the program ends
 	entry, _ := json.Marshal(map[string]any{
-		"service": serviceName, "address": t.addr.String(), "zone": zoneOfTargets, "version": "v1", "slots": 40, "state": "ready",
+		"service": serviceName, "address": t.addr.String(), "zone": t.zone, "version": "v1", "slots": 40, "state": "ready",
 		"warmup_remaining_ms": 0, "sequence": 1, "born": time.Now().UnixMilli(),
 	})
 	w.store.put("servers/"+t.id, entry)
 	go w.receive(t.conn, func(now time.Time, raw []byte) {
-		if guard, s, ok := decodeFrame(raw); ok && !w.lost() {
-			t.handle(now, guard, &s)
+		guard, s, ok := decodeFrame(raw)
+		if !ok || w.lost() {
+			return
 		}
+		t.delayed(now, func(now time.Time) { t.handle(now, guard, &s) })
 	})
 	return t, nil
 }
 
+// listen begins to serve health checks.
+func (t *target) listen() error {
+	l, err := net.Listen("tcp4", t.addr.String())
+	if err != nil {
+		return err
+	}
+	t.probes = l
+	go http.Serve(l, http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.Header().Set("Target-Id", t.id) })) // until l is closed
+	return nil
+}
+
+// delayed does what a packet on the link to the target's zone brings about, after the link's delay. A cut link loses the packet.
+func (t *target) delayed(now time.Time, do func(now time.Time)) {
+	if t.w.linkDelay == 0 || t.zone == zoneOfClients {
+		do(now)
+		return
+	}
+	time.AfterFunc(t.w.linkDelay, func() {
+		t.w.locked(func(now time.Time) {
+			if !t.w.cut {
+				do(now)
+			}
+		})
+	})
+}
+
 // handle handles a packet.
 func (t *target) handle(now time.Time, guard uint64, s *segment) {
 	if guard != 0 && guard != t.guard {
@@ -180,5 +212,6 @@
 		return
 	}
 	to := netip.AddrPortFrom(k.client.Addr(), t.w.ports.data)
-	_, _ = t.conn.WriteToUDPAddrPort(s.encode(), to) // datagrams may be lost
+	raw := s.encode()
+	t.delayed(time.Now(), func(time.Time) { _, _ = t.conn.WriteToUDPAddrPort(raw, to) }) // datagrams may be lost
 }
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -52,11 +52,16 @@
 	judge   *judge
 	// pauses are the shortest and the longest pause between two requests on a flow.
 	pauses [2]time.Duration
+	// nearTargets is the number of targets in the zone of the clients, linkDelay the delay to the other ones one way. cut is
+	// true while the other zone is cut off.
+	nearTargets int
+	linkDelay   time.Duration
+	cut         bool
 	// turnedAway is the daemon that the store turns away, nil for none.
 	turnedAway *daemon
 	// calmSince is the last time of an unplanned impairment of the daemons or of the store.
 	calmSince time.Time
-	// lossyFrom and lossyTo are the last time in which links lose packets; lossyTo is zero while they do.
+	// lossyFrom and lossyTo are the last time in which links lose packets or are cut; lossyTo is zero while they do.
 	lossyFrom, lossyTo time.Time
 }
 
@@ -97,9 +102,9 @@
 	})
 }
 
-// lost reports whether the link loses a packet.
+// lost reports whether a link that is lossy loses a packet.
 func (w *world) lost() bool {
-	return !w.lossyFrom.IsZero() && w.lossyTo.IsZero() && w.rand.Float64() < lossShare
+	return w.options.play == "restarts" && !w.lossyFrom.IsZero() && w.lossyTo.IsZero() && w.rand.Float64() < lossShare
 }
 
 // lossyIn reports whether links lost packets at any time between from and to.
@@ -165,7 +170,11 @@
 	b := &daemon{w: w, n: 2, name: "entry-a-2", zone: zoneOfClients}
 	c := &daemon{w: w, n: 3, name: "entry-b-1", zone: zoneOfTargets}
 	w.routers.daemons = []*daemon{a, b}
-	for _, d := range []*daemon{c, b, a} {
+	started := []*daemon{c, b, a}
+	if o.play == "zonecut" {
+		started = started[1:] // daemons cannot be cut from each other here
+	}
+	for _, d := range started {
 		if err := w.serveStore(d); err != nil {
 			return 0, err
 		}
@@ -194,6 +203,8 @@
 	case !o.trouble:
 	case o.play == "restarts":
 		err = w.restarts(end, a, b)
+	case o.play == "zonecut":
+		err = w.zoneCuts(end, a, b)
 	default:
 		err = w.outages(end, a, b, c)
 	}
@@ -216,6 +227,10 @@
 	case "outage":
 		w.seeds = []netip.AddrPort{w.at(netDaemons, 1, w.ports.control), w.at(netDaemons, 2, w.ports.control), w.at(netDaemons, 3, w.ports.control)}
 		w.pauses = [2]time.Duration{3 * time.Second, 9 * time.Second}
+	case "zonecut":
+		w.seeds = []netip.AddrPort{w.at(netDaemons, 1, w.ports.control), w.at(netDaemons, 2, w.ports.control)}
+		w.pauses = [2]time.Duration{3 * time.Second, 9 * time.Second}
+		w.nearTargets, w.linkDelay = 1, 5400*time.Microsecond
 	default:
 		return fmt.Errorf("unknown case %q", w.options.play)
 	}
