edge: log how old a placed SYN is, where it waited, and why a copy of it is dropped

Lines of placed, repeated and dropped SYNs now tell whether the packet is a copy, how long before the first one was sent, where the packet waited at this daemon (socket before the first targets, backlog, stall, held for the configuration, waiting for room) and since when at most; drops have a cause. A SYN that waits for room is dated by its earliest arrival, no longer by when it was read.

--- a/core/tags/engine.go
+++ b/core/tags/engine.go
@@ -234,11 +234,33 @@
 	return [...]string{"steered", "placed", "repeated", "learned", "moved"}[r]
 }
 
+// DropCause says why a packet is dropped as outdated.
+type DropCause uint8
+
+// The causes of dropped packets.
+const (
+	// Unspecified means that the kind says it all.
+	Unspecified DropCause = iota
+	// FirstSYNUnseen means that the packet is a duplicate SYN, and that this daemon has no record of the first one.
+	FirstSYNUnseen
+	// FlowOpen means that the packet is a duplicate SYN of a flow that is open.
+	FlowOpen
+	// Waited means that the packet waited at this daemon for too long.
+	Waited
+)
+
+// String returns the cause's name as logged.
+func (c DropCause) String() string {
+	return [...]string{"", "first_syn_unseen", "flow_open", "waited"}[c]
+}
+
 // Verdict is the decision of a Engine on one packet: OpForward to Target with Tag, OpReset or OpDrop.
 type Verdict struct {
 	Op     core.Op
 	Kind   errkind.Kind
 	Reason Reason
+	// Cause is set for some packets that are dropped.
+	Cause DropCause
 	// Target and Tag are also set for the reset of an open flow: a packet that may have waited is forwarded in its place.
 	Target *model.Target
 	Tag    flowtag.Tag
--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -29,9 +29,11 @@
 	switch {
 	case known && f.state == tagHandshake && f.seq == m.Seq+m.SegmentLen():
 		return e.handleDuplicateSYN(lists, now, h, m, f)
-	case known && f.isDuplicateSYN(m), m.DuplicateSYN && !waited && !e.wasUnplaceable(now, m):
+	case known && f.isDuplicateSYN(m):
+		return dropOutdated(FlowOpen)
+	case m.DuplicateSYN && !waited && !e.wasUnplaceable(now, m):
 		// Another daemon may have sent the first SYN to a target.
-		return dropTagged(errkind.PacketOutdated)
+		return dropOutdated(FirstSYNUnseen)
 	}
 	replaced := false
 	if known {
@@ -229,6 +231,10 @@
 	return Verdict{}, false
 }
 
+func dropOutdated(c DropCause) Verdict {
+	return Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: c}
+}
+
 func refuseTagged(k errkind.Kind, h model.FlowHash) Verdict {
 	r := core.Refuse(k, h)
 	return Verdict{Op: r.Op, Kind: r.Kind, RetryAfter: r.RetryAfter}
--- a/internal/edge/daemon_test.go
+++ b/internal/edge/daemon_test.go
@@ -158,6 +158,11 @@
 	zoneOf func(i int) string
 	// seeds are seeds besides entry-1.
 	seeds []netip.AddrPort
+	// storeOf and networkOf return the store and the network of the daemon entry-i, if set.
+	storeOf   func(i int) edge.Store
+	networkOf func(i int) udpio.Network
+	// logs gets the log lines of all daemons, if set.
+	logs io.Writer
 }
 
 type node struct {
@@ -265,11 +270,22 @@
 	if f.interpreter != nil {
 		interpreter = f.interpreter
 	}
+	network, published := udpio.Network(f.network), edge.Store(f.store)
+	if f.networkOf != nil {
+		network = f.networkOf(i)
+	}
+	if f.storeOf != nil {
+		published = f.storeOf(i)
+	}
+	logs := f.logs
+	if logs == nil {
+		logs = io.Discard
+	}
 	n.daemon = edge.New(edge.Deps{
 		Settings:    set,
-		Network:     f.network,
+		Network:     network,
 		Transport:   transport,
-		Store:       f.store,
+		Store:       published,
 		Interpreter: interpreter,
 		Prober:      f,
 		Keys:        wire.NewKeyStore(ring),
@@ -283,7 +299,7 @@
 			},
 		},
 		Metrics: n.metrics,
-		Log:     log.New(io.Discard),
+		Log:     log.New(logs),
 		Now:     time.Now(),
 	})
 	f.mu.Lock()
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -34,8 +34,8 @@
 	return flowPlaced
 }
 
-// recordAssignment counts and logs a forwarded packet that did more than continue a known flow.
-func (d *Daemon) recordAssignment(now time.Time, m *packet.Meta, v *tags.Verdict) {
+// recordAssignment counts and logs a forwarded packet that did more than continue a known flow, after a wait.
+func (d *Daemon) recordAssignment(now time.Time, m *packet.Meta, w wait, v *tags.Verdict) {
 	switch v.Reason {
 	case tags.Placed:
 		d.metrics.placed.Inc(1)
@@ -64,7 +64,8 @@
 	}
 	d.log.Info("flow placed", "op", "flow", "event", event, "flow", flowID(m.Src, m.Dst, m.Seq), "route", v.Route.Name,
 		"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "tag", tagText(v.Tag), "open", o.Open, "slowness", d.speeds.Slowness(v.Target.ID),
-		"misses", o.ConsecutiveMisses, "lapsed", v.Target.Expired, "plan", d.planVersion.Load(), "age_ms", d.listsAge(now).Milliseconds())
+		"misses", o.ConsecutiveMisses, "lapsed", v.Target.Expired, "plan", d.planVersion.Load(), "age_ms", d.listsAge(now).Milliseconds(),
+		"copy", m.DuplicateSYN, "first_syn_ms", m.FirstSYNAge.Milliseconds(), "waited_in", w.place, "waited_ms", now.Sub(w.since).Milliseconds())
 }
 
 // recordConflict counts and logs a packet whose tag names a different target than its flow's record.
@@ -120,8 +121,8 @@
 	d.log.Info("flow refused", fields...)
 }
 
-// recordDropped counts and logs a packet that was dropped without a reset.
-func (d *Daemon) recordDropped(now time.Time, m *packet.Meta, tag flowtag.Tag, v *tags.Verdict) {
+// recordDropped counts and logs a packet that was dropped without a reset, after a wait.
+func (d *Daemon) recordDropped(now time.Time, m *packet.Meta, tag flowtag.Tag, w wait, v *tags.Verdict) {
 	d.metrics.errorKinds.Add(v.Kind, 1)
 	if !d.flowLogLimit.allow(now, flowDropped) {
 		return
@@ -130,8 +131,9 @@
 	if m.Flags.Has(packet.SYN) {
 		isn = m.Seq
 	}
-	d.log.Info("packet dropped", "op", "flow", "event", flowDropped, "flow", flowID(m.Src, m.Dst, isn), "kind", v.Kind,
-		"tag", tagText(tag), "plan", d.planVersion.Load(), "age_ms", d.listsAge(now).Milliseconds())
+	d.log.Info("packet dropped", "op", "flow", "event", flowDropped, "flow", flowID(m.Src, m.Dst, isn), "kind", v.Kind, "cause", v.Cause,
+		"tag", tagText(tag), "plan", d.planVersion.Load(), "age_ms", d.listsAge(now).Milliseconds(),
+		"copy", m.DuplicateSYN, "first_syn_ms", m.FirstSYNAge.Milliseconds(), "waited_in", w.place, "waited_ms", now.Sub(w.since).Milliseconds())
 }
 
 // recordReset counts and logs an open flow that was reset at its caller. cause is "repeat" if a retransmission of the
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -44,6 +44,8 @@
 	// backlogSince is the time since which the packets that are read may have waited for the first lists; zero once
 	// these packets have been read.
 	backlogSince time.Time
+	// wait says where the packet that is decided on has waited.
+	wait wait
 }
 
 func (d *Daemon) newForwarder(conn udpio.Conn) *forwarder {
@@ -133,24 +135,18 @@
 		f.d.metrics.errorKinds.Add(kind, 1)
 		return
 	}
+	f.wait = f.socketWait(now)
 	if f.meta.Flags.Has(packet.SYN) && f.mayBeStale() {
-		f.d.recordDropped(now, &f.meta, tag, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated})
+		f.wait.place = waitedInStall
+		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.Waited})
 		return
 	}
-	if f.meta.Flags.Has(packet.SYN) && !f.d.engine.HasAllLists() && f.d.heldSYNs.hold(raw, f.earliestArrival(now)) {
+	if f.meta.Flags.Has(packet.SYN) && !f.d.engine.HasAllLists() && f.d.heldSYNs.hold(raw, f.wait.since) {
 		return
 	}
 	f.process(now, i, raw, tag)
 }
 
-// earliestArrival returns the earliest time at which the current packet may have arrived.
-func (f *forwarder) earliestArrival(now time.Time) time.Time {
-	if f.backlogSince.IsZero() {
-		return now
-	}
-	return f.backlogSince
-}
-
 // process executes the engine's verdict on the last decoded packet.
 func (f *forwarder) process(now time.Time, i int, raw []byte, tag flowtag.Tag) {
 	v := f.d.engine.FromCaller(now, &f.meta, tag)
@@ -180,13 +176,13 @@
 		f.out = append(f.out, udpio.Message{Buf: frame, N: len(frame), Addr: v.Target.Data})
 		f.d.metrics.forwarded.Inc(1)
 		if v.Reason != tags.Steered {
-			f.d.recordAssignment(now, &f.meta, v)
+			f.d.recordAssignment(now, &f.meta, f.wait, v)
 		}
 	case core.OpReset:
 		reset := f.d.transport.AppendReset(f.resets[i][:0], &f.meta)
 		f.out = append(f.out, udpio.Message{Buf: reset, N: len(reset), Addr: f.d.transport.CallerAddr(&f.meta)})
 		f.d.recordRefused(now, &f.meta, v)
 	default:
-		f.d.recordDropped(now, &f.meta, tag, v)
+		f.d.recordDropped(now, &f.meta, tag, f.wait, v)
 	}
 }
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -77,11 +77,12 @@
 func (f *forwarder) processHeld(now time.Time, i int, p heldSYN) (outdated int) {
 	raw := f.in[i].Buf[:f.in[i].N]
 	tag, kind := f.d.transport.Decode(raw, &f.meta)
+	f.wait = wait{waitedForLists, p.arrived}
 	switch {
 	case kind != errkind.None:
 		f.d.metrics.errorKinds.Add(kind, 1)
 	case f.isOutdated(now, p.arrived):
-		f.d.recordDropped(now, &f.meta, tag, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated})
+		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.Waited})
 		return 1
 	default:
 		f.process(now, i, raw, tag)
--- a/internal/edge/shortage.go
+++ b/internal/edge/shortage.go
@@ -20,7 +20,7 @@
 	service := v.Route.ServiceOf(f.meta.Key().Hash())
 	return f.d.waiting.Hold(room.Waiting{
 		Packet:  append([]byte(nil), raw...),
-		Arrived: now,
+		Arrived: f.wait.since,
 		Until:   now.Add(v.MaxWait),
 		Service: service.Name,
 		Level:   v.Level,
@@ -66,6 +66,7 @@
 		f.d.metrics.errorKinds.Add(kind, 1)
 		return true
 	}
+	f.wait = wait{waitedForRoom, w.Arrived}
 	v := f.d.engine.FromWaiting(now, &f.meta)
 	if v.MaxWait > 0 {
 		if now.Before(w.Until) {
@@ -74,7 +75,7 @@
 		v = f.d.engine.GiveUp(now, &f.meta)
 	}
 	if now.Sub(w.Arrived) >= stallLimit {
-		v = tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated}
+		v = tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.Waited}
 	}
 	f.execute(now, i, raw, tag, &v)
 	return true
