tags: a copy of a SYN is placed by no daemon that has not placed the first one

Cause: a daemon placed the copy of a SYN if it believed that no daemon was able to place flows when the first one was sent. No daemon can know that.

Ruled out: that the missed check of SYNs that waited in the socket is the whole cause. A witness of an outage does not exist: a killed process leaves none, and nothing says which daemons there are.

Fix: the first SYN of a flow is one datagram, which one daemon receives; only that daemon offers the flow to a target, whatever the packet's age, and only it sends on copies, to the same target.

Tests replaced, since they asked for the fault: TestDuplicateSYNSentDuringOutage and TestDuplicateSYNAfterOutage wanted copies placed after an outage; TestDuplicateSYNIsNeverPlaced and the latter now want them dropped at every age, and copies of placed SYNs to follow these. TestDuplicatesAfterOutage wanted that some copy was placed, and now that none was though some came.

--- a/core/tags/engine.go
+++ b/core/tags/engine.go
@@ -36,14 +36,6 @@
 	Observer Observer
 	// Gate decides which new flows are placed. Default: all are.
 	Gate Gate
-	// Outage tells when no daemon was able to place flows. Default: it is not known.
-	Outage Outage
-}
-
-// Outage tells when no daemon of the fleet was able to place flows. It must be safe for concurrent use.
-type Outage interface {
-	// Covers reports whether no daemon was able to place flows when a packet was sent.
-	Covers(sent time.Time) bool
 }
 
 const (
--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -20,7 +20,9 @@
 )
 
 // open admits and places a new flow, or handles a duplicate SYN. Only the daemon that received a flow's first SYN
-// sends the flow to a target, unless no daemon was able to do so when that SYN was sent.
+// sends the flow to a target, and only it sends the duplicates that it receives, to the same target: two targets are never
+// offered one flow, whatever the daemons know of each other and however late a packet is. A caller whose first SYN no daemon
+// received opens another flow when its attempt ends.
 func (e *Engine) open(lists *tagLists, now time.Time, h model.FlowHash, m *packet.Meta, waited bool) Verdict {
 	if lists.admitter == nil {
 		return dropTagged(errkind.NotReady)
@@ -31,8 +33,7 @@
 		return e.handleDuplicateSYN(lists, now, h, m, f)
 	case known && f.isDuplicateSYN(m):
 		return dropOutdated(FlowOpen)
-	case m.DuplicateSYN && !waited && !e.wasUnplaceable(now, m):
-		// Another daemon may have sent the first SYN to a target.
+	case m.DuplicateSYN:
 		return dropOutdated(FirstSYNUnseen)
 	}
 	replaced := false
@@ -80,12 +81,6 @@
 	return v
 }
 
-// wasUnplaceable reports whether no daemon was able to place a flow when its caller sent the first SYN, so that a
-// duplicate is placed like a first one.
-func (e *Engine) wasUnplaceable(now time.Time, m *packet.Meta) bool {
-	return e.cfg.Outage != nil && e.cfg.Outage.Covers(now.Add(-m.FirstSYNAge))
-}
-
 func (e *Engine) newRecord(now time.Time, m *packet.Meta, v Verdict) tagRecord {
 	ms := e.records.millis(now)
 	return tagRecord{
--- a/core/tags/rules_test.go
+++ b/core/tags/rules_test.go
@@ -27,6 +27,8 @@
 	moves bool
 	// routesEnd ends routes for a while, on links that lose packets.
 	routesEnd bool
+	// kills lets daemons come and go, and some SYNs be late.
+	kills bool
 	// outages lets all daemons lose power several times, besides other faults.
 	outages bool
 	losses  []float64
@@ -58,6 +60,9 @@
 	case v.moves:
 		cfg.bulk = true
 		cfg.faults = drawSimFaults(t, cfg.seed, simMoveNames)
+	case v.kills:
+		cfg.lateSYNs = true
+		cfg.faults = drawSimFaults(t, cfg.seed, simKillNames)
 	case v.routesEnd:
 		cfg.faults = drawSimFaults(t, cfg.seed, simRouteNames)
 	case !v.noFaults:
@@ -191,8 +196,24 @@
 	checkSims(t, simVariant{routesEnd: true, losses: []float64{0.03, 0.1}}, neverViolates(simStrayReset), lo.RangeFrom(1, 100)...)
 }
 
-// TestDuplicatesAfterOutage checks the rules on sites whose daemons lose power together. Daemons place duplicate SYNs then
-// that callers sent while none of them ran.
+// TestSYNAndCopiesReachOneTarget guards against a flow that two targets are offered, since daemons place copies of SYNs that
+// another one has placed: whatever is killed, paused or late.
+func TestSYNAndCopiesReachOneTarget(t *testing.T) {
+	offered, unknown := 0, 0
+	for _, outages := range []bool{false, true} {
+		checkSims(t, simVariant{kills: true, outages: outages, strict: true, losses: []float64{0.03, 0.1}}, func(t *rapid.T, w *sim) {
+			neverViolates(simOfferedTwice)(t, w)
+			offered += w.counts.offered
+			unknown += w.counts.unknownDuplicates
+		}, lo.RangeFrom(1, 8)...)
+	}
+	if offered == 0 || unknown == 0 {
+		t.Fatalf("%d flows were offered to targets, %d copies of SYNs met daemons that do not know the first one", offered, unknown)
+	}
+}
+
+// TestDuplicatesAfterOutage checks the rules on sites whose daemons lose power together. Daemons then get duplicate SYNs that
+// callers sent while none of them ran, and place none of them.
 func TestDuplicatesAfterOutage(t *testing.T) {
 	for _, strict := range []bool{false, true} {
 		checkSims(t, simVariant{outages: true, strict: strict, losses: anyLoss}, func(t *rapid.T, w *sim) {
@@ -202,8 +223,8 @@
 					t.Fatal(w.trace(v))
 				}
 			}
-			if w.counts.placedDuplicates == 0 {
-				t.Fatal("no duplicate was placed")
+			if w.counts.placedDuplicates > 0 || w.counts.unknownDuplicates == 0 {
+				t.Fatalf("%d duplicates were placed, %d met daemons that do not know the first SYN", w.counts.placedDuplicates, w.counts.unknownDuplicates)
 			}
 		}, 1, 2)
 	}
--- a/core/tags/sim_caller_test.go
+++ b/core/tags/sim_caller_test.go
@@ -14,6 +14,8 @@
 	zone     string
 	isn      uint32
 	tag      uint32
+	// offeredTo is the first target that got a SYN of the flow, nil before.
+	offeredTo *simTarget
 	// chosen is the target whose answer to the SYN the caller received first, nil before; instance is that target's
 	// instance number.
 	chosen   *simTarget
@@ -98,13 +100,23 @@
 	if m.Flags.Has(packet.SYN) {
 		p.tag = 0
 	}
-	f.w.deliver(f.zone, f.zone, func() {
-		if d := f.w.route(f); d != nil {
-			d.receive(p)
-		}
-	})
+	arrive := func() {
+		f.w.deliver(f.zone, f.zone, func() {
+			if d := f.w.route(f); d != nil {
+				d.receive(p)
+			}
+		})
+	}
+	if f.w.cfg.lateSYNs && m.Flags.Has(packet.SYN) && f.w.chance(0.2) {
+		f.w.after(f.w.between(0, simLateSYN), arrive)
+		return
+	}
+	arrive()
 }
 
+// simLateSYN is for how long a SYN is under way at most: longer than its caller waits for an answer.
+const simLateSYN = 1500 * time.Millisecond
+
 // toCaller delivers a packet to the flow that uses the destination port at this moment, if it is one to the packet's source.
 func (w *sim) toCaller(from string, a simAnswer) {
 	src := a.meta.Dst
--- a/core/tags/sim_daemon_test.go
+++ b/core/tags/sim_daemon_test.go
@@ -14,7 +14,6 @@
 	"github.com/fireflypin/fireflypin/internal/consent"
 	"github.com/fireflypin/fireflypin/internal/flow"
 	"github.com/fireflypin/fireflypin/internal/flowtag"
-	"github.com/fireflypin/fireflypin/internal/outage"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 	"github.com/fireflypin/fireflypin/placement"
@@ -29,8 +28,6 @@
 	simStallLimit = 500 * time.Millisecond
 	// simBacklogTime is how long after a stall packets that waited may be handled.
 	simBacklogTime = 200 * time.Millisecond
-	// simArrivalSlack is the uncertainty of a waiting SYN's arrival.
-	simArrivalSlack = 50 * time.Millisecond
 )
 
 // simDaemon is a daemon with a Engine, run as in package edge: a socket that buffers packets while the daemon is
@@ -50,8 +47,6 @@
 	off      bool
 	socket   []simPacket
 	deferred []func()
-	// outage knows when no daemon that this one hears was able to place flows.
-	outage *outage.Tracker
 	// outReasons counts the reasons for which the routers send it no flows.
 	outReasons int
 	probes     simProbes
@@ -72,11 +67,7 @@
 // start starts a new instance of the daemon, with the current lists and no records.
 func (d *simDaemon) start() {
 	d.instance++
-	d.outage = outage.NewTracker(d.w.now())
-	d.outage.Begin(d.w.now())
-	d.hearOthers()
 	d.engine = New(Config{
-		Outage:       d.outage,
 		Policy:       placement.NewNearest(placement.NearestConfig{Zone: model.Zone{Name: d.zone}}),
 		Epoch:        d.w.now(),
 		RequestProbe: func(t *model.Target) { d.probe(t.ID, simReasonMissed) },
@@ -89,19 +80,6 @@
 	d.engine.SetCurrent(true)
 }
 
-// hearOthers lets the daemon and the others that it reaches hear for how long they have placed flows, as starting daemons
-// do.
-func (d *simDaemon) hearOthers() {
-	now := d.w.now()
-	for _, other := range d.w.daemons {
-		if other == d || other.blocked || other.outage == nil || other.zone != d.zone && d.w.cut.active {
-			continue
-		}
-		d.outage.Heard(now, other.outage.Placing(now))
-		other.outage.Heard(now, d.outage.Placing(now))
-	}
-}
-
 func (d *simDaemon) applyLists(version int, lists *model.Snapshot) {
 	if version <= d.version {
 		return
@@ -137,11 +115,8 @@
 	d.instance++
 	d.w.after(span, func() {
 		d.start()
-		switch {
-		case span >= simStallLimit:
-			d.dropSYNs(func(*packet.Meta) bool { return true })
-		case d.outage.Covers(d.w.now().Add(-span)) && d.outage.OthersPlace():
-			d.dropSYNs(func(m *packet.Meta) bool { return span >= m.NextDuplicate()+simArrivalSlack })
+		if span >= simStallLimit {
+			d.dropSYNs()
 		}
 		d.resume()
 	})
@@ -175,7 +150,7 @@
 	}
 	d.w.after(span, func() {
 		if span >= simStallLimit {
-			d.dropSYNs(func(*packet.Meta) bool { return true })
+			d.dropSYNs()
 			d.engine.Stalled(d.w.now().Add(simBacklogTime))
 			d.consent.Cancel()
 		}
@@ -192,9 +167,9 @@
 	})
 }
 
-// dropSYNs drops the waiting SYNs that match.
-func (d *simDaemon) dropSYNs(match func(*packet.Meta) bool) {
-	d.socket = slices.DeleteFunc(d.socket, func(p simPacket) bool { return p.meta.Flags.Has(packet.SYN) && match(&p.meta) })
+// dropSYNs drops the waiting SYNs.
+func (d *simDaemon) dropSYNs() {
+	d.socket = slices.DeleteFunc(d.socket, func(p simPacket) bool { return p.meta.Flags.Has(packet.SYN) })
 }
 
 // resume ends a stall. A tick may run before or after the waiting packets are handled, since each has its own
@@ -235,6 +210,9 @@
 		p.flow.note("daemon "+d.name+" resets ("+v.Kind.String()+d.evidenceText(v.Target)+")", &p.meta, p.tag)
 		d.reset(&FlowReset{Caller: p.meta.Src, Service: p.meta.Dst, Ack: p.meta.Ack}, v.Target)
 	default:
+		if v.Cause == FirstSYNUnseen {
+			d.w.counts.unknownDuplicates++
+		}
 		p.flow.note("daemon "+d.name+" drops ("+v.Kind.String()+")", &p.meta, p.tag)
 	}
 }
@@ -291,7 +269,6 @@
 }
 
 func (d *simDaemon) tick() {
-	d.hearOthers()
 	now := d.w.now()
 	unresponsive := d.engine.Tick(now)
 	d.resetConfirmed()
--- a/core/tags/sim_fault_test.go
+++ b/core/tags/sim_fault_test.go
@@ -33,6 +33,9 @@
 	"daemon restarts": {100 * time.Millisecond, 900 * time.Millisecond, func(w *sim, who int, span time.Duration) {
 		w.daemon(who).restart(span)
 	}},
+	"daemon is killed": {100 * time.Millisecond, 900 * time.Millisecond, func(w *sim, who int, span time.Duration) {
+		w.daemon(who).powerOff(span)
+	}},
 	"all daemons lose power": {300 * time.Millisecond, 1500 * time.Millisecond, func(w *sim, _ int, span time.Duration) {
 		w.powerOff(span)
 	}},
@@ -78,6 +81,13 @@
 // simRouteNames lists the kinds of a run in which routes end for a while.
 var simRouteNames = []string{"route ends", "route ends", "route ends", "daemon leaves the rotation", "daemon restarts", "target loses its link"}
 
+// simKillNames lists the kinds of a run in which SYNs and their copies meet daemons that come and go.
+var simKillNames = []string{
+	simNothing, simNothing,
+	"daemon is killed", "daemon is killed", "daemon restarts", "daemon stalls", "daemon stalls", "daemon pauses",
+	"daemon leaves the rotation", "daemon leaves the rotation",
+}
+
 const simNothing = "nothing"
 
 const (
--- a/core/tags/sim_rules_test.go
+++ b/core/tags/sim_rules_test.go
@@ -32,8 +32,11 @@
 	simStrayReset
 	// simTargetReset is a reset by another target than the flow's own.
 	simTargetReset
+	// simOfferedTwice is a SYN that a daemon sends to another target than an earlier SYN of the flow, whether the flow opens
+	// or not.
+	simOfferedTwice
 
-	simRules = int(simTargetReset) + 1
+	simRules = int(simOfferedTwice) + 1
 )
 
 // simViolation is a violation of a rule.
@@ -104,6 +107,9 @@
 // checkForward checks the target that a daemon sends a packet to.
 func (w *sim) checkForward(d *simDaemon, p *simPacket, t *simTarget) {
 	f := p.flow
+	if p.meta.Flags.Has(packet.SYN) {
+		w.checkOffer(d, f, t)
+	}
 	if !f.isLive() || t == f.chosen {
 		return
 	}
@@ -114,6 +120,17 @@
 	w.violated(rule, f, fmt.Sprintf("daemon %s sends a packet of target %s to target %s", d.name, f.chosen.name, t.name))
 }
 
+// checkOffer checks the target that a daemon sends a flow's SYN to.
+func (w *sim) checkOffer(d *simDaemon, f *simFlow, t *simTarget) {
+	switch {
+	case f.offeredTo == nil:
+		f.offeredTo = t
+		w.counts.offered++
+	case f.offeredTo != t:
+		w.violated(simOfferedTwice, f, fmt.Sprintf("daemon %s offers a flow of target %s to target %s", d.name, f.offeredTo.name, t.name))
+	}
+}
+
 // checkReset checks a reset that a caller received. A reset by the flow's own target is no violation.
 func (w *sim) checkReset(f *simFlow, a *simAnswer, stray bool) {
 	if stray && f.open && !f.closed {
--- a/core/tags/sim_test.go
+++ b/core/tags/sim_test.go
@@ -22,6 +22,8 @@
 	reuse bool
 	// bulk makes flows long and answers so large that a few of them exceed the callers' window for resets.
 	bulk bool
+	// lateSYNs lets some SYNs be under way for a long time.
+	lateSYNs bool
 	// loss is the packet loss rate, per direction.
 	loss float64
 	// targets are the numbers of targets in the two zones.
@@ -69,6 +71,9 @@
 	idleResets int
 	// placedDuplicates counts duplicate SYNs that were placed like first ones.
 	placedDuplicates int
+	// offered counts the flows that a target was offered, unknownDuplicates the duplicate SYNs that were dropped at daemons
+	// which do not know the first one.
+	offered, unknownDuplicates int
 }
 
 func newSim(cfg simConfig) *sim {
--- a/core/tags/steer_test.go
+++ b/core/tags/steer_test.go
@@ -97,38 +97,31 @@
 	})
 }
 
-// outageUntil is an Outage that ended at a time.
-type outageUntil time.Time
-
-func (o outageUntil) Covers(sent time.Time) bool { return sent.Before(time.Time(o)) }
-
-func TestDuplicateSYNSentDuringOutage(t *testing.T) {
-	Convey("After an outage of the fleet", t, func() {
-		s := newTagSite(8)
-		e := New(Config{Policy: placement.NewNearest(placement.NearestConfig{}), Epoch: s.now, Outage: outageUntil(s.now)})
-		s.publish(e)
-		e.SetCurrent(true)
-		s.now = s.now.Add(100 * time.Millisecond)
-		c := s.caller(safeAddr)
-		duplicate := func(age time.Duration) Verdict {
-			m := c.meta(packet.SYN, 0)
-			m.DuplicateSYN, m.FirstSYNAge = true, age
-			return e.FromCaller(s.now, m, flowtag.None)
-		}
-		Convey("a duplicate whose first SYN was sent before its end is placed, and the next one goes to the same target", func() {
-			v := duplicate(200 * time.Millisecond)
-			So(v.Op, ShouldEqual, core.OpForward)
-			So(v.Reason, ShouldEqual, Placed)
-			s.now = s.now.Add(400 * time.Millisecond)
-			So(duplicate(600*time.Millisecond).Target.ID, ShouldEqual, v.Target.ID)
-		})
-		Convey("one whose first SYN was sent later is dropped", func() {
-			s.now = s.now.Add(200 * time.Millisecond)
-			So(duplicate(200*time.Millisecond).Kind, ShouldEqual, errkind.PacketOutdated)
-			So(duplicate(0).Kind, ShouldEqual, errkind.PacketOutdated)
+// TestDuplicateSYNIsNeverPlaced guards against a daemon that places a copy of a SYN whose first one another daemon, or this one's
+// earlier process, has placed: whatever the age of the copy, and whatever the daemon heard of others.
+func TestDuplicateSYNIsNeverPlaced(t *testing.T) {
+	for _, age := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
+		Convey("A daemon that has just started drops a copy whose first SYN was sent "+age.String()+" earlier", t, func() {
+			s := newTagSite(8)
+			e := s.engine()
+			c := s.caller(safeAddr)
+			duplicate := func() Verdict {
+				m := c.meta(packet.SYN, 0)
+				m.DuplicateSYN, m.FirstSYNAge = true, age
+				return e.FromCaller(s.now, m, flowtag.None)
+			}
+			v := duplicate()
+			So(v.Op, ShouldEqual, core.OpDrop)
+			So(v.Kind, ShouldEqual, errkind.PacketOutdated)
+			So(v.Cause, ShouldEqual, FirstSYNUnseen)
 			So(e.OpenFlows(), ShouldEqual, 0)
+			Convey("but places the first SYN when it comes later, and its copies follow", func() {
+				first := c.syn(e)
+				So(first.Reason, ShouldEqual, Placed)
+				So(duplicate().Target.ID, ShouldEqual, first.Target.ID)
+			})
 		})
-	})
+	}
 }
 
 func TestLateDuplicateSYNIsDropped(t *testing.T) {
--- a/internal/edge/daemon.go
+++ b/internal/edge/daemon.go
@@ -25,7 +25,6 @@
 	"github.com/fireflypin/fireflypin/internal/directory"
 	"github.com/fireflypin/fireflypin/internal/metrics"
 	"github.com/fireflypin/fireflypin/internal/news"
-	"github.com/fireflypin/fireflypin/internal/outage"
 	"github.com/fireflypin/fireflypin/internal/room"
 	"github.com/fireflypin/fireflypin/internal/settings"
 	"github.com/fireflypin/fireflypin/internal/speed"
@@ -136,8 +135,6 @@
 	controlLoop *controlLoop
 	// speeds knows which targets are slow.
 	speeds *speed.Estimator
-	// outage knows when no daemon of the fleet was able to place flows.
-	outage *outage.Tracker
 
 	// newsMu guards the news engine, which the handler of other daemons' requests uses as well as the control loop.
 	newsMu sync.Mutex
@@ -166,7 +163,6 @@
 		pauses:          pauseDetector{sinceBoot: deps.System.SinceBoot},
 	}
 	d.speeds = speed.NewEstimator()
-	d.outage = outage.NewTracker(deps.Now)
 	d.warmup = newWarmupGate(s, deps.Metrics)
 	d.gate = room.NewGate(s.Zone)
 	d.engine = tags.New(tags.Config{
@@ -176,7 +172,6 @@
 		RequestProbe: d.probeQueue.request,
 		Observer:     tags.Observers{d.gate, d.speeds},
 		Gate:         d.gate,
-		Outage:       d.outage,
 	})
 	deps.Metrics.GaugeFunc(metrics.Family{Name: "fireflypin_open_flows", Help: "Flows with a record."},
 		func() float64 { return float64(d.engine.OpenFlows()) })
@@ -196,7 +191,6 @@
 			Rand:      rand.New(rand.NewPCG(seed, incarnation)),
 			WatchWait: s.Platform.WatchWait,
 			Reports:   func(time.Time) []news.Report { return d.controlLoop.warmupReports() },
-			Outage:    d.outage,
 			Describe:  d.describe,
 		}),
 		directory: directory.New(directory.Config{
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -27,10 +27,6 @@
 	arrived time.Time
 }
 
-// arrivalSlack is how much later than heldSYN.arrived a SYN may have arrived: the usual time between the opening of the
-// socket and the first targets, before which it is not read.
-const arrivalSlack = 50 * time.Millisecond
-
 // hold stores a copy of a packet that arrived at a time. It returns false if the packet has to be decided on now,
 // because the queue is full or closed.
 func (q *synQueue) hold(raw []byte, arrived time.Time) bool {
@@ -53,7 +49,7 @@
 }
 
 // placeHeldSYNs decides on the held SYNs once complete lists are in use. SYNs that were held for stallLimit or longer
-// are dropped: the fabric may have moved them since, so that their callers opened the flows through another daemon.
+// are dropped: on transports that do not mark duplicates, their callers may have opened the flows through another daemon since.
 func (d *Daemon) placeHeldSYNs(now time.Time) {
 	heldSYNs := d.heldSYNs.closeQueue()
 	if len(heldSYNs) == 0 {
@@ -81,7 +77,7 @@
 	switch {
 	case kind != errkind.None:
 		f.d.metrics.errorKinds.Add(kind, 1)
-	case f.isOutdated(now, p.arrived):
+	case now.Sub(p.arrived) >= stallLimit:
 		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.Waited})
 		return 1
 	default:
@@ -89,11 +85,3 @@
 	}
 	return 0
 }
-
-// isOutdated reports whether the last decoded SYN, held since it arrived, must not be placed any more. After an outage any
-// daemon places duplicates, so a SYN is outdated once its caller has sent the next one, if another daemon may have got it.
-func (f *forwarder) isOutdated(now, arrived time.Time) bool {
-	held := now.Sub(arrived)
-	duplicatePlaced := held >= f.meta.NextDuplicate()+arrivalSlack && f.d.outage.Covers(arrived) && f.d.outage.OthersPlace()
-	return held >= stallLimit || duplicatePlaced
-}
--- a/internal/edge/held_test.go
+++ b/internal/edge/held_test.go
@@ -53,8 +53,8 @@
 	})
 }
 
-// A duplicate SYN that was sent while no daemon ran is placed by the first one that runs again, unless another daemon may
-// have placed the flow.
+// TestDuplicateSYNAfterOutage guards against a daemon that places copies of SYNs as it starts, since it believes that no daemon
+// ran when their first ones were sent: one that it has not heard, or its own earlier process, may have placed those.
 func TestDuplicateSYNAfterOutage(t *testing.T) {
 	duplicate := func(o *oneTarget, d *node, port uint16, n uint32) int {
 		o.caller.send(d, o.caller.packetOf(port, 1, wireSYN, 100, n, 0, 0))
@@ -69,10 +69,11 @@
 	runOneTarget(t, func(ctx context.Context, o *oneTarget) {
 		a := o.start(ctx, 1)
 		untilReady(a)
-		So(duplicate(o, a, 1026, 1), ShouldEqual, 1)
-		So(duplicate(o, a, 1027, 2), ShouldEqual, 1)
-		time.Sleep(time.Second)
-		So(duplicate(o, a, 1028, 2), ShouldEqual, 0)
+		So(duplicate(o, a, 1026, 1), ShouldEqual, 0)
+		So(duplicate(o, a, 1027, 2), ShouldEqual, 0)
+		So(o.sendSYN(a, 1028), ShouldEqual, 1)
+		So(duplicate(o, a, 1028, 1), ShouldEqual, 1)
+		So(duplicate(o, a, 1028, 2), ShouldEqual, 1)
 
 		b := o.start(ctx, 2)
 		untilReady(b)
--- a/internal/edge/lists.go
+++ b/internal/edge/lists.go
@@ -146,7 +146,6 @@
 	if first {
 		c.d.log.Info("first lists applied", "op", "lists", "event", "first", "version", c.d.planVersion.Load(), "targets", c.directory.Len(),
 			"revision", c.news.Complete().Revision, "era", c.news.Complete().Era, "age_ms", c.news.Age(now).Milliseconds())
-		c.d.outage.Begin(now)
 		c.startForwarding()
 		c.d.placeHeldSYNs(now)
 	}
--- a/internal/news/codec.go
+++ b/internal/news/codec.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"fmt"
-	"math"
 	"net/netip"
 	"time"
 
@@ -11,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/fireflypin/fireflypin/internal/news/newspb"
-	"github.com/fireflypin/fireflypin/internal/outage"
 )
 
 // Encode returns the protobuf encoding of the datagram. It compresses the items when they would not fit otherwise.
@@ -41,7 +39,6 @@
 			Failing:    h.Failing,
 			Leaving:    h.Leaving,
 			LinkMbps:   h.Link,
-			PlacingMs:  encodePlacing(h.Placing),
 			Reports: lo.Map(h.Reports, func(r Report, _ int) *newspb.Report {
 				return &newspb.Report{Kind: uint32(r.Kind), Data: r.Data}
 			}),
@@ -87,7 +84,6 @@
 			Failing:  h.Failing,
 			Leaving:  h.Leaving,
 			Link:     h.LinkMbps,
-			Placing:  decodePlacing(h.PlacingMs),
 			Reports: lo.Map(h.Reports, func(r *newspb.Report, _ int) Report {
 				return Report{Kind: ReportKind(r.GetKind()), Data: r.GetData()}
 			}),
@@ -96,22 +92,6 @@
 	return d, nil
 }
 
-// encodePlacing returns the encoding of Heartbeat.Placing.
-func encodePlacing(d time.Duration) uint32 {
-	if d < 0 {
-		return 0
-	}
-	return uint32(min(d.Milliseconds(), math.MaxUint32-1)) + 1
-}
-
-// decodePlacing reverses encodePlacing.
-func decodePlacing(ms uint32) time.Duration {
-	if ms == 0 {
-		return outage.Unknown
-	}
-	return time.Duration(ms-1) * time.Millisecond
-}
-
 // unpackedSize returns the approximate encoded size of items without compression, in bytes.
 func unpackedSize(items []Item) int {
 	size := 0
--- a/internal/news/config.go
+++ b/internal/news/config.go
@@ -5,8 +5,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
-
-	"github.com/fireflypin/fireflypin/internal/outage"
 )
 
 // Config holds the settings of an Engine. Zero values are replaced by the defaults.
@@ -22,10 +20,6 @@
 	// MaxReportBytes of it are sent. It must not call the engine.
 	Reports func(now time.Time) []Report
 
-	// Outage takes from heartbeats how long other daemons have been able to place flows, and tells it of this one; nil if
-	// that is not reported.
-	Outage *outage.Tracker
-
 	// Describe returns what holds depend on in an item; nil if no item is ever held in force when the platform returns
 	// from an older copy. It must not call the engine.
 	Describe func(Item) Facts
--- a/internal/news/era_test.go
+++ b/internal/news/era_test.go
@@ -9,8 +9,6 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-
-	"github.com/fireflypin/fireflypin/internal/outage"
 )
 
 // oldDatagram is a datagram as daemons encoded it before positions had eras: a heartbeat of zone "a" with highest 7,
@@ -23,7 +21,7 @@
 		So(err, ShouldBeNil)
 		d, err := Decode(raw)
 		So(err, ShouldBeNil)
-		So(*d.Heartbeat, ShouldResemble, Heartbeat{Zone: "a", Interval: 300 * time.Millisecond, Highest: 7, Complete: 7, Digest: 5, Placing: outage.Unknown, Reports: []Report{}})
+		So(*d.Heartbeat, ShouldResemble, Heartbeat{Zone: "a", Interval: 300 * time.Millisecond, Highest: 7, Complete: 7, Digest: 5, Reports: []Report{}})
 		So(d.Items, ShouldResemble, []Item{{Key: "k", Revision: 7, Value: []byte("v")}})
 		again, err := d.Encode()
 		So(err, ShouldBeNil)
--- a/internal/news/gossip.go
+++ b/internal/news/gossip.go
@@ -73,9 +73,6 @@
 		// What it held before it was silent, perhaps in an earlier process, says nothing about how long it differs.
 		m.differsSince, m.keptDiffersSince = time.Time{}, time.Time{}
 	}
-	if e.cfg.Outage != nil {
-		e.cfg.Outage.Heard(now, heartbeat.Placing)
-	}
 	m.heartbeat = *heartbeat
 	m.heartbeatReceived = now
 	e.members.upsert(now, Member{Addr: m.Addr, Zone: heartbeat.Zone, Link: heartbeat.Link})
--- a/internal/news/heartbeat.go
+++ b/internal/news/heartbeat.go
@@ -3,8 +3,6 @@
 import (
 	"net/netip"
 	"time"
-
-	"github.com/fireflypin/fireflypin/internal/outage"
 )
 
 // unresponsiveHeartbeatInterval is the interval between heartbeats to unresponsive daemons.
@@ -50,19 +48,10 @@
 		Failing:  now.Before(e.reader.failingUntil),
 		Leaving:  e.draining,
 		Link:     e.cfg.Self.Link,
-		Placing:  e.placing(now),
 		Reports:  e.ownReports(now),
 	}
 }
 
-// placing returns how long this daemon has been able to place flows.
-func (e *Engine) placing(now time.Time) time.Duration {
-	if e.cfg.Outage == nil {
-		return outage.Unknown
-	}
-	return e.cfg.Outage.Placing(now)
-}
-
 // ownReports returns what other modules add to this daemon's heartbeat, up to Config.MaxReportBytes.
 func (e *Engine) ownReports(now time.Time) []Report {
 	if e.cfg.Reports == nil {
--- a/internal/news/members.go
+++ b/internal/news/members.go
@@ -34,9 +34,6 @@
 	Leaving bool
 	// Link is the rate of the sender's network link in Mbit/s, or 0 if unknown.
 	Link uint32
-	// Placing is how long the sender has been able to place flows: 0 if it is not yet, outage.Unknown if it does not report
-	// it.
-	Placing time.Duration
 	// Reports are what other modules of the sender tell the daemons that get its heartbeats.
 	Reports []Report
 }
--- a/packet/meta.go
+++ b/packet/meta.go
@@ -39,19 +39,10 @@
 	// DuplicateSYN is true for a duplicate SYN, one that its caller has sent before. It is always false on
 	// transports whose packets do not carry this information.
 	DuplicateSYN bool
-	// FirstSYNAge is how long before a duplicate SYN its caller sent the first one, 0 if that is not known.
+	// FirstSYNAge is how long before a duplicate SYN its caller sent the first one, 0 if that is not known. It is for logs.
 	FirstSYNAge time.Duration
 }
 
-// firstDuplicateDelay is the time after which callers send the first duplicate of a SYN.
-const firstDuplicateDelay = 200 * time.Millisecond
-
-// NextDuplicate returns the shortest time after which a SYN's caller sends the next duplicate. Callers double the interval
-// with each one.
-func (m *Meta) NextDuplicate() time.Duration {
-	return max(firstDuplicateDelay, 2*m.FirstSYNAge)
-}
-
 // SegmentLen returns the number of sequence numbers that the segment occupies: its payload bytes, SYN and FIN.
 func (m *Meta) SegmentLen() uint32 {
 	n := uint32(m.PayloadLen)
