tags: a copy of a SYN is not moved to another target after a failed probe

Cause: a copy of a SYN went to another target if a probe since the first one did not find its target, or if that was no longer known. Neither says that the target did not get the first SYN before: its answer may be lost, or the way to it may have failed in between. It answers once it is reachable, and packets that follow its tag at another daemon end the flow.

Ruled out: an age or a kind of probe that is proof. A refused connection may come from a cut; only the end of the target's process would be proof, which a probe shows only if another target answers at its address.

Fix: copies go to the target of the first SYN or nowhere. With the move go the event "moved" and fireflypin_moved_opens_total. A caller whose target has failed is reset by its machine, or ends the attempt after 1.4 s, and opens another flow.

--- a/core/tags/engine.go
+++ b/core/tags/engine.go
@@ -216,14 +216,11 @@
 	// Learned means that the packet is the first one that this daemon receives of a flow that another daemon
 	// opened.
 	Learned
-	// Moved means that the packet is a duplicate SYN, sent to another target because a probe did not find the first
-	// one.
-	Moved
 )
 
 // String returns the reason's name as logged.
 func (r Reason) String() string {
-	return [...]string{"steered", "placed", "repeated", "learned", "moved"}[r]
+	return [...]string{"steered", "placed", "repeated", "learned"}[r]
 }
 
 // DropCause says why a packet is dropped as outdated.
--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -15,8 +15,6 @@
 const (
 	// maxRedraws bounds the attempts to choose another target for a flow.
 	maxRedraws = 4
-	// redrawSalt makes the draws for one flow independent of each other.
-	redrawSalt = 0x9e3779b97f4a7c15
 )
 
 // open admits and places a new flow, or handles a duplicate SYN. Only the daemon that received a flow's first SYN
@@ -96,14 +94,13 @@
 	}
 }
 
-// place chooses a new flow's target. The flow's hash h selects the service, so that all daemons choose the same one.
-// draw selects the target; it equals h at first, so that daemons choose nearly the same target.
-func (e *Engine) place(lists *tagLists, now time.Time, h, draw model.FlowHash, route *model.Route, loads placement.Loads) Verdict {
+// place chooses a new flow's target. The flow's hash selects the service, so that all daemons choose the same one.
+func (e *Engine) place(lists *tagLists, now time.Time, h model.FlowHash, route *model.Route, loads placement.Loads) Verdict {
 	st := lists.table.ServiceOf(route, h)
 	if len(lists.untagged) > 0 {
 		loads = loadsWithoutTargets{Loads: loads, targets: lists.untagged}
 	}
-	t, kind := e.cfg.Policy.Choose(now, draw, st, loads)
+	t, kind := e.cfg.Policy.Choose(now, h, st, loads)
 	if kind == errkind.TargetsWarming {
 		return refuseWarming(now, st, h)
 	}
@@ -133,7 +130,7 @@
 // placeCounted chooses a new flow's target and counts the flow in the target's warm-up limit.
 func (e *Engine) placeCounted(lists *tagLists, now time.Time, h model.FlowHash, route *model.Route, loads placement.Loads) Verdict {
 	for range maxRedraws {
-		v := e.place(lists, now, h, h, route, loads)
+		v := e.place(lists, now, h, route, loads)
 		if v.Op != core.OpForward || e.cfg.Warmup.Take(now, v.Target) {
 			return v
 		}
@@ -152,9 +149,10 @@
 	return Verdict{Op: r.Op, Kind: r.Kind, RetryAfter: r.RetryAfter}
 }
 
-// handleDuplicateSYN handles a duplicate SYN of a half-open flow. It sends the SYN to the same target unless a probe
-// did not find that one. If two targets accept one SYN, both answer and the caller may return the tag of either; and a
-// target that refuses the SYN ends a flow that is open at the other. A target that the lists in force would not let take
+// handleDuplicateSYN handles a duplicate SYN of a half-open flow. It sends the SYN to the same target, also if a probe did not
+// find that one: it may have got the first SYN before, and answer once it is reachable. If two targets accept one SYN, both
+// answer and the caller may return the tag of either; and a target that refuses the SYN ends a flow that is open at the other.
+// A target that the lists in force would not let take
 // the flow any more may have answered the first SYN already: the duplicate goes nowhere then, and the caller continues with
 // that answer or opens another flow. For the same reason no duplicate is refused: the flow may be open, and a reset that answers
 // a SYN has no number that fits it.
@@ -171,12 +169,6 @@
 		return dropTagged(kind)
 	}
 	target := lists.targets[f.target]
-	if target == nil || e.absentSinceSYN(f) {
-		if v, moved := e.moveFlow(lists, now, h, route, &f); moved {
-			e.records.put(h, f)
-			return v
-		}
-	}
 	e.records.put(h, f)
 	if target == nil {
 		return dropTagged(errkind.NoTargetReachable)
@@ -203,29 +195,6 @@
 	return errkind.None
 }
 
-// absentSinceSYN reports whether a probe since the flow's SYN did not find the target, and the target has answered
-// nothing since that probe.
-func (e *Engine) absentSinceSYN(f tagRecord) bool {
-	ev := e.loads.Evidence(f.target)
-	return !ev.ProbedAt.IsZero() && !serialAfter(f.progressAt, e.records.millis(ev.ProbedAt)) && !ev.Connected && !ev.LastAnswer.After(ev.ProbedAt)
-}
-
-// moveFlow assigns a half-open flow to another target and reports whether it found one.
-func (e *Engine) moveFlow(lists *tagLists, now time.Time, h model.FlowHash, route *model.Route, f *tagRecord) (Verdict, bool) {
-	for i := range maxRedraws {
-		v := e.place(lists, now, h, h^model.FlowHash(redrawSalt*uint64(i+1)*uint64(f.synDuplicates)), route, e.loads)
-		if v.Op != core.OpForward || v.Target.ID == f.target || !e.cfg.Warmup.Take(now, v.Target) {
-			continue
-		}
-		e.loads.Closed(f.target)
-		e.loads.Placed(now, v.Target.ID)
-		f.target, f.tag = v.Target.ID, v.Tag
-		v.Reason = Moved
-		return v, true
-	}
-	return Verdict{}, false
-}
-
 func dropOutdated(c DropCause) Verdict {
 	return Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: c}
 }
--- a/core/tags/sim_fault_test.go
+++ b/core/tags/sim_fault_test.go
@@ -86,6 +86,7 @@
 	simNothing, simNothing,
 	"daemon is killed", "daemon is killed", "daemon restarts", "daemon stalls", "daemon stalls", "daemon pauses",
 	"daemon leaves the rotation", "daemon leaves the rotation",
+	"zones are partitioned", "target loses its link", "target restarts", "registration is missing",
 }
 
 const simNothing = "nothing"
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -26,8 +26,6 @@
 	switch r {
 	case tags.Repeated:
 		return flowRepeated
-	case tags.Moved:
-		return flowMoved
 	case tags.Learned:
 		return flowLearned
 	}
@@ -42,8 +40,6 @@
 		d.metrics.placements.With(v.Target.Service).Update(int64(d.engine.Loads().Open(v.Target.ID)))
 	case tags.Repeated:
 		d.metrics.repeated.Inc(1)
-	case tags.Moved:
-		d.metrics.moved.Inc(1)
 	case tags.Learned:
 		d.metrics.learned.Inc(1)
 	}
--- a/internal/edge/loglimit.go
+++ b/internal/edge/loglimit.go
@@ -16,7 +16,6 @@
 const (
 	flowPlaced logEvent = iota
 	flowRepeated
-	flowMoved
 	flowLearned
 	flowRefused
 	flowDropped
@@ -36,7 +35,7 @@
 
 // String returns the event's name in logs.
 func (e logEvent) String() string {
-	return [...]string{"placed", "repeated", "moved", "learned", "refused", "dropped", "reset", "replaced", "conflict", "asked", "target", "peer", "bearer", "held", "speed", "unusable", "undecodable"}[e]
+	return [...]string{"placed", "repeated", "learned", "refused", "dropped", "reset", "replaced", "conflict", "asked", "target", "peer", "bearer", "held", "speed", "unusable", "undecodable"}[e]
 }
 
 const (
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -14,7 +14,6 @@
 	forwarded       gometrics.Counter
 	placed          gometrics.Counter
 	repeated        gometrics.Counter
-	moved           gometrics.Counter
 	learned         gometrics.Counter
 	replaced        gometrics.Counter
 	conflicts       gometrics.Counter
@@ -57,7 +56,6 @@
 		forwarded:        counter("forwarded_packets_total", "Packets sent to targets."),
 		placed:           counter("placed_flows_total", "New flows that were given a target."),
 		repeated:         counter("repeated_opens_total", "Repeated first packets sent to the same target."),
-		moved:            counter("moved_opens_total", "Repeated first packets sent to another target."),
 		learned:          counter("learned_flows_total", "Flows that another daemon opened and whose packets came here."),
 		replaced:         counter("replaced_records_total", "First packets on ends that had a record of another flow."),
 		conflicts:        counter("tag_conflicts_total", "Packets whose tag names another target than their flow's record."),
