soak: callers return the last tag received, and a flow's SYNs must reach one target

Half of the soak's callers kept the tag of the target that their flow is open at, as those of the users' bench do. The protocol says "the last echo that they received", also in a second target's SYN+ACK; the kinder half hid flows that two targets were offered.

All callers go by the page now, and a new check, "one target", counts each flow whose SYNs reach two targets, whether it opens or not. No fault excuses it. TestCallersReturnTags loses the kinder case; TestGuaranteeChecks shows that the new check fails and that it does not on copies at one target or on a later flow between the same ends.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -20,11 +20,6 @@
 	// next request.
 	maxRequestsPerFlow = 12
 	meanRequestGap     = 400 * time.Millisecond
-	// lastTagShare is the share of flows (0 to 1) whose callers return the tag of the last packet received on the flow,
-	// even if that packet is a SYN-ACK from a second target. This is the protocol specification read strictly. The other
-	// callers keep the tag of the target that completed the handshake, as observed for the callers of the users' test
-	// bench (98 flows). Daemons must handle both.
-	lastTagShare = 0.5
 	// firstPort and portCount define the range of a caller's source ports. The range is small, so that a port is reused
 	// after about 12 s, while daemons may still hold a record of the previous flow (kept for 15 s). portReuseDelay is
 	// the minimum time between the end of a flow and the reuse of its port.
@@ -72,8 +67,8 @@
 	initial, nextSeq, expectedSeq uint32
 	tag                           uint32
 	open                          bool
-	// lastTag is true for a caller that returns the last tag received, whichever target sent it; see lastTagShare.
-	lastTag bool
+	// offeredTo is the first target that received a SYN of the flow, nil before.
+	offeredTo *target
 	// servedBy is the target that completed the handshake.
 	servedBy *target
 	// misrouted counts the packets that reached other targets since the last one that reached servedBy; misroutedSince
@@ -115,7 +110,7 @@
 func (c *caller) openFlow(now time.Time, r Route, q *request, requestsLeft int) {
 	c.port = c.freePort(now)
 	f := &flow{
-		c: c, route: r, startedAt: now, pending: q, requestsLeft: requestsLeft, initial: c.h.rand.Uint32(), lastTag: c.h.rand.Float64() < lastTagShare,
+		c: c, route: r, startedAt: now, pending: q, requestsLeft: requestsLeft, initial: c.h.rand.Uint32(),
 		key: packet.FlowKey{Caller: netip.AddrPortFrom(c.addr.Addr(), c.port), Service: r.Address},
 	}
 	f.nextSeq = f.initial + 1
@@ -225,9 +220,7 @@
 		f.servedBy = c.h.targetAt(from)
 		f.startRequest(now, f.pending)
 	case f.open && f.ownsSeq(p.Ack) && p.Flags.Has(packet.SYN):
-		if f.lastTag {
-			f.tag = p.Tag
-		}
+		f.tag = p.Tag // also of a second target, as the protocol specification has it
 	case f.open && f.ownsSeq(p.Ack):
 		f.handlePacket(now, p)
 	}
--- a/internal/soak/caller_target_test.go
+++ b/internal/soak/caller_target_test.go
@@ -148,31 +148,22 @@
 }
 
 func TestCallersReturnTags(t *testing.T) {
-	for _, c := range []struct {
-		name    string
-		lastTag bool
-		tag     uint32
-	}{
-		{"of the last packet, even if it is a second target's SYN-ACK", true, 9},
-		{"of the target that completed the handshake", false, 3},
-	} {
-		Convey("A caller returns the tag "+c.name, t, func() {
-			fx := newPacketFixture(t)
-			f, now := fx.f, time.Now()
-			f.open, f.initial, f.nextSeq, f.lastTag, f.pending = false, 7, 8, c.lastTag, &request{id: 1}
-			answer := func(seq, tag uint32) {
-				raw := fx.h.dialect.AppendPacket(nil, Packet{
-					Src: f.key.Service, Dst: f.key.Caller, Seq: seq, Ack: 8, Flags: packet.SYN | packet.ACK, Tag: tag,
-				})
-				f.c.receive(now, fx.h.targets[0].entry.Address, raw)
-			}
-			answer(50, 3)
-			answer(70, 9)
-			So(f.expectedSeq, ShouldEqual, 51)
-			So(f.tag, ShouldEqual, c.tag)
-			So(fx.sent(), ShouldHaveLength, 1)
-		})
-	}
+	Convey("A caller returns the tag of the last packet, even if it is a second target's SYN-ACK", t, func() {
+		fx := newPacketFixture(t)
+		f, now := fx.f, time.Now()
+		f.open, f.initial, f.nextSeq, f.pending = false, 7, 8, &request{id: 1}
+		answer := func(seq, tag uint32) {
+			raw := fx.h.dialect.AppendPacket(nil, Packet{
+				Src: f.key.Service, Dst: f.key.Caller, Seq: seq, Ack: 8, Flags: packet.SYN | packet.ACK, Tag: tag,
+			})
+			f.c.receive(now, fx.h.targets[0].entry.Address, raw)
+		}
+		answer(50, 3)
+		answer(70, 9)
+		So(f.expectedSeq, ShouldEqual, 51)
+		So(f.tag, ShouldEqual, 9)
+		So(fx.sent(), ShouldHaveLength, 1)
+	})
 }
 
 func TestResetsOfEarlierFlows(t *testing.T) {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -77,6 +77,24 @@
 	}
 }
 
+// checkOffer checks that all SYNs of a flow go to one target. No fault excuses a daemon.
+func (h *harness) checkOffer(e *entry, t *target, key packet.FlowKey, p Packet) {
+	c := h.callerAt(key.Caller.Addr())
+	if c == nil {
+		return
+	}
+	f := c.flows[key.Caller.Port()]
+	if f == nil || f.key != key || f.initial != p.Seq {
+		return
+	}
+	if f.offeredTo == nil {
+		f.offeredTo = t
+	}
+	if f.offeredTo != t {
+		h.reportViolation("one target", "%s offered the flow %v > %v to target %s, duplicate SYN %d; target %s was offered it before", e.name, key.Caller, key.Service, t.entry.Name, p.Ack, f.offeredTo.entry.Name)
+	}
+}
+
 // findOpenFlow returns the open flow with the given key, or nil.
 func (h *harness) findOpenFlow(key packet.FlowKey) *flow {
 	c := h.callerAt(key.Caller.Addr())
@@ -114,9 +132,6 @@
 	if f.duplicateSYNs > 0 {
 		s += fmt.Sprintf(" (%d duplicate SYNs)", f.duplicateSYNs)
 	}
-	if f.lastTag {
-		s += " (caller returns the last tag received)"
-	}
 	if tf := f.servedBy.flows[f.key]; tf == nil || !tf.open {
 		s += " (not yet, or no longer, open at its target)"
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -100,6 +100,18 @@
 			h.entries[0].recordFault(now)
 			h.misroute(f, now, misroutePackets)
 		}, ""},
+		{"copies of a SYN reach two targets while the links have a fault", func(h *harness, f *flow, now time.Time) {
+			h.recordLinkFault(now)
+			h.offer(f, h.targets[0], h.targets[1])
+		}, "one target"},
+		{"copies of a SYN reach one target", func(h *harness, f *flow, _ time.Time) {
+			h.offer(f, h.targets[0], h.targets[0])
+		}, ""},
+		{"SYNs of two flows between the same addresses reach two targets", func(h *harness, f *flow, _ time.Time) {
+			h.offer(f, h.targets[0])
+			f.initial, f.offeredTo = f.initial+1<<20, nil
+			h.offer(f, h.targets[1])
+		}, ""},
 		{"a new flow reaches a service that has no route from its address", func(h *harness, f *flow, now time.Time) {
 			h.checkRoute(now, h.entries[0], h.targets[1], f.key)
 		}, "plan"},
@@ -155,6 +167,15 @@
 }
 
 // misroute delivers packets of a flow to another target, spread evenly over misrouteTime.
+// offer lets a daemon send a flow's SYN to targets.
+func (h *harness) offer(f *flow, targets ...*target) {
+	f.c.flows = map[uint16]*flow{f.key.Caller.Port(): f}
+	h.callerByIP = map[netip.Addr]*caller{f.key.Caller.Addr(): f.c}
+	for i, t := range targets {
+		h.checkOffer(h.entries[0], t, f.key, Packet{Seq: f.initial, Ack: uint32(i), Flags: packet.SYN})
+	}
+}
+
 func (h *harness) misroute(f *flow, now time.Time, packets int) {
 	f.c.flows = map[uint16]*flow{f.key.Caller.Port(): f}
 	h.callerByIP = map[netip.Addr]*caller{f.key.Caller.Addr(): f.c}
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -230,6 +230,9 @@
 	}
 	key := packet.FlowKey{Caller: p.Src, Service: p.Dst}
 	t.h.checkMisrouted(now, e, t, key, p)
+	if p.Flags.Has(packet.SYN) {
+		t.h.checkOffer(e, t, key, p)
+	}
 	switch {
 	case t.state == targetUnresponsive || t.state == targetStopped:
 	case t.state == targetRefusing:
