--- a/core/tags/observer_test.go
+++ b/core/tags/observer_test.go
@@ -9,6 +9,7 @@
 	"github.com/fireflypin/fireflypin/core"
 	"github.com/fireflypin/fireflypin/errkind"
 	"github.com/fireflypin/fireflypin/internal/flow"
+	"github.com/fireflypin/fireflypin/internal/flowtag"
 	"github.com/fireflypin/fireflypin/model"
 	"github.com/fireflypin/fireflypin/packet"
 	"github.com/fireflypin/fireflypin/placement"
@@ -179,6 +180,16 @@
 			So(v.MaxWait, ShouldEqual, time.Second)
 			So(v.Level, ShouldEqual, 1)
 			m := c.meta(packet.SYN, 0)
+			Convey("and whose copies it drops meanwhile, so that they reach no other target", func() {
+				copied := *m
+				copied.DuplicateSYN = true
+				So(e.FromCaller(s.now, &copied, flowtag.None).Cause, ShouldEqual, FirstSYNUnseen)
+				g.decision = Decision{}
+				So(e.FromCaller(s.now, &copied, flowtag.None).Cause, ShouldEqual, FirstSYNUnseen)
+				placed := e.FromWaiting(s.now, m)
+				So(placed.Reason, ShouldEqual, Placed)
+				So(e.FromCaller(s.now, &copied, flowtag.None).Target.ID, ShouldEqual, placed.Target.ID)
+			})
 			Convey("and places later", func() {
 				g.decision = Decision{}
 				v := e.FromWaiting(s.now, m)
