soak: a process that is stopped before it can catch the signal does not break the check of processes

The check is narrowed to just that: ended by SIGTERM, asked within 1 s of the start, and nothing logged by this process.

--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -166,7 +166,6 @@
 	}
 }
 
-// misroute delivers packets of a flow to another target, spread evenly over misrouteTime.
 // offer lets a daemon send a flow's SYN to targets.
 func (h *harness) offer(f *flow, targets ...*target) {
 	f.c.flows = map[uint16]*flow{f.key.Caller.Port(): f}
@@ -176,6 +175,7 @@
 	}
 }
 
+// misroute delivers packets of a flow to another target, spread evenly over misrouteTime.
 func (h *harness) misroute(f *flow, now time.Time, packets int) {
 	f.c.flows = map[uint16]*flow{f.key.Caller.Port(): f}
 	h.callerByIP = map[netip.Addr]*caller{f.key.Caller.Addr(): f.c}
--- a/internal/soak/entry.go
+++ b/internal/soak/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -22,6 +23,8 @@
 	// drainTimeout is the daemons' drain timeout setting; stopGrace is the extra time allowed for a planned stop.
 	drainTimeout = 6 * time.Second
 	stopGrace    = 2 * time.Second
+	// startupTime is how long a process may take until it catches stop requests. Until then SIGTERM ends it.
+	startupTime = time.Second
 )
 
 // entry is an entry VM and its daemon process.
@@ -40,6 +43,10 @@
 	onExit   func()
 	// killed is true if the process was stopped with SIGKILL, so that its exit status does not matter.
 	killed bool
+	// startedAt is when the process was started, stoppedAt when it was asked to stop, and logSize the size of the log file at the
+	// start, which it shares with earlier processes.
+	startedAt, stoppedAt time.Time
+	logSize              int64
 	// ready and failedChecks are the routers' view: whether they use the daemon, and its consecutive failed health
 	// checks.
 	ready        bool
@@ -66,6 +73,17 @@
 
 func (e *entry) settingsPath() string { return filepath.Join(e.h.dir, e.name+".yaml") }
 
+func (e *entry) logPath() string { return filepath.Join(e.h.dir, e.name+".log") }
+
+// logLength returns the size of the log file, 0 if it cannot be read.
+func (e *entry) logLength() int64 {
+	info, err := os.Stat(e.logPath())
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
 // writeSettings writes the daemon's settings file; the daemon reaches the store through its proxy.
 func (e *entry) writeSettings() error {
 	var zones, seeds []string
@@ -108,11 +126,12 @@
 
 // start starts the daemon's process.
 func (e *entry) start() {
-	out, err := os.OpenFile(filepath.Join(e.h.dir, e.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	out, err := os.OpenFile(e.logPath(), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 	if err != nil {
 		e.h.fail(fmt.Errorf("open the daemon's log file: %w", err))
 		return
 	}
+	e.startedAt, e.logSize = time.Now(), e.logLength()
 	cmd := exec.Command(e.h.binary, "--config", e.settingsPath())
 	cmd.Stdout, cmd.Stderr = out, out
 	// The kernel kills the daemons if the soak process exits, so that none is left behind.
@@ -143,7 +162,7 @@
 		e.start()
 		return
 	}
-	if err != nil && !e.killed {
+	if err != nil && !e.killed && !e.stoppedAtStartup(err) {
 		e.h.reportViolation("runs", "%s exited with an error after a stop request: %v", e.name, err)
 	}
 	if e.onExit != nil {
@@ -151,6 +170,17 @@
 	}
 }
 
+// stoppedAtStartup reports whether the process was ended by SIGTERM before it was able to catch it: it was asked to stop within
+// startupTime of its start and has logged nothing, while a daemon logs its start before it forwards anything.
+func (e *entry) stoppedAtStartup(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM && e.stoppedAt.Sub(e.startedAt) < startupTime && e.logLength() == e.logSize
+}
+
 // stop sends SIGTERM or SIGKILL to the process and calls onExit after its exit. It returns false if the process is
 // not running or is already stopping.
 func (e *entry) stop(signal syscall.Signal, onExit func()) bool {
@@ -158,6 +188,7 @@
 		return false
 	}
 	e.stopping, e.onExit, e.killed = true, onExit, signal == syscall.SIGKILL
+	e.stoppedAt = time.Now()
 	e.signal(signal)
 	return true
 }
