news: the schedules of changes that reach served daemons run in four processes

It now draws 15 from each of four seeds, the same number, and scripts/run-tests runs each seed in a process of its own; a seed that is added without a process there runs with the other tests of its kind.

--- a/internal/news/reach_test.go
+++ b/internal/news/reach_test.go
@@ -140,7 +140,7 @@
 // TestChangesReachServedDaemons guards against a daemon that does not call the platform for long, though the platform
 // serves it: after an outage, whatever its rank, and whoever else lives or is served.
 func TestChangesReachServedDaemons(t *testing.T) {
-	proptest.CheckN(t, 60, func(r *rapid.T) {
+	schedule := func(r *rapid.T) {
 		zoneSize := rapid.SampledFrom([]int{1, 2, 3, 3, 8, 20, 30, 43, 60}).Draw(r, "daemons of a zone")
 		w := newReachWorld(rapid.Uint64Range(0, 1000).Draw(r, "seed"), zoneSize, rapid.IntRange(1, 2).Draw(r, "zones"))
 		w.advance(r, 4*time.Second)
@@ -182,7 +182,10 @@
 		clear(w.silent)
 		clear(w.refused)
 		w.advance(r, w.bound+time.Second)
-	})
+	}
+	for seed := 1; seed <= 4; seed++ { // scripts/run-tests runs each in a process of its own
+		proptest.CheckSeedN(t, seed, 15, schedule)
+	}
 }
 
 // TestLastDaemonOfZoneAfterOutage plays the loss of all other daemons of a zone right after an outage of the platform, for
--- a/internal/proptest/proptest.go
+++ b/internal/proptest/proptest.go
@@ -49,16 +49,23 @@
 	Check(t, prop)
 }
 
-// CheckOne runs a single check of a property with the given seed, as a subtest, so that a test can check
-// several seeds.
-func CheckOne(t *testing.T, seed int, prop func(*rapid.T)) {
+// CheckSeedN runs a property with the given seed and number of checks, as a subtest, so that the seeds of a long test can be run by
+// processes of their own.
+func CheckSeedN(t *testing.T, seed, checks int, prop func(*rapid.T)) {
 	t.Helper()
 	t.Run("seed "+strconv.Itoa(seed), func(t *testing.T) {
-		setIfDefault(t, checksFlag, checksFlagDefault, "1")
+		setIfDefault(t, checksFlag, checksFlagDefault, strconv.Itoa(checks))
 		CheckSeed(t, seed, prop)
 	})
 }
 
+// CheckOne runs a single check of a property with the given seed, as a subtest, so that a test can check
+// several seeds.
+func CheckOne(t *testing.T, seed int, prop func(*rapid.T)) {
+	t.Helper()
+	CheckSeedN(t, seed, 1, prop)
+}
+
 // setIfDefault sets a flag for the duration of the test if its value is still defaultValue. It does
 // nothing if the command line set the flag.
 func setIfDefault(t *testing.T, name, defaultValue, value string) {
