--- a/internal/edge/syn_offer_test.go
+++ b/internal/edge/syn_offer_test.go
@@ -183,15 +183,17 @@
 func (r *offerRun) injectFault() {
 	i := r.rand.IntN(offerDaemons)
 	span := time.Duration(r.rand.IntN(1500)) * time.Millisecond
-	switch r.rand.IntN(5) {
-	case 0: // all daemons are killed and return at times of their own, and the store may turn one away
-		away := r.rand.IntN(2) == 0
-		r.setTurnedAway(i, away)
+	switch r.rand.IntN(6) {
+	case 0: // all daemons are killed and return at times of their own, and the store may turn one or two away
+		for j := range r.rand.IntN(offerDaemons) {
+			away := (i + j) % offerDaemons
+			r.setTurnedAway(away, true)
+			r.after(span, func() { r.setTurnedAway(away, false) })
+		}
 		for j := range offerDaemons {
 			r.killNode(j)
 			r.after(time.Duration(r.rand.IntN(700))*time.Millisecond, func() { r.startNode(j) })
 		}
-		r.after(span, func() { r.setTurnedAway(i, false) })
 	case 1:
 		r.killNode(i)
 		r.after(span, func() { r.startNode(i) })
@@ -201,6 +203,9 @@
 		r.store.mu.Lock()
 		r.store.configDelay = span / 3
 		r.store.mu.Unlock()
+	case 5: // all links lose packets, so that daemons do not hear each other
+		r.network.SetLink("", "", udpio.Link{Loss: 0.3})
+		r.after(span, func() { r.network.SetLink("", "", udpio.Link{}) })
 	}
 }
 
@@ -232,7 +237,7 @@
 	}
 }
 
-// play opens flows beside random faults, and returns how many of them one target was offered, and which of them more were.
+// play opens flows beside random faults. It returns how many flows one target was offered, and names those that several were.
 func (r *offerRun) play(flows int) (one int, more []string) {
 	for i := range flows {
 		r.openFlow(uint16(2000 + i))
