edge: fields of SYNs only in log lines on SYNs; causes of drops have a prefix

No change of behaviour but for log lines: dropped packets that are no SYNs had four fields that say nothing of them. The comments on stallLimit say for which transports it matters, now that no daemon places another one's copies.

--- a/core/tags/engine.go
+++ b/core/tags/engine.go
@@ -228,14 +228,14 @@
 
 // The causes of dropped packets.
 const (
-	// Unspecified means that the kind says it all.
-	Unspecified DropCause = iota
-	// FirstSYNUnseen means that the packet is a duplicate SYN, and that this daemon has no record of the first one.
-	FirstSYNUnseen
-	// FlowOpen means that the packet is a duplicate SYN of a flow that is open.
-	FlowOpen
-	// Waited means that the packet waited at this daemon for too long.
-	Waited
+	// CauseUnspecified means that the packet's kind of error says it all.
+	CauseUnspecified DropCause = iota
+	// CauseFirstSYNUnseen means that the packet is a duplicate SYN, and that this daemon has no record of the first one.
+	CauseFirstSYNUnseen
+	// CauseFlowOpen means that the packet is a duplicate SYN of a flow that is open.
+	CauseFlowOpen
+	// CauseWaited means that the packet waited at this daemon for too long.
+	CauseWaited
 )
 
 // String returns the cause's name as logged.
--- a/core/tags/observer_test.go
+++ b/core/tags/observer_test.go
@@ -183,9 +183,9 @@
 			Convey("and whose copies it drops meanwhile, so that they reach no other target", func() {
 				copied := *m
 				copied.DuplicateSYN = true
-				So(e.FromCaller(s.now, &copied, flowtag.None).Cause, ShouldEqual, FirstSYNUnseen)
+				So(e.FromCaller(s.now, &copied, flowtag.None).Cause, ShouldEqual, CauseFirstSYNUnseen)
 				g.decision = Decision{}
-				So(e.FromCaller(s.now, &copied, flowtag.None).Cause, ShouldEqual, FirstSYNUnseen)
+				So(e.FromCaller(s.now, &copied, flowtag.None).Cause, ShouldEqual, CauseFirstSYNUnseen)
 				placed := e.FromWaiting(s.now, m)
 				So(placed.Reason, ShouldEqual, Placed)
 				So(e.FromCaller(s.now, &copied, flowtag.None).Target.ID, ShouldEqual, placed.Target.ID)
--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -30,9 +30,9 @@
 	case known && f.state == tagHandshake && f.seq == m.Seq+m.SegmentLen():
 		return e.handleDuplicateSYN(lists, now, h, m, f)
 	case known && f.isDuplicateSYN(m):
-		return dropOutdated(FlowOpen)
+		return dropOutdated(CauseFlowOpen)
 	case m.DuplicateSYN:
-		return dropOutdated(FirstSYNUnseen)
+		return dropOutdated(CauseFirstSYNUnseen)
 	}
 	replaced := false
 	if known {
--- a/core/tags/sim_daemon_test.go
+++ b/core/tags/sim_daemon_test.go
@@ -210,7 +210,7 @@
 		p.flow.note("daemon "+d.name+" resets ("+v.Kind.String()+d.evidenceText(v.Target)+")", &p.meta, p.tag)
 		d.reset(&FlowReset{Caller: p.meta.Src, Service: p.meta.Dst, Ack: p.meta.Ack}, v.Target)
 	default:
-		if v.Cause == FirstSYNUnseen {
+		if v.Cause == CauseFirstSYNUnseen {
 			d.w.counts.unknownDuplicates++
 		}
 		p.flow.note("daemon "+d.name+" drops ("+v.Kind.String()+")", &p.meta, p.tag)
--- a/core/tags/steer_test.go
+++ b/core/tags/steer_test.go
@@ -112,7 +112,7 @@
 			v := duplicate()
 			So(v.Op, ShouldEqual, core.OpDrop)
 			So(v.Kind, ShouldEqual, errkind.PacketOutdated)
-			So(v.Cause, ShouldEqual, FirstSYNUnseen)
+			So(v.Cause, ShouldEqual, CauseFirstSYNUnseen)
 			So(e.OpenFlows(), ShouldEqual, 0)
 			Convey("but places the first SYN when it comes later, and its copies follow", func() {
 				first := c.syn(e)
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -58,10 +58,16 @@
 			"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "leaving", v.Target.Draining, "lapsed", v.Target.Expired)
 		return
 	}
-	d.log.Info("flow placed", "op", "flow", "event", event, "flow", flowID(m.Src, m.Dst, m.Seq), "route", v.Route.Name,
+	d.log.Info("flow placed", append([]any{
+		"op", "flow", "event", event, "flow", flowID(m.Src, m.Dst, m.Seq), "route", v.Route.Name,
 		"service", v.Target.Service, "target", v.Target.Name, "zone", v.Target.Zone.Name, "tag", tagText(v.Tag), "open", o.Open, "slowness", d.speeds.Slowness(v.Target.ID),
 		"misses", o.ConsecutiveMisses, "lapsed", v.Target.Expired, "plan", d.planVersion.Load(), "age_ms", d.listsAge(now).Milliseconds(),
-		"copy", m.DuplicateSYN, "first_syn_ms", m.FirstSYNAge.Milliseconds(), "waited_in", w.place, "waited_ms", now.Sub(w.since).Milliseconds())
+	}, synFields(now, m, w)...)...)
+}
+
+// synFields returns the fields of a log line that tell whether a SYN is a copy, how old it is, and where it waited.
+func synFields(now time.Time, m *packet.Meta, w wait) []any {
+	return []any{"copy", m.DuplicateSYN, "first_syn_ms", m.FirstSYNAge.Milliseconds(), "waited_in", w.place, "waited_ms", now.Sub(w.since).Milliseconds()}
 }
 
 // recordConflict counts and logs a packet whose tag names a different target than its flow's record.
@@ -123,13 +129,14 @@
 	if !d.flowLogLimit.allow(now, flowDropped) {
 		return
 	}
-	isn := uint32(0)
+	isn, syn := uint32(0), []any(nil)
 	if m.Flags.Has(packet.SYN) {
-		isn = m.Seq
+		isn, syn = m.Seq, append([]any{"cause", v.Cause}, synFields(now, m, w)...)
 	}
-	d.log.Info("packet dropped", "op", "flow", "event", flowDropped, "flow", flowID(m.Src, m.Dst, isn), "kind", v.Kind, "cause", v.Cause,
+	d.log.Info("packet dropped", append([]any{
+		"op", "flow", "event", flowDropped, "flow", flowID(m.Src, m.Dst, isn), "kind", v.Kind,
 		"tag", tagText(tag), "plan", d.planVersion.Load(), "age_ms", d.listsAge(now).Milliseconds(),
-		"copy", m.DuplicateSYN, "first_syn_ms", m.FirstSYNAge.Milliseconds(), "waited_in", w.place, "waited_ms", now.Sub(w.since).Milliseconds())
+	}, syn...)...)
 }
 
 // recordReset counts and logs an open flow that was reset at its caller. cause is "repeat" if a retransmission of the
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -126,8 +126,9 @@
 	return f.waited || f.stale || !f.backlogSince.IsZero() || !f.fullSince.IsZero() && now.Sub(f.fullSince) >= waitLimit
 }
 
-// handle decides on one packet. SYNs that waited during a stall are dropped: their callers have opened the flows
-// through other daemons since, and a second target that refuses such a SYN would end the flow at the first one.
+// handle decides on one packet. SYNs that waited during a stall are dropped: on transports that do not mark duplicates their
+// callers may have opened the flows through other daemons since, and a second target that refuses such a SYN would end the flow
+// at the first one.
 func (f *forwarder) handle(now time.Time, i int) {
 	raw := f.in[i].Buf[:f.in[i].N]
 	tag, kind := f.d.transport.Decode(raw, &f.meta)
@@ -138,7 +139,7 @@
 	f.wait = f.socketWait(now)
 	if f.meta.Flags.Has(packet.SYN) && f.mayBeStale() {
 		f.wait.place = waitedInStall
-		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.Waited})
+		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.CauseWaited})
 		return
 	}
 	if f.meta.Flags.Has(packet.SYN) && !f.d.engine.HasAllLists() && f.d.heldSYNs.hold(raw, f.wait.since) {
--- a/internal/edge/held.go
+++ b/internal/edge/held.go
@@ -78,7 +78,7 @@
 	case kind != errkind.None:
 		f.d.metrics.errorKinds.Add(kind, 1)
 	case now.Sub(p.arrived) >= stallLimit:
-		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.Waited})
+		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.CauseWaited})
 		return 1
 	default:
 		f.process(now, i, raw, tag)
--- a/internal/edge/pause.go
+++ b/internal/edge/pause.go
@@ -11,8 +11,9 @@
 	// pauseLimit is the gap between two checks of the clock from which the process counts as paused and its published
 	// lists as possibly outdated.
 	pauseLimit = time.Second
-	// stallLimit is the delay after which the flow of a waiting SYN may have been opened through another daemon: the
-	// fabric moves flows after two health checks of a daemon, half a second apart, got no response.
+	// stallLimit is the delay after which a waiting SYN is dropped. On transports that do not mark duplicates its flow may have
+	// been opened through another daemon: the fabric moves flows after two health checks of a daemon, half a second apart, got
+	// no response.
 	stallLimit = 500 * time.Millisecond
 	// waitLimit is how long a packet may have waited to be answered with a reset: half of the first retransmission timeout
 	// of callers. The number of the reset is that of the packet; what the caller has sent since is at most acknowledgements.
--- a/internal/edge/shortage.go
+++ b/internal/edge/shortage.go
@@ -75,7 +75,7 @@
 		v = f.d.engine.GiveUp(now, &f.meta)
 	}
 	if now.Sub(w.Arrived) >= stallLimit {
-		v = tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.Waited}
+		v = tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.CauseWaited}
 	}
 	f.execute(now, i, raw, tag, &v)
 	return true
