edge: a SYN that waited in a stall has no known wait in its log line

Its line said waited_ms=0, as the stall is known only by its length; it says -1 now, as other unknown times do. TestSYNLogLines asks for it and failed before. A doc comment is wrapped anew.

--- a/core/tags/open.go
+++ b/core/tags/open.go
@@ -149,13 +149,12 @@
 	return Verdict{Op: r.Op, Kind: r.Kind, RetryAfter: r.RetryAfter}
 }
 
-// handleDuplicateSYN handles a duplicate SYN of a half-open flow. It sends the SYN to the same target, also if a probe did not
-// find that one: it may have got the first SYN before, and answer once it is reachable. If two targets accept one SYN, both
-// answer and the caller may return the tag of either; and a target that refuses the SYN ends a flow that is open at the other.
-// A target that the lists in force would not let take
-// the flow any more may have answered the first SYN already: the duplicate goes nowhere then, and the caller continues with
-// that answer or opens another flow. For the same reason no duplicate is refused: the flow may be open, and a reset that answers
-// a SYN has no number that fits it.
+// handleDuplicateSYN handles a duplicate SYN of a half-open flow. It sends the SYN to the same target, also if a probe did
+// not find that one: it may have got the first SYN before, and answer once it is reachable. If two targets accept one SYN,
+// both answer and the caller may return the tag of either; and a target that refuses the SYN ends a flow that is open at the
+// other. A target that the lists in force would not let take the flow any more may have answered the first SYN already: the
+// duplicate goes nowhere then, and the caller continues with that answer or opens another flow. For the same reason no
+// duplicate is refused: the flow may be open, and a reset that answers a SYN has no number that fits it.
 func (e *Engine) handleDuplicateSYN(lists *tagLists, now time.Time, h model.FlowHash, m *packet.Meta, f tagRecord) Verdict {
 	e.handleMiss(now, h, f.target, true)
 	f.synDuplicates++
--- a/internal/edge/flowlog.go
+++ b/internal/edge/flowlog.go
@@ -67,7 +67,7 @@
 
 // synFields returns the fields of a log line that tell whether a SYN is a copy, how old it is, and where it waited.
 func synFields(now time.Time, m *packet.Meta, w wait) []any {
-	return []any{"copy", m.DuplicateSYN, "first_syn_ms", m.FirstSYNAge.Milliseconds(), "waited_in", w.place, "waited_ms", now.Sub(w.since).Milliseconds()}
+	return []any{"copy", m.DuplicateSYN, "first_syn_ms", m.FirstSYNAge.Milliseconds(), "waited_in", w.place, "waited_ms", sinceMillis(now, w.since)}
 }
 
 // recordConflict counts and logs a packet whose tag names a different target than its flow's record.
--- a/internal/edge/forwarder.go
+++ b/internal/edge/forwarder.go
@@ -138,7 +138,7 @@
 	}
 	f.wait = f.socketWait(now)
 	if f.meta.Flags.Has(packet.SYN) && f.mayBeStale() {
-		f.wait.place = waitedInStall
+		f.wait = wait{place: waitedInStall}
 		f.d.recordDropped(now, &f.meta, tag, f.wait, &tags.Verdict{Op: core.OpDrop, Kind: errkind.PacketOutdated, Cause: tags.CauseWaited})
 		return
 	}
--- a/internal/edge/syn_log_test.go
+++ b/internal/edge/syn_log_test.go
@@ -43,7 +43,7 @@
 // copy of it was dropped.
 func TestSYNLogLines(t *testing.T) {
 	runOneTarget(t, func(ctx context.Context, o *oneTarget) {
-		logs := new(lineBuffer)
+		logs, started := new(lineBuffer), time.Now()
 		o.logs = logs
 		o.store.set(true, false)
 		a := o.start(ctx, 1)
@@ -68,5 +68,11 @@
 		time.Sleep(5 * time.Millisecond)
 		So(logs.line("event=repeated", ":3000>", "copy=true", "first_syn_ms=200"), ShouldNotBeBlank)
 		So(logs.line("event=dropped", ":3001>", "cause=first_syn_unseen", "copy=true", "first_syn_ms=600"), ShouldNotBeBlank)
+
+		time.Sleep(5*time.Second + 20*time.Millisecond - time.Since(started)) // between two checks of the clock
+		o.target.take()
+		o.suspend(a, 600*time.Millisecond)
+		So(o.sendSYN(a, 3002), ShouldEqual, 0)
+		So(logs.line("event=dropped", ":3002>", "cause=waited", "waited_in=stall", "waited_ms=-1"), ShouldNotBeBlank)
 	})
 }
--- a/internal/edge/wait.go
+++ b/internal/edge/wait.go
@@ -25,7 +25,7 @@
 	return [...]string{"none", "backlog", "start", "stall", "lists", "room"}[p]
 }
 
-// wait says where a packet waited, and since when at the earliest.
+// wait says where a packet waited, and since when at the earliest; zero if that is not known.
 type wait struct {
 	place waitPlace
 	since time.Time
